Set up package borders, settings and checks

Cause: no code existed. The typed borders (model, events, effects, peer messages, settings) come first so that parts can grow side by side. Ruled out: msgspec tagged unions, which do not accept attrs classes; a kind byte selects the decoder instead. Measured: nothing yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test demo lint format-check docs-check bench binary ci
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+lint: setup
+	$(BIN)/ruff check .
+
+format-check: setup
+	$(BIN)/ruff format --check .
+
+docs-check: setup
+	$(BIN)/python -m mulberrydeck.settings.reference --check docs/settings.md
+
+bench: setup
+	$(BIN)/python -m bench.report
+
+binary: setup
+	$(BIN)/python -m bench.binary
+
+ci: format-check lint docs-check test
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, benchmarks and packaging commands."""
--- /dev/null
+++ b/mulberrydeck/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators and callers."""
--- /dev/null
+++ b/mulberrydeck/core/__init__.py
@@ -0,0 +1,1 @@
+"""The reducer over all events, its state, and effects as data."""
--- /dev/null
+++ b/mulberrydeck/core/effects.py
@@ -0,0 +1,171 @@
+"""Effects that the reducer returns and the shell carries out."""
+
+import attrs
+
+from mulberrydeck import errors
+
+
+@attrs.frozen
+class SendMessage:
+    """Send a message to a peer.
+
+    Attributes:
+        to: Name of the VM.
+        message: One of the types in `peers.messages`.
+    """
+
+    to: str
+    message: object
+
+
+@attrs.frozen
+class ConnectPeer:
+    """Open a connection to a peer.
+
+    Attributes:
+        name: Name of the VM.
+        address: Its peer address, `host:port`.
+    """
+
+    name: str
+    address: str
+
+
+@attrs.frozen
+class DisconnectPeer:
+    """Close the connection to a peer."""
+
+    name: str
+
+
+@attrs.frozen
+class Refuse:
+    """Answer a request with a problem; final."""
+
+    request_id: str
+    problem: errors.Problem
+
+
+@attrs.frozen
+class ForwardToTarget:
+    """Send a request to a target.
+
+    Attributes:
+        request_id: The request.
+        attempt: Number of the attempt, from 1.
+        target: Name of the target.
+        address: `host:port`.
+        account: Client account, or empty on open routes.
+        remaining_s: Time left for the request, in seconds.
+        repeatable: Whether the request is idempotent.
+    """
+
+    request_id: str
+    attempt: int
+    target: str
+    address: str
+    account: str
+    remaining_s: float
+    repeatable: bool
+
+
+@attrs.frozen
+class ForwardToVm:
+    """Relay a request through another VM, which owns the targets.
+
+    Attributes:
+        request_id: The request.
+        attempt: Number of the attempt, from 1.
+        vm: Name of the VM.
+        address: Its relay address, `host:port`.
+        account: Client account, or empty on open routes.
+        remaining_s: Time left for the request, in seconds.
+        repeatable: Whether the request is idempotent.
+        link: `source/destination` regions, or empty within a region.
+    """
+
+    request_id: str
+    attempt: int
+    vm: str
+    address: str
+    account: str
+    remaining_s: float
+    repeatable: bool
+    link: str = ""
+
+
+@attrs.frozen
+class Claim:
+    """Claim a single run in the platform.
+
+    Attributes:
+        request_id: The request that waits for the answer.
+        account: Client account.
+        run_id: The caller's identifier.
+    """
+
+    request_id: str
+    account: str
+    run_id: str
+
+
+@attrs.frozen
+class RecordRun:
+    """Record the outcome of a single run in the platform.
+
+    Attributes:
+        account: Client account.
+        run_id: The caller's identifier.
+        status: HTTP status of the answer; 0 if no target ran it, so that the
+            claim is released.
+    """
+
+    account: str
+    run_id: str
+    status: int
+
+
+@attrs.frozen
+class ClaimZone:
+    """Write the zone's lease object if its version is unchanged.
+
+    Attributes:
+        expected_version: Version to replace; 0 to create.
+        epoch: New epoch.
+    """
+
+    expected_version: int
+    epoch: int
+
+
+@attrs.frozen
+class PollTarget:
+    """Ask a target for its report."""
+
+    target: str
+    address: str
+
+
+@attrs.frozen
+class Log:
+    """Write a log line.
+
+    Attributes:
+        part: Prefix of the part, such as `quota`.
+        text: A short sentence.
+    """
+
+    part: str
+    text: str
+
+
+@attrs.frozen
+class Raise:
+    """Feed an event back into the reducer at once."""
+
+    event: object
+
+
+@attrs.frozen
+class Exit:
+    """All work is done; the process may end."""
--- /dev/null
+++ b/mulberrydeck/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of one request with a target or another VM."""
--- /dev/null
+++ b/mulberrydeck/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers and relaying VMs."""
--- /dev/null
+++ b/mulberrydeck/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Caller keys: format, hashing and the keyring."""
--- /dev/null
+++ b/mulberrydeck/model/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration model: places, services, targets, accounts and rules."""
--- /dev/null
+++ b/mulberrydeck/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, traces and logs."""
--- /dev/null
+++ b/mulberrydeck/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between VMs: types, codec and transport."""
--- /dev/null
+++ b/mulberrydeck/peers/messages.py
@@ -0,0 +1,210 @@
+"""Messages between VMs.
+
+All durations are in seconds. Times named `sent_s` and `echo_s` are read on the
+monotonic clock of the VM that sent the first message of an exchange; the other
+side only returns them.
+"""
+
+import attrs
+
+PROTOCOL_VERSION = 1
+
+
+@attrs.frozen
+class ServiceLoad:
+    """Capacity that one VM can give to one service.
+
+    Attributes:
+        service: Name of the service.
+        free_slots: Slots of the targets it owns that are free now.
+        total_slots: Usable slots of the targets it owns.
+    """
+
+    service: str
+    free_slots: int
+    total_slots: int
+
+
+@attrs.frozen
+class DocumentVersion:
+    """Version of a document that a VM has applied.
+
+    Attributes:
+        name: Name of the document, such as `config` or `keys`.
+        version: Applied version.
+        age_s: Time since the version was last confirmed by the platform.
+    """
+
+    name: str
+    version: int
+    age_s: float
+
+
+@attrs.frozen
+class Heartbeat:
+    """Periodic sign of life with the sender's state.
+
+    Attributes:
+        incarnation: Identifier of the sender's process.
+        sequence: Counter of heartbeats of this process.
+        sent_s: Sender's clock when it was sent.
+        echo_s: The receiver's `sent_s` of its last heartbeat seen here, or -1.
+        zone: Availability zone of the sender.
+        leaving: Whether the sender is stopping.
+        caller_address: Where callers reach the sender, `host:port`.
+        relay_address: Where VMs send relayed requests, `host:port`.
+        documents: Versions that the sender has applied.
+        holder_epoch: Epoch of the zone lease that the sender holds, or 0.
+        loads: Capacity per service.
+    """
+
+    incarnation: str
+    sequence: int
+    sent_s: float
+    echo_s: float
+    zone: str
+    leaving: bool
+    caller_address: str
+    relay_address: str
+    documents: tuple[DocumentVersion, ...]
+    holder_epoch: int
+    loads: tuple[ServiceLoad, ...]
+
+
+@attrs.frozen
+class DocumentRequest:
+    """Asks a peer for a document newer than the known version.
+
+    Attributes:
+        name: Name of the document.
+        known_version: Version that the sender has applied.
+    """
+
+    name: str
+    known_version: int
+
+
+@attrs.frozen
+class DocumentReply:
+    """Carries a document.
+
+    Attributes:
+        name: Name of the document.
+        version: Version of the content.
+        content: Encoded document.
+        age_s: Time since the sender last had it confirmed by the platform.
+    """
+
+    name: str
+    version: int
+    content: bytes
+    age_s: float
+
+
+@attrs.frozen
+class TargetGrant:
+    """Makes the receiver the only VM that sends work to some targets.
+
+    Attributes:
+        epoch: Epoch of the granting zone holder.
+        echo_s: Receiver's clock from which the duration counts.
+        duration_s: Validity.
+        targets: Names of the targets granted.
+    """
+
+    epoch: int
+    echo_s: float
+    duration_s: float
+    targets: tuple[str, ...]
+
+
+@attrs.frozen
+class QuotaRequest:
+    """One resource that a borrower asks for.
+
+    Attributes:
+        resource: Identifier such as `account/acme` or `link/a/b`.
+        units: Units wanted.
+    """
+
+    resource: str
+    units: int
+
+
+@attrs.frozen
+class QuotaAsk:
+    """Asks a peer to lend units.
+
+    Attributes:
+        ask_id: Identifier, unique within the sender's incarnation.
+        incarnation: Sender's process.
+        sent_s: Sender's clock; the loans expire relative to it.
+        requests: Resources and units wanted.
+    """
+
+    ask_id: int
+    incarnation: str
+    sent_s: float
+    requests: tuple[QuotaRequest, ...]
+
+
+@attrs.frozen
+class QuotaGrant:
+    """One loan.
+
+    Attributes:
+        resource: Identifier of the resource.
+        loan_id: Identifier, unique within the lender's incarnation.
+        units: Units lent; 0 when there is nothing to lend.
+        tokens: Tokens that move with the units.
+        duration_s: Validity from the ask's `sent_s` on the borrower's clock.
+    """
+
+    resource: str
+    loan_id: int
+    units: int
+    tokens: float
+    duration_s: float
+
+
+@attrs.frozen
+class QuotaLoan:
+    """Answers a `QuotaAsk`.
+
+    Attributes:
+        ask_id: Identifier of the ask.
+        borrower_incarnation: Incarnation that asked; others drop the loan.
+        lender_incarnation: Process that lends.
+        sent_s: The ask's `sent_s`, returned.
+        grants: Loans made.
+    """
+
+    ask_id: int
+    borrower_incarnation: str
+    lender_incarnation: str
+    sent_s: float
+    grants: tuple[QuotaGrant, ...]
+
+
+@attrs.frozen
+class QuotaReturn:
+    """Gives loans back before they expire.
+
+    Attributes:
+        lender_incarnation: Process that lent; others drop the message.
+        loan_ids: Loans that the borrower no longer uses.
+    """
+
+    lender_incarnation: str
+    loan_ids: tuple[int, ...]
+
+
+type_by_kind = {
+    1: Heartbeat,
+    2: DocumentRequest,
+    3: DocumentReply,
+    4: TargetGrant,
+    5: QuotaAsk,
+    6: QuotaLoan,
+    7: QuotaReturn,
+}
--- /dev/null
+++ b/mulberrydeck/platformapi/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/mulberrydeck/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of targets: health, slots, ownership and spill order."""
--- /dev/null
+++ b/mulberrydeck/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency claims for requests that may run at most once."""
--- /dev/null
+++ b/mulberrydeck/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one VM: declarations, loading and reference page."""
--- /dev/null
+++ b/mulberrydeck/settings/loading.py
@@ -0,0 +1,63 @@
+"""Reads and checks a settings file."""
+
+import pathlib
+import tomllib
+
+import attrs
+import cattrs
+import cattrs.errors
+
+from mulberrydeck import errors
+from mulberrydeck.settings import declarations
+
+
+def load(path: pathlib.Path) -> declarations.Settings:
+    """Returns the checked settings of a TOML file.
+
+    Raises:
+        errors.SettingsError: The file is missing or malformed, or a value is
+            unknown, of a wrong type or out of range.
+    """
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise errors.SettingsError(
+            f"{path}: cannot be read ({error.strerror}); check the path."
+        ) from error
+    except tomllib.TOMLDecodeError as error:
+        raise errors.SettingsError(
+            f"{path}: is not valid TOML ({error}); correct the line."
+        ) from error
+    return structure(raw, str(path))
+
+
+def structure(raw: dict[str, object], source: str) -> declarations.Settings:
+    """Returns checked settings from decoded TOML.
+
+    Args:
+        raw: Decoded TOML.
+        source: Name of the source for messages.
+
+    Raises:
+        errors.SettingsError: A key is unknown or a value is bad.
+    """
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    try:
+        loaded = converter.structure(raw, declarations.Settings)
+    except cattrs.errors.BaseValidationError as error:
+        causes = "; ".join(cattrs.transform_error(error))
+        raise errors.SettingsError(
+            f"{source}: {causes}; see docs/settings.md for keys and types."
+        ) from error
+    _check_durations(loaded, source)
+    return loaded
+
+
+def _check_durations(loaded: declarations.Settings, source: str) -> None:
+    for field in attrs.fields(declarations.Settings):
+        value = getattr(loaded, field.name)
+        if field.metadata["unit"] == "s" and value <= 0:
+            raise errors.SettingsError(
+                f"{source}: {field.name} = {value} must be above 0; set a "
+                "duration in seconds."
+            )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, used by tests, demo and benchmarks."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run several processes."""
