--- a/mulberrydeck/core/events.py
+++ b/mulberrydeck/core/events.py
@@ -233,6 +233,22 @@
     retry_after_s: float = 0.0
 
 
+@attrs.frozen
+class SlotDecided:
+    """A request that waited for a slot was decided (raised internally).
+
+    Attributes:
+        request_id: The request.
+        target: Name of the target, or empty if none became free in time.
+        address: Address of the target, `host:port`.
+    """
+
+    at_s: float
+    request_id: str
+    target: str = ""
+    address: str = ""
+
+
 @attrs.frozen
 class StopRequested:
     """The process was asked to stop gracefully."""
--- a/mulberrydeck/settings/declarations.py
+++ b/mulberrydeck/settings/declarations.py
@@ -37,6 +37,21 @@
         "-",
         repr=False,
     )
+    advertised_caller_address: str = setting(
+        "Address that callers are told; empty means `caller_address`.",
+        "address",
+        default="",
+    )
+    advertised_relay_address: str = setting(
+        "Relay address that peers are told; empty means `relay_address`.",
+        "address",
+        default="",
+    )
+    source_ip: str = setting(
+        "Local IP of outgoing connections; empty lets the system choose.",
+        "address",
+        default="",
+    )
     seeds: tuple[str, ...] = setting(
         "Peers to contact before the platform has answered, `name=ip:port`.",
         "-",
