Add quota leases: units lent between VMs with a token bucket each

Cause: a bound that counts over all VMs needs a mechanism that holds without a coordinator, and static shares refuse skewed callers.

Change: mulberrydeck.quota as pure code. A zone holder owns its zone's units and lends them; a VM runs a token bucket over the units it may use. A request without a token waits while lenders are asked and is denied at once when they have nothing. Newly owned units become usable only after a lease and its margin, since loans of an earlier owner may still cover them.

Peer messages: QuotaRequest names tokens and loans to renew; QuotaReturn carries ReturnedLoan, which can end a loan in part and moves tokens back, in place of bare loan identifiers.

Conclusion: interface complete, policy first version, not yet measured.

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -124,11 +124,15 @@
 
     Attributes:
         resource: Identifier such as `account/acme` or `link/a/b`.
-        units: Units wanted.
+        units: Units wanted in addition to those already borrowed.
+        tokens: Tokens wanted with the units.
+        renew: Loans of this lender whose validity should be extended.
     """
 
     resource: str
     units: int
+    tokens: float = 0.0
+    renew: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -150,11 +154,12 @@
 
 @attrs.frozen
 class QuotaGrant:
-    """One loan.
+    """One loan, new or extended.
 
     Attributes:
         resource: Identifier of the resource.
-        loan_id: Identifier, unique within the lender's incarnation.
+        loan_id: Identifier, unique within the lender's incarnation; one that
+            the ask named in `renew` is extended.
         units: Units lent; 0 when there is nothing to lend.
         tokens: Tokens that move with the units.
         duration_s: Validity from the ask's `sent_s` on the borrower's clock.
@@ -186,17 +191,34 @@
     grants: tuple[QuotaGrant, ...]
 
 
+@attrs.frozen
+class ReturnedLoan:
+    """A loan that is given back, wholly or in part.
+
+    Attributes:
+        resource: Identifier of the resource.
+        loan_id: The loan.
+        kept_units: Units that the borrower goes on using; 0 ends the loan.
+        tokens: Tokens that move back with the units.
+    """
+
+    resource: str
+    loan_id: int
+    kept_units: int
+    tokens: float
+
+
 @attrs.frozen
 class QuotaReturn:
     """Gives loans back before they expire.
 
     Attributes:
         lender_incarnation: Process that lent; others drop the message.
-        loan_ids: Loans that the borrower no longer uses.
+        loans: Loans that the borrower uses no longer, or less.
     """
 
     lender_incarnation: str
-    loan_ids: tuple[int, ...]
+    loans: tuple[ReturnedLoan, ...]
 
 
 type_by_kind = {
--- /dev/null
+++ b/mulberrydeck/quota/borrowing.py
@@ -0,0 +1,331 @@
+"""The borrower's side: asks, received loans, renewals and returns."""
+
+import math
+
+from mulberrydeck.core import effects
+from mulberrydeck.peers import messages
+from mulberrydeck.quota import bucket
+from mulberrydeck.quota import needs
+from mulberrydeck.quota import state
+
+ASK_INTERVAL_S = 0.02
+ANSWER_TIMEOUT_S = 0.15
+RETRY_SHORT_S = 0.25
+RETURN_IDLE_S = 0.5
+RETURN_SURPLUS_RATIO = 1.5
+RENEW_BEFORE_RATIO = 0.5
+
+Requests = dict[str, messages.QuotaRequest]
+
+
+def request_missing(
+    quota: state.QuotaState, now_s: float, resource: state.ResourceState
+) -> Requests:
+    """Returns what to ask of which lender to cover the present need.
+
+    The zone's own holder comes first; the others are asked, each for a part,
+    when it cannot help.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        resource: The resource, advanced to `now_s`.
+    """
+    coming = [
+        view for view in resource.lenders.values() if _is_due(view, now_s)
+    ]
+    tokens = needs.pending_tokens(resource) - resource.tokens
+    tokens = max(0.0, tokens - sum(view.asked_tokens for view in coming))
+    units = needs.wanted_units(resource, now_s) - resource.usable_units
+    units -= sum(view.asked_units for view in coming)
+    units = max(units, needs.units_for_tokens(resource, tokens))
+    if units <= 0 or quota.stopping:
+        return {}
+    lenders = _lenders_to_ask(quota, resource, now_s)
+    if not lenders:
+        return {}
+    part = messages.QuotaRequest(
+        resource=resource.bound.resource,
+        units=math.ceil(units / len(lenders)),
+        tokens=tokens / len(lenders),
+    )
+    return dict.fromkeys(lenders, part)
+
+
+def request_renewals(
+    quota: state.QuotaState, now_s: float, resource: state.ResourceState
+) -> Requests:
+    """Returns extensions to ask for before loans in use expire."""
+    if quota.stopping:
+        return {}
+    renew_after_s = quota.settings.quota_lease_s * RENEW_BEFORE_RATIO
+    by_lender: dict[str, list[int]] = {}
+    for loan in resource.borrowed.values():
+        view = resource.lenders.setdefault(loan.key.lender, state.LenderView())
+        left_s = loan.expires_s - now_s
+        if left_s < renew_after_s and _may_ask(view, now_s):
+            by_lender.setdefault(loan.key.lender, []).append(loan.key.loan_id)
+    return {
+        lender: messages.QuotaRequest(
+            resource.bound.resource, 0, renew=tuple(loan_ids)
+        )
+        for lender, loan_ids in by_lender.items()
+    }
+
+
+def send_asks(
+    quota: state.QuotaState,
+    now_s: float,
+    requests: list[Requests],
+) -> list[object]:
+    """Sends one ask to each lender with all that is wanted of it.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        requests: What to ask of each lender.
+    """
+    by_lender: dict[str, Requests] = {}
+    for wanted in requests:
+        for lender, request in wanted.items():
+            parts = by_lender.setdefault(lender, {})
+            _add_request(parts, request)
+    return [
+        _send_ask(quota, now_s, lender, tuple(parts.values()))
+        for lender, parts in by_lender.items()
+    ]
+
+
+def accept(
+    quota: state.QuotaState,
+    now_s: float,
+    sender: str,
+    message: messages.QuotaLoan,
+) -> tuple[str, ...]:
+    """Takes the loans of an answer and returns the resources concerned.
+
+    An ask is answered once; duplicates and answers to an earlier incarnation
+    are dropped.
+    """
+    ask = quota.asks.get(message.ask_id)
+    if ask is None or ask.lender != sender:
+        return ()
+    if message.borrower_incarnation != quota.incarnation:
+        return ()
+    del quota.asks[message.ask_id]
+    for request in ask.requests:
+        resource = quota.resources.get(request.resource)
+        if resource is not None:
+            bucket.advance(resource, now_s)
+            _apply(now_s, resource, request, ask, message)
+    return tuple(request.resource for request in ask.requests)
+
+
+def forget_unanswered(quota: state.QuotaState, now_s: float) -> None:
+    """Forgets asks whose loans would have expired by now."""
+    limit_s = now_s - quota.settings.quota_lease_s
+    while quota.asks:
+        oldest = next(iter(quota.asks))
+        if quota.asks[oldest].sent_s > limit_s:
+            return
+        del quota.asks[oldest]
+
+
+def is_answer_due(resource: state.ResourceState, now_s: float) -> bool:
+    """Returns whether a lender may still answer an ask."""
+    return any(_is_due(view, now_s) for view in resource.lenders.values())
+
+
+def next_ask_s(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
+    """Returns the time until a lender may be asked again, in seconds."""
+    waits_s = [
+        _ready_s(resource.lenders.get(name, state.LenderView())) - now_s
+        for name in _lender_names(quota)
+    ]
+    return max(0.0, min(waits_s, default=float("inf")))
+
+
+def return_surplus(
+    quota: state.QuotaState, now_s: float, resource: state.ResourceState
+) -> dict[state.LoanKey, messages.ReturnedLoan]:
+    """Stops using units that are not needed and returns what to give back."""
+    if not resource.borrowed:
+        return {}
+    wanted = needs.wanted_units(resource, now_s)
+    idle = now_s - resource.last_arrival_s > RETURN_IDLE_S
+    if idle and not resource.queue:
+        wanted = 0
+    surplus = resource.usable_units - math.ceil(wanted * RETURN_SURPLUS_RATIO)
+    return give_back(resource, min(surplus, resource.borrowed_units))
+
+
+def give_back(
+    resource: state.ResourceState, units: int
+) -> dict[state.LoanKey, messages.ReturnedLoan]:
+    """Stops using borrowed units and returns what to give back.
+
+    Args:
+        resource: The resource, advanced to the current time.
+        units: Units to give back.
+    """
+    returns = {}
+    for loan in list(resource.borrowed.values()):
+        if units <= 0:
+            break
+        given = min(units, loan.units)
+        units -= given
+        tokens = _tokens_to_return(resource, given)
+        returns[loan.key] = messages.ReturnedLoan(
+            resource=resource.bound.resource,
+            loan_id=loan.key.loan_id,
+            kept_units=loan.units - given,
+            tokens=tokens,
+        )
+        loan.units -= given
+        resource.borrowed_units -= given
+        resource.tokens -= tokens
+        if loan.units == 0:
+            del resource.borrowed[loan.key]
+    bucket.clamp(resource)
+    return returns
+
+
+def send_returns(
+    returns: dict[state.LoanKey, messages.ReturnedLoan],
+) -> list[object]:
+    """Returns one message for each lender process."""
+    by_lender: dict[tuple[str, str], list[messages.ReturnedLoan]] = {}
+    for key, returned in returns.items():
+        process = (key.lender, key.lender_incarnation)
+        by_lender.setdefault(process, []).append(returned)
+    return [
+        effects.SendMessage(
+            lender, messages.QuotaReturn(incarnation, tuple(loans))
+        )
+        for (lender, incarnation), loans in by_lender.items()
+    ]
+
+
+def _tokens_to_return(resource: state.ResourceState, units: int) -> float:
+    share = resource.tokens * units / resource.usable_units
+    return max(0.0, min(share, resource.bound.depth_of(units)))
+
+
+def _lender_names(quota: state.QuotaState) -> tuple[str, ...]:
+    if quota.zone_holder:
+        return (quota.zone_holder, *quota.other_holders)
+    return quota.other_holders
+
+
+def _is_due(view: state.LenderView, now_s: float) -> bool:
+    return view.ask_id > 0 and now_s - view.asked_s < ANSWER_TIMEOUT_S
+
+
+def _ready_s(view: state.LenderView) -> float:
+    busy_s = ANSWER_TIMEOUT_S if view.ask_id else ASK_INTERVAL_S
+    return max(view.retry_s, view.asked_s + busy_s)
+
+
+def _may_ask(view: state.LenderView, now_s: float) -> bool:
+    busy_s = ANSWER_TIMEOUT_S if view.ask_id else 0.0
+    return now_s >= view.asked_s + busy_s
+
+
+def _lenders_to_ask(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> list[str]:
+    if quota.zone_holder:
+        nearest = resource.lenders.get(quota.zone_holder, state.LenderView())
+        if now_s >= _ready_s(nearest):
+            return [quota.zone_holder]
+        if _is_due(nearest, now_s):
+            return []
+    return [
+        name
+        for name in quota.other_holders
+        if now_s >= _ready_s(resource.lenders.get(name, state.LenderView()))
+    ]
+
+
+def _add_request(parts: Requests, request: messages.QuotaRequest) -> None:
+    earlier = parts.get(request.resource)
+    if earlier is None:
+        parts[request.resource] = request
+        return
+    parts[request.resource] = messages.QuotaRequest(
+        resource=request.resource,
+        units=earlier.units + request.units,
+        tokens=earlier.tokens + request.tokens,
+        renew=earlier.renew + request.renew,
+    )
+
+
+def _send_ask(
+    quota: state.QuotaState,
+    now_s: float,
+    lender: str,
+    requests: tuple[messages.QuotaRequest, ...],
+) -> effects.SendMessage:
+    ask_id = quota.next_ask_id
+    quota.next_ask_id += 1
+    quota.asks[ask_id] = state.SentAsk(lender, now_s, requests)
+    for request in requests:
+        resource = quota.resources[request.resource]
+        view = resource.lenders.setdefault(lender, state.LenderView())
+        view.asked_s = now_s
+        view.ask_id = ask_id
+        view.asked_units = request.units
+        view.asked_tokens = request.tokens
+    ask = messages.QuotaAsk(ask_id, quota.incarnation, now_s, requests)
+    return effects.SendMessage(lender, ask)
+
+
+def _apply(
+    now_s: float,
+    resource: state.ResourceState,
+    request: messages.QuotaRequest,
+    ask: state.SentAsk,
+    message: messages.QuotaLoan,
+) -> None:
+    gained = 0
+    for grant in message.grants:
+        if grant.resource != request.resource or grant.units <= 0:
+            continue
+        key = state.LoanKey(
+            ask.lender, message.lender_incarnation, grant.loan_id
+        )
+        expires_s = ask.sent_s + grant.duration_s
+        if grant.loan_id in request.renew:
+            _extend(resource, key, expires_s)
+        elif expires_s > now_s:
+            gained += grant.units
+            _add(resource, key, grant, expires_s)
+    view = resource.lenders.setdefault(ask.lender, state.LenderView())
+    if view.ask_id == message.ask_id:
+        view.ask_id = 0
+    if gained < request.units:
+        view.retry_s = now_s + RETRY_SHORT_S
+
+
+def _extend(
+    resource: state.ResourceState, key: state.LoanKey, expires_s: float
+) -> None:
+    loan = resource.borrowed.get(key)
+    if loan is not None:
+        loan.expires_s = max(loan.expires_s, expires_s)
+
+
+def _add(
+    resource: state.ResourceState,
+    key: state.LoanKey,
+    grant: messages.QuotaGrant,
+    expires_s: float,
+) -> None:
+    if key in resource.borrowed:
+        return
+    resource.borrowed[key] = state.BorrowedLoan(key, grant.units, expires_s)
+    resource.borrowed_units += grant.units
+    resource.tokens += grant.tokens
+    bucket.clamp(resource)
--- /dev/null
+++ b/mulberrydeck/quota/bucket.py
@@ -0,0 +1,90 @@
+"""Token bucket over the units that a VM may use now."""
+
+import math
+
+from mulberrydeck.quota import state
+
+TOLERANCE = 1e-9
+
+
+def advance(resource: state.ResourceState, now_s: float) -> None:
+    """Brings units and tokens to `now_s`, in seconds.
+
+    Changes of the usable units take effect in the order of their times, so
+    that tokens of an expired loan are gone before anything is decided.
+    """
+    now_s = max(now_s, resource.updated_s)
+    while True:
+        change_s = min(_next_change_s(resource), now_s)
+        _refill(resource, change_s)
+        if not _apply_changes(resource, change_s):
+            return
+
+
+def _refill(resource: state.ResourceState, until_s: float) -> None:
+    elapsed_s = max(0.0, until_s - resource.updated_s)
+    resource.tokens += elapsed_s * resource.rate_per_s
+    clamp(resource)
+    resource.updated_s = max(resource.updated_s, until_s)
+
+
+def _next_change_s(resource: state.ResourceState) -> float:
+    times_s = [loan.expires_s for loan in resource.borrowed.values()]
+    times_s.extend(loan.ends_s for loan in resource.lent.values())
+    times_s.extend(part.usable_s for part in resource.maturing)
+    return min(times_s, default=math.inf)
+
+
+def _apply_changes(resource: state.ResourceState, now_s: float) -> bool:
+    changed = (
+        _drop_expired(resource, now_s)
+        + _take_back(resource, now_s)
+        + _mature(resource, now_s)
+    )
+    clamp(resource)
+    return changed > 0
+
+
+def clamp(resource: state.ResourceState) -> None:
+    """Drops tokens that the usable units cannot hold."""
+    resource.tokens = min(resource.tokens, resource.depth)
+
+
+def has(resource: state.ResourceState, amount: float) -> bool:
+    """Returns whether `amount` tokens can be spent."""
+    return resource.tokens >= amount - TOLERANCE
+
+
+def wait_s(resource: state.ResourceState, amount: float) -> float:
+    """Returns the time until the bucket alone holds `amount`, in seconds."""
+    if has(resource, amount):
+        return 0.0
+    if resource.depth < amount - TOLERANCE:
+        return float("inf")
+    return (amount - resource.tokens) / resource.rate_per_s
+
+
+def _drop_expired(resource: state.ResourceState, now_s: float) -> int:
+    expired = [
+        loan for loan in resource.borrowed.values() if loan.expires_s <= now_s
+    ]
+    for loan in expired:
+        del resource.borrowed[loan.key]
+        resource.borrowed_units -= loan.units
+    return len(expired)
+
+
+def _take_back(resource: state.ResourceState, now_s: float) -> int:
+    ended = [loan for loan in resource.lent.values() if loan.ends_s <= now_s]
+    for loan in ended:
+        del resource.lent[loan.loan_id]
+        resource.lent_units -= loan.units
+    return len(ended)
+
+
+def _mature(resource: state.ResourceState, now_s: float) -> int:
+    ripe = [part for part in resource.maturing if part.usable_s <= now_s]
+    for part in ripe:
+        resource.maturing.remove(part)
+        resource.own_units += part.units
+    return len(ripe)
--- /dev/null
+++ b/mulberrydeck/quota/lending.py
@@ -0,0 +1,198 @@
+"""The lender's side: loans, their extension and their return."""
+
+from mulberrydeck.core import effects
+from mulberrydeck.peers import messages
+from mulberrydeck.quota import bucket
+from mulberrydeck.quota import needs
+from mulberrydeck.quota import state
+
+
+def answer(
+    quota: state.QuotaState,
+    now_s: float,
+    sender: str,
+    ask: messages.QuotaAsk,
+) -> list[object]:
+    """Lends what can be spared and returns the answer as an effect.
+
+    A duplicate of an answered ask is dropped: its loans exist already.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        sender: Name of the borrower.
+        ask: What it asks for.
+    """
+    key = state.AskKey(sender, ask.incarnation, ask.ask_id)
+    if key in quota.answered:
+        return []
+    quota.answered[key] = now_s + quota.settings.quota_lease_s
+    grants = []
+    for request in ask.requests:
+        grants.extend(_serve(quota, now_s, key, request))
+    loan = messages.QuotaLoan(
+        ask_id=ask.ask_id,
+        borrower_incarnation=ask.incarnation,
+        lender_incarnation=quota.incarnation,
+        sent_s=ask.sent_s,
+        grants=tuple(grants),
+    )
+    return [effects.SendMessage(sender, loan)]
+
+
+def forget_answered(quota: state.QuotaState, now_s: float) -> None:
+    """Forgets asks whose loans would have expired anyway."""
+    while quota.answered:
+        oldest = next(iter(quota.answered))
+        if quota.answered[oldest] > now_s:
+            return
+        del quota.answered[oldest]
+
+
+def take_returned(
+    quota: state.QuotaState,
+    now_s: float,
+    sender: str,
+    message: messages.QuotaReturn,
+) -> None:
+    """Counts returned units as usable again.
+
+    The number of kept units only falls, so that duplicates and reordered
+    returns change nothing.
+    """
+    if message.lender_incarnation != quota.incarnation:
+        return
+    for returned in message.loans:
+        resource = quota.resources.get(returned.resource)
+        if resource is not None:
+            bucket.advance(resource, now_s)
+            _reduce(resource, sender, returned)
+
+
+def _reduce(
+    resource: state.ResourceState,
+    sender: str,
+    returned: messages.ReturnedLoan,
+) -> None:
+    loan = resource.lent.get(returned.loan_id)
+    if loan is None or loan.borrower != sender:
+        return
+    kept_units = max(0, returned.kept_units)
+    if kept_units >= loan.units:
+        return
+    freed_units = loan.units - kept_units
+    resource.lent_units -= freed_units
+    loan.units = kept_units
+    if kept_units == 0:
+        del resource.lent[loan.loan_id]
+    most = resource.bound.depth_of(freed_units)
+    resource.tokens += min(max(0.0, returned.tokens), most)
+    bucket.clamp(resource)
+
+
+def _serve(
+    quota: state.QuotaState,
+    now_s: float,
+    key: state.AskKey,
+    request: messages.QuotaRequest,
+) -> list[messages.QuotaGrant]:
+    resource = quota.resources.get(request.resource)
+    if resource is None:
+        return [messages.QuotaGrant(request.resource, 0, 0, 0.0, 0.0)]
+    bucket.advance(resource, now_s)
+    grants = _extend(quota, now_s, resource, key, request)
+    grants.append(_lend(quota, now_s, resource, key, request))
+    return grants
+
+
+def _extend(
+    quota: state.QuotaState,
+    now_s: float,
+    resource: state.ResourceState,
+    key: state.AskKey,
+    request: messages.QuotaRequest,
+) -> list[messages.QuotaGrant]:
+    if quota.stopping or resource.lent_units > resource.own_units:
+        return []
+    grants = []
+    for loan_id in request.renew:
+        loan = resource.lent.get(loan_id)
+        if loan is None or not _is_of(loan, key):
+            continue
+        loan.ends_s = max(loan.ends_s, _end_s(quota, now_s))
+        grants.append(
+            messages.QuotaGrant(
+                resource=request.resource,
+                loan_id=loan_id,
+                units=loan.units,
+                tokens=0.0,
+                duration_s=quota.settings.quota_lease_s,
+            )
+        )
+    return grants
+
+
+def _is_of(loan: state.LentLoan, key: state.AskKey) -> bool:
+    return (
+        loan.borrower == key.borrower
+        and loan.borrower_incarnation == key.incarnation
+    )
+
+
+def _lend(
+    quota: state.QuotaState,
+    now_s: float,
+    resource: state.ResourceState,
+    key: state.AskKey,
+    request: messages.QuotaRequest,
+) -> messages.QuotaGrant:
+    units = min(request.units, _spare_units(quota, resource, now_s))
+    if units <= 0:
+        return messages.QuotaGrant(request.resource, 0, 0, 0.0, 0.0)
+    tokens = _tokens_to_lend(resource, units, request.tokens)
+    loan = state.LentLoan(
+        loan_id=quota.next_loan_id,
+        resource=request.resource,
+        borrower=key.borrower,
+        borrower_incarnation=key.incarnation,
+        units=units,
+        ends_s=_end_s(quota, now_s),
+    )
+    quota.next_loan_id += 1
+    resource.lent[loan.loan_id] = loan
+    resource.lent_units += units
+    resource.tokens -= tokens
+    bucket.clamp(resource)
+    return messages.QuotaGrant(
+        resource=request.resource,
+        loan_id=loan.loan_id,
+        units=units,
+        tokens=tokens,
+        duration_s=quota.settings.quota_lease_s,
+    )
+
+
+def _end_s(quota: state.QuotaState, now_s: float) -> float:
+    settings = quota.settings
+    return now_s + settings.quota_lease_s + settings.lease_margin_s
+
+
+def _spare_units(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> int:
+    if quota.stopping:
+        return 0
+    unlent = resource.own_units - resource.lent_units
+    return min(
+        unlent, resource.usable_units - needs.kept_units(resource, now_s)
+    )
+
+
+def _tokens_to_lend(
+    resource: state.ResourceState, units: int, wanted: float
+) -> float:
+    """Returns tokens for a loan: those wanted, or a share by units if more."""
+    share = resource.tokens * units / resource.usable_units
+    available = resource.tokens - needs.pending_tokens(resource)
+    most = min(available, resource.bound.depth_of(units))
+    return max(0.0, min(max(wanted, share), most))
--- /dev/null
+++ b/mulberrydeck/quota/reducer.py
@@ -0,0 +1,248 @@
+"""Entry points of the quota part.
+
+Every entry point first brings the resources it touches to the current time,
+so that a loan that expired during a pause is never used.
+"""
+
+from mulberrydeck.peers import messages
+from mulberrydeck.quota import admission
+from mulberrydeck.quota import borrowing
+from mulberrydeck.quota import bucket
+from mulberrydeck.quota import configuring
+from mulberrydeck.quota import lending
+from mulberrydeck.quota import state
+
+Effects = tuple[object, ...]
+Answer = state.Admitted | state.Waiting | state.Denied
+
+ACTIVE_S = 2.0
+
+configure = configuring.configure
+
+
+def set_lenders(
+    quota: state.QuotaState, zone_holder: str, other_holders: tuple[str, ...]
+) -> None:
+    """Names the VMs that may lend.
+
+    Args:
+        quota: State of this VM.
+        zone_holder: Holder of this VM's zone; empty if itself or unknown.
+        other_holders: Holders of the other zones, nearest first.
+    """
+    quota.zone_holder = zone_holder
+    quota.other_holders = other_holders
+
+
+def admit(
+    quota: state.QuotaState, now_s: float, resource: str, request_id: str
+) -> tuple[Answer, Effects]:
+    """Decides a request or lets it wait for `QuotaDecided`.
+
+    A resource without a bound is not limited.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        resource: Identifier of the resource.
+        request_id: Identifier of the request.
+    """
+    found = quota.resources.get(resource)
+    if found is None:
+        return state.Admitted(), ()
+    _arrive(quota, now_s, found, 1.0)
+    if not found.queue and admission.spend(found, 1.0):
+        return state.Admitted(), ()
+    if len(found.queue) >= admission.MAX_QUEUE_LENGTH:
+        retry_s = admission.retry_after_s(quota, now_s, found)
+        return state.Denied(retry_s), ()
+    admission.enqueue(quota, now_s, found, request_id)
+    decisions, asks = _settle(quota, now_s, [found])
+    own = [each for each in decisions if each.request_id == request_id]
+    others = [each for each in decisions if each.request_id != request_id]
+    raised = (*asks, *admission.as_effects(now_s, others))
+    if not own:
+        return state.Waiting(), raised
+    if own[0].admitted:
+        return state.Admitted(), raised
+    return state.Denied(own[0].retry_after_s), raised
+
+
+def forget(quota: state.QuotaState, request_id: str) -> None:
+    """Drops a waiting request that went away."""
+    name = quota.waiting.pop(request_id, None)
+    if name is None:
+        return
+    resource = quota.resources[name]
+    for request in resource.queue:
+        if request.request_id == request_id:
+            resource.queue.remove(request)
+            return
+
+
+def take(
+    quota: state.QuotaState, now_s: float, resource: str, amount: float
+) -> float:
+    """Takes `amount` tokens, or tells how long to wait before trying again.
+
+    Nothing is taken unless 0 is returned. An amount beyond the burst of the
+    bound is taken once the bucket holds the burst, and the rest is owed. A
+    resource without a bound is not limited.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        resource: Identifier of the resource.
+        amount: Tokens, such as bytes on a link.
+
+    Returns:
+        Seconds to wait before calling again; 0 if the tokens were taken.
+    """
+    found = quota.resources.get(resource)
+    if found is None:
+        return 0.0
+    quota.active.add(resource)
+    bucket.advance(found, now_s)
+    found.last_arrival_s = now_s
+    needed = min(amount, found.bound.burst)
+    if bucket.has(found, needed):
+        found.arrivals.add(now_s, amount)
+        found.tokens -= amount
+        found.shortfall = 0.0
+        return 0.0
+    found.shortfall = max(found.shortfall, needed)
+    wait_s = bucket.wait_s(found, needed)
+    return min(wait_s, quota.settings.tick_interval_s)
+
+
+def tick(quota: state.QuotaState, now_s: float) -> Effects:
+    """Renews, asks, returns and decides for the resources in use."""
+    lending.forget_answered(quota, now_s)
+    borrowing.forget_unanswered(quota, now_s)
+    in_use = [quota.resources[name] for name in sorted(quota.active)]
+    returns = {}
+    for resource in in_use:
+        bucket.advance(resource, now_s)
+        returns.update(borrowing.return_surplus(quota, now_s, resource))
+    decisions, asks = _settle(quota, now_s, in_use, renew=True)
+    for resource in in_use:
+        resource.shortfall = 0.0
+        if _is_idle(resource, now_s):
+            quota.active.discard(resource.bound.resource)
+    given_back = borrowing.send_returns(returns)
+    decisions.extend(admission.release(quota))
+    return (*given_back, *asks, *admission.as_effects(now_s, decisions))
+
+
+def receive(
+    quota: state.QuotaState, now_s: float, sender: str, message: object
+) -> Effects:
+    """Handles a quota message of a peer.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        sender: Name of the peer.
+        message: A `QuotaAsk`, `QuotaLoan` or `QuotaReturn`.
+    """
+    match message:
+        case messages.QuotaAsk():
+            return tuple(lending.answer(quota, now_s, sender, message))
+        case messages.QuotaLoan():
+            return _accept(quota, now_s, sender, message)
+        case messages.QuotaReturn():
+            return _take_returned(quota, now_s, sender, message)
+    return ()
+
+
+def release_all(quota: state.QuotaState, now_s: float) -> Effects:
+    """Gives all loans back for a planned stop; nothing is borrowed any more."""
+    quota.stopping = True
+    returns = {}
+    for resource in quota.resources.values():
+        bucket.advance(resource, now_s)
+        returns.update(borrowing.give_back(resource, resource.borrowed_units))
+    return tuple(borrowing.send_returns(returns))
+
+
+def balances(quota: state.QuotaState) -> tuple[state.Balance, ...]:
+    """Returns units and tokens per resource as of its last use."""
+    return tuple(
+        state.Balance(
+            resource=name,
+            own_units=resource.own_units,
+            lent_units=resource.lent_units,
+            borrowed_units=resource.borrowed_units,
+            tokens=resource.tokens,
+        )
+        for name, resource in sorted(quota.resources.items())
+    )
+
+
+def _arrive(
+    quota: state.QuotaState,
+    now_s: float,
+    resource: state.ResourceState,
+    amount: float,
+) -> None:
+    quota.active.add(resource.bound.resource)
+    bucket.advance(resource, now_s)
+    resource.arrivals.add(now_s, amount)
+    resource.last_arrival_s = now_s
+
+
+def _settle(
+    quota: state.QuotaState,
+    now_s: float,
+    resources: list[state.ResourceState],
+    renew: bool = False,
+) -> tuple[list[admission.Decision], list[object]]:
+    decisions = []
+    requests = []
+    for resource in resources:
+        decisions.extend(admission.admit_waiting(quota, resource))
+        if renew:
+            renewals = borrowing.request_renewals(quota, now_s, resource)
+            requests.append(renewals)
+        requests.append(borrowing.request_missing(quota, now_s, resource))
+    asks = borrowing.send_asks(quota, now_s, requests)
+    for resource in resources:
+        decisions.extend(admission.deny_waiting(quota, now_s, resource))
+    return decisions, asks
+
+
+def _accept(
+    quota: state.QuotaState,
+    now_s: float,
+    sender: str,
+    message: messages.QuotaLoan,
+) -> Effects:
+    names = borrowing.accept(quota, now_s, sender, message)
+    resources = _configured(quota, names)
+    decisions, asks = _settle(quota, now_s, resources)
+    return (*asks, *admission.as_effects(now_s, decisions))
+
+
+def _take_returned(
+    quota: state.QuotaState,
+    now_s: float,
+    sender: str,
+    message: messages.QuotaReturn,
+) -> Effects:
+    lending.take_returned(quota, now_s, sender, message)
+    names = tuple(returned.resource for returned in message.loans)
+    resources = [each for each in _configured(quota, names) if each.queue]
+    decisions, asks = _settle(quota, now_s, resources)
+    return (*asks, *admission.as_effects(now_s, decisions))
+
+
+def _configured(
+    quota: state.QuotaState, names: tuple[str, ...]
+) -> list[state.ResourceState]:
+    return [quota.resources[name] for name in names if name in quota.resources]
+
+
+def _is_idle(resource: state.ResourceState, now_s: float) -> bool:
+    if resource.queue or resource.borrowed:
+        return False
+    return now_s - resource.last_arrival_s > ACTIVE_S
--- /dev/null
+++ b/mulberrydeck/quota/tests/fleet.py
@@ -0,0 +1,235 @@
+"""Several quota states that exchange messages in virtual time."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+import attrs
+
+from mulberrydeck.core import effects
+from mulberrydeck.core import events
+from mulberrydeck.quota import division
+from mulberrydeck.quota import reducer
+from mulberrydeck.quota import state
+from mulberrydeck.settings import declarations
+
+VMS_BY_ZONE = {
+    "a1": ("a1x", "a1y"),
+    "a2": ("a2x", "a2y"),
+    "b1": ("b1x", "b1y"),
+    "b2": ("b2x", "b2y"),
+    "c1": ("c1x",),
+    "c2": ("c2x",),
+}
+ZONES = tuple(VMS_BY_ZONE)
+HOLDERS = {zone: names[0] for zone, names in VMS_BY_ZONE.items()}
+REGION_DELAY_S = {"ab": 0.010, "ac": 0.015, "bc": 0.020}
+ZONE_DELAY_S = 0.001
+LOCAL_DELAY_S = 0.0003
+WARM_S = 6.0
+
+
+@attrs.define
+class Vm:
+    """One VM: its state, its clock's offset and what it did."""
+
+    name: str
+    zone: str
+    quota: state.QuotaState
+    clock_offset_s: float = 0.0
+    incarnation: int = 1
+    sent: int = 0
+    held: list[Callable[[], None]] | None = None
+
+
+@attrs.frozen
+class Outcome:
+    """How a request was decided."""
+
+    resource: str
+    vm: str
+    arrived_s: float
+    decided_s: float
+    admitted: bool
+    retry_after_s: float = 0.0
+
+
+@attrs.define
+class Fleet:
+    """VMs, the network between them and the log of decisions."""
+
+    bounds: tuple[state.Bound, ...]
+    draw: random.Random = attrs.field(factory=lambda: random.Random(1))
+    loss: float = 0.0
+    duplication: float = 0.0
+    extra_delay_s: float = 0.0
+    now_s: float = 0.0
+    vms: dict[str, Vm] = attrs.field(factory=dict)
+    cut: set[str] = attrs.field(factory=set)
+    outcomes: list[Outcome] = attrs.field(factory=list)
+    pending: dict[str, Outcome] = attrs.field(factory=dict)
+    agenda: list[tuple] = attrs.field(factory=list)
+    order: itertools.count = attrs.field(factory=itertools.count)
+    observe: Callable[[], None] = lambda: None
+
+    def __attrs_post_init__(self):
+        for zone, names in VMS_BY_ZONE.items():
+            for name in names:
+                offset_s = self.draw.uniform(0.0, 1e4)
+                quota = state.QuotaState(f"{name}#1", make_settings(name, zone))
+                self.vms[name] = Vm(name, zone, quota, offset_s)
+                self.configure(name, self.bounds)
+                self.at(
+                    self.draw.uniform(0.0, 0.1), lambda n=name: self.tick(n)
+                )
+
+    def configure(self, name, bounds):
+        vm = self.vms[name]
+        holder = HOLDERS[vm.zone]
+        units = {
+            bound.resource: division.own_units(bound.units, ZONES, vm.zone)
+            for bound in bounds
+        }
+        own = units if name == holder else {}
+        reducer.configure(vm.quota, self.clock(vm), bounds, own)
+        others = sorted(
+            (other for zone, other in HOLDERS.items() if zone != vm.zone),
+            key=lambda other: self.delay_s(name, other),
+        )
+        near = "" if name == holder else holder
+        reducer.set_lenders(vm.quota, near, tuple(others))
+
+    def clock(self, vm):
+        return self.now_s + vm.clock_offset_s
+
+    def at(self, at_s, action):
+        heapq.heappush(self.agenda, (at_s, next(self.order), action))
+
+    def run(self, until_s):
+        while self.agenda and self.agenda[0][0] <= until_s:
+            self.now_s, _, action = heapq.heappop(self.agenda)
+            action()
+            self.observe()
+        self.now_s = until_s
+
+    def on(self, name, action):
+        """Runs an action on a VM, or holds it while the VM is paused."""
+        vm = self.vms[name]
+        if vm.held is not None:
+            vm.held.append(action)
+        else:
+            action()
+
+    def tick(self, name):
+        def act():
+            vm = self.vms[name]
+            done = reducer.tick(vm.quota, self.clock(vm))
+            self.carry_out(vm, done)
+            interval_s = vm.quota.settings.tick_interval_s
+            self.at(self.now_s + interval_s, lambda: self.tick(name))
+
+        self.on(name, act)
+
+    def request(self, name, resource):
+        self.on(name, lambda: self.admit(name, resource))
+
+    def admit(self, name, resource):
+        vm = self.vms[name]
+        request_id = f"r{next(self.order)}"
+        answer, done = reducer.admit(
+            vm.quota, self.clock(vm), resource, request_id
+        )
+        outcome = Outcome(resource, name, self.now_s, self.now_s, False)
+        match answer:
+            case state.Admitted():
+                self.outcomes.append(attrs.evolve(outcome, admitted=True))
+            case state.Denied(retry_after_s):
+                self.outcomes.append(
+                    attrs.evolve(outcome, retry_after_s=retry_after_s)
+                )
+            case state.Waiting():
+                self.pending[request_id] = outcome
+        self.carry_out(vm, done)
+
+    def carry_out(self, vm, done):
+        for effect in done:
+            match effect:
+                case effects.SendMessage(to, message):
+                    vm.sent += 1
+                    self.send(vm.name, to, message)
+                case effects.Raise(events.QuotaDecided() as decided):
+                    outcome = self.pending.pop(decided.request_id, None)
+                    if outcome is not None:
+                        self.outcomes.append(
+                            attrs.evolve(
+                                outcome,
+                                decided_s=self.now_s,
+                                admitted=decided.admitted,
+                                retry_after_s=decided.retry_after_s,
+                            )
+                        )
+
+    def send(self, source, to, message):
+        copies = 1 + (self.draw.random() < self.duplication)
+        for _ in range(copies):
+            if self.draw.random() < self.loss:
+                continue
+            delay_s = self.delay_s(source, to)
+            delay_s += self.draw.uniform(0.0, self.extra_delay_s)
+            self.at(
+                self.now_s + delay_s,
+                lambda: self.on(to, lambda: self.receive(source, to, message)),
+            )
+
+    def receive(self, source, to, message):
+        if (self.vms[source].zone in self.cut) != (
+            self.vms[to].zone in self.cut
+        ):
+            return
+        vm = self.vms[to]
+        done = reducer.receive(vm.quota, self.clock(vm), source, message)
+        self.carry_out(vm, done)
+
+    def delay_s(self, source, to):
+        first, second = sorted((source[:2], to[:2]))
+        if first == second:
+            return LOCAL_DELAY_S
+        if first[0] == second[0]:
+            return ZONE_DELAY_S
+        return REGION_DELAY_S[first[0] + second[0]]
+
+    def pause(self, name):
+        if self.vms[name].held is None:
+            self.vms[name].held = []
+
+    def resume(self, name):
+        held, self.vms[name].held = self.vms[name].held, None
+        for action in held or ():
+            action()
+
+    def restart(self, name):
+        vm = self.vms[name]
+        vm.incarnation += 1
+        vm.quota = state.QuotaState(
+            f"{name}#{vm.incarnation}", vm.quota.settings
+        )
+        self.configure(name, self.bounds)
+
+
+def make_settings(name="a1x", zone="a1"):
+    return declarations.Settings(
+        name=name,
+        zone=zone,
+        caller_address="127.0.0.1:1",
+        relay_address="127.0.0.1:2",
+        peer_address="127.0.0.1:3",
+        platform_url="http://127.0.0.1:4",
+        fleet_secret="s",
+    )
+
+
+def make_bound(name, rate_per_s, burst):
+    return state.Bound(
+        f"account/{name}", division.UNITS_PER_RESOURCE, rate_per_s, burst
+    )
