Lend tokens out of kept units and return them once spent

Change: an ask names tokens for waiting requests and units for a rate apart. A lender gives tokens, with the units that carry them, also from what it keeps, less a reserve. A single arrival is no rate. Carried units go back at once when the tokens are spent. Only as many lenders are asked as probably suffice, with backoff from those that were short.

--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -76,7 +76,7 @@
     """
     if not resource.queue:
         return []
-    lender_s = _lender_wait_s(quota, now_s, resource)
+    lender_s = borrowing.lender_wait_s(quota, resource, now_s)
     kept: collections.deque[state.WaitingRequest] = collections.deque()
     denied = []
     for request in resource.queue:
@@ -93,14 +93,6 @@
     return [Decision(request.request_id, False, retry_s) for request in denied]
 
 
-def _lender_wait_s(
-    quota: state.QuotaState, now_s: float, resource: state.ResourceState
-) -> float:
-    if borrowing.is_answer_due(resource, now_s):
-        return 0.0
-    return borrowing.next_ask_s(quota, resource, now_s)
-
-
 def retry_after_s(
     quota: state.QuotaState, now_s: float, resource: state.ResourceState
 ) -> float:
--- a/mulberrydeck/quota/borrowing.py
+++ b/mulberrydeck/quota/borrowing.py
@@ -10,9 +10,14 @@
 
 ASK_INTERVAL_S = 0.02
 ANSWER_TIMEOUT_S = 0.15
-RETRY_SHORT_S = 0.25
-RETURN_IDLE_S = 0.5
-RETURN_SURPLUS_RATIO = 1.5
+MIN_BACKOFF_S = 0.04
+MAX_BACKOFF_S = 1.0
+UNITS_RETRY_S = 1.0
+ASK_FROM_RATIO = 1.1
+OVERASK_RATIO = 1.2
+PREFETCH_S = 0.1
+LIKELY_FILL_RATIO = 0.5
+RETURN_SURPLUS_RATIO = 0.3
 RENEW_BEFORE_RATIO = 0.5
 
 Requests = dict[str, messages.QuotaRequest]
@@ -23,26 +28,28 @@
 ) -> Requests:
     """Returns what to ask of which lender to cover the present need.
 
-    The zone's own holder comes first; the others are asked, each for a part,
-    when it cannot help.
+    The zone's own holder comes first; when it cannot help, as many others are
+    asked, nearest first, as are likely to hold enough together.
 
     Args:
         quota: State of this VM.
         now_s: Current time, in seconds.
         resource: The resource, advanced to `now_s`.
     """
-    coming = [
-        view for view in resource.lenders.values() if _is_due(view, now_s)
-    ]
-    tokens = needs.pending_tokens(resource) - resource.tokens
-    tokens = max(0.0, tokens - sum(view.asked_tokens for view in coming))
-    units = needs.wanted_units(resource, now_s) - resource.usable_units
-    units -= sum(view.asked_units for view in coming)
-    units = max(units, needs.units_for_tokens(resource, tokens))
-    if units <= 0 or quota.stopping:
+    if quota.stopping:
         return {}
-    lenders = _lenders_to_ask(quota, resource, now_s)
-    if not lenders:
+    tokens = _missing_tokens(resource, now_s)
+    units = _missing_units(resource, now_s)
+    ready = _lenders_to_ask(quota, resource, now_s)
+    if tokens > 0:
+        lenders = ready[: _lenders_needed(quota, resource, tokens)]
+    else:
+        lenders = [
+            name
+            for name in ready
+            if now_s >= _view(resource, name).units_retry_s
+        ][:1]
+    if not lenders or (tokens <= 0 and units <= 0):
         return {}
     part = messages.QuotaRequest(
         resource=resource.bound.resource,
@@ -141,23 +148,47 @@
 ) -> float:
     """Returns the time until a lender may be asked again, in seconds."""
     waits_s = [
-        _ready_s(resource.lenders.get(name, state.LenderView())) - now_s
-        for name in _lender_names(quota)
+        _ready_s(_view(resource, name)) - now_s for name in _lender_names(quota)
+    ]
+    return max(0.0, min(waits_s, default=math.inf))
+
+
+def lender_wait_s(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
+    """Returns the time until a lender that may have tokens can be asked.
+
+    It is 0 while an answer may come, and infinite when each lender has
+    answered that it has nothing.
+    """
+    if is_answer_due(resource, now_s):
+        return 0.0
+    views = [_view(resource, name) for name in _lender_names(quota)]
+    waits_s = [
+        _ready_s(view) - now_s for view in views if view.retry_s <= now_s
     ]
-    return max(0.0, min(waits_s, default=float("inf")))
+    return max(0.0, min(waits_s, default=math.inf))
 
 
 def return_surplus(
-    quota: state.QuotaState, now_s: float, resource: state.ResourceState
+    resource: state.ResourceState, now_s: float, least_ratio: float
 ) -> dict[state.LoanKey, messages.ReturnedLoan]:
-    """Stops using units that are not needed and returns what to give back."""
-    if not resource.borrowed:
+    """Stops using units that are not needed and returns what to give back.
+
+    Args:
+        resource: The resource, advanced to `now_s`.
+        now_s: Current time, in seconds.
+        least_ratio: Surplus from which units go back, as a share of the bound.
+    """
+    if not resource.borrowed or resource.queue or resource.shortfall:
         return {}
     wanted = needs.wanted_units(resource, now_s)
-    idle = now_s - resource.last_arrival_s > RETURN_IDLE_S
-    if idle and not resource.queue:
-        wanted = 0
-    surplus = resource.usable_units - math.ceil(wanted * RETURN_SURPLUS_RATIO)
+    surplus = resource.usable_units - wanted
+    least = max(
+        least_ratio * resource.bound.units, wanted * RETURN_SURPLUS_RATIO
+    )
+    if wanted > 0 and surplus < least:
+        return {}
     return give_back(resource, min(surplus, resource.borrowed_units))
 
 
@@ -213,6 +244,44 @@
     return max(0.0, min(share, resource.bound.depth_of(units)))
 
 
+def _missing_tokens(resource: state.ResourceState, now_s: float) -> float:
+    missing = needs.pending_tokens(resource) - resource.tokens
+    if missing <= bucket.TOLERANCE:
+        return 0.0
+    prefetched = resource.arrivals.at(now_s) * PREFETCH_S
+    missing = min(missing * OVERASK_RATIO + prefetched, resource.bound.burst)
+    coming = sum(
+        view.asked_tokens
+        for view in resource.lenders.values()
+        if _is_due(view, now_s)
+    )
+    return max(0.0, missing - coming)
+
+
+def _missing_units(resource: state.ResourceState, now_s: float) -> int:
+    wanted = needs.wanted_units(resource, now_s)
+    if wanted <= resource.usable_units * ASK_FROM_RATIO:
+        return 0
+    coming = sum(
+        view.asked_units
+        for view in resource.lenders.values()
+        if _is_due(view, now_s)
+    )
+    return max(0, wanted - resource.usable_units - coming)
+
+
+def _lenders_needed(
+    quota: state.QuotaState, resource: state.ResourceState, tokens: float
+) -> int:
+    zones = len(quota.other_holders) + 1
+    likely = resource.bound.burst / zones * LIKELY_FILL_RATIO
+    return math.ceil(tokens / likely)
+
+
+def _view(resource: state.ResourceState, lender: str) -> state.LenderView:
+    return resource.lenders.get(lender) or state.LenderView()
+
+
 def _lender_names(quota: state.QuotaState) -> tuple[str, ...]:
     if quota.zone_holder:
         return (quota.zone_holder, *quota.other_holders)
@@ -237,7 +306,7 @@
     quota: state.QuotaState, resource: state.ResourceState, now_s: float
 ) -> list[str]:
     if quota.zone_holder:
-        nearest = resource.lenders.get(quota.zone_holder, state.LenderView())
+        nearest = _view(resource, quota.zone_holder)
         if now_s >= _ready_s(nearest):
             return [quota.zone_holder]
         if _is_due(nearest, now_s):
@@ -245,7 +314,7 @@
     return [
         name
         for name in quota.other_holders
-        if now_s >= _ready_s(resource.lenders.get(name, state.LenderView()))
+        if now_s >= _ready_s(_view(resource, name))
     ]
 
 
@@ -289,7 +358,8 @@
     ask: state.SentAsk,
     message: messages.QuotaLoan,
 ) -> None:
-    gained = 0
+    units = 0
+    tokens = 0.0
     for grant in message.grants:
         if grant.resource != request.resource or grant.units <= 0:
             continue
@@ -300,13 +370,31 @@
         if grant.loan_id in request.renew:
             _extend(resource, key, expires_s)
         elif expires_s > now_s:
-            gained += grant.units
+            units += grant.units
+            tokens += grant.tokens
             _add(resource, key, grant, expires_s)
     view = resource.lenders.setdefault(ask.lender, state.LenderView())
     if view.ask_id == message.ask_id:
         view.ask_id = 0
-    if gained < request.units:
-        view.retry_s = now_s + RETRY_SHORT_S
+    if units < request.units:
+        view.units_retry_s = now_s + UNITS_RETRY_S
+    if request.tokens > 0:
+        _note_tokens(resource, view, now_s, tokens >= request.tokens * 0.99)
+
+
+def _note_tokens(
+    resource: state.ResourceState,
+    view: state.LenderView,
+    now_s: float,
+    enough: bool,
+) -> None:
+    """Backs off from a lender for longer each time that it was short."""
+    if enough:
+        view.backoff_s = 0.0
+        return
+    first_s = max(MIN_BACKOFF_S, 0.5 / resource.bound.rate_per_s)
+    view.backoff_s = min(MAX_BACKOFF_S, max(first_s, 2 * view.backoff_s))
+    view.retry_s = now_s + view.backoff_s
 
 
 def _extend(
--- a/mulberrydeck/quota/lending.py
+++ b/mulberrydeck/quota/lending.py
@@ -146,10 +146,20 @@
     key: state.AskKey,
     request: messages.QuotaRequest,
 ) -> messages.QuotaGrant:
-    units = min(request.units, _spare_units(quota, resource, now_s))
+    free_tokens = resource.tokens - needs.reserved_tokens(resource, now_s)
+    wanted_tokens = max(0.0, min(request.tokens, free_tokens))
+    units = min(
+        _unlent_units(quota, resource),
+        max(
+            needs.units_for_tokens(resource, wanted_tokens),
+            _spare_for_rate(resource, now_s, request.units),
+        ),
+    )
     if units <= 0:
         return messages.QuotaGrant(request.resource, 0, 0, 0.0, 0.0)
-    tokens = _tokens_to_lend(resource, units, request.tokens)
+    share = min(free_tokens, resource.tokens * units / resource.usable_units)
+    tokens = max(wanted_tokens, share)
+    tokens = min(tokens, resource.bound.depth_of(units))
     loan = state.LentLoan(
         loan_id=quota.next_loan_id,
         resource=request.resource,
@@ -177,22 +187,16 @@
     return now_s + settings.quota_lease_s + settings.lease_margin_s
 
 
-def _spare_units(
-    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+def _unlent_units(
+    quota: state.QuotaState, resource: state.ResourceState
 ) -> int:
     if quota.stopping:
         return 0
-    unlent = resource.own_units - resource.lent_units
-    return min(
-        unlent, resource.usable_units - needs.kept_units(resource, now_s)
-    )
+    return resource.own_units - resource.lent_units
 
 
-def _tokens_to_lend(
-    resource: state.ResourceState, units: int, wanted: float
-) -> float:
-    """Returns tokens for a loan: those wanted, or a share by units if more."""
-    share = resource.tokens * units / resource.usable_units
-    available = resource.tokens - needs.pending_tokens(resource)
-    most = min(available, resource.bound.depth_of(units))
-    return max(0.0, min(max(wanted, share), most))
+def _spare_for_rate(
+    resource: state.ResourceState, now_s: float, wanted: int
+) -> int:
+    spare = resource.usable_units - needs.kept_units(resource, now_s)
+    return min(wanted, spare)
--- a/mulberrydeck/quota/needs.py
+++ b/mulberrydeck/quota/needs.py
@@ -2,11 +2,13 @@
 
 import math
 
+from mulberrydeck.quota import demand
 from mulberrydeck.quota import state
 
-BORROWER_HEADROOM = 1.25
-LENDER_HEADROOM = 1.1
+BORROWER_HEADROOM = 1.15
+LENDER_HEADROOM = 1.0
 GROWTH_RATIO = 2
+RESERVE_S = 0.2
 
 
 def units_for_rate(
@@ -14,14 +16,17 @@
 ) -> int:
     """Returns the units whose rate covers the estimated demand.
 
+    A single arrival is no evidence of a rate and counts for nothing.
+
     Args:
         resource: The resource.
         now_s: Current time, in seconds.
         headroom: Factor on the estimate.
     """
-    wanted_per_s = resource.arrivals.at(now_s) * headroom
-    share = wanted_per_s / resource.bound.rate_per_s
-    return min(resource.bound.units, math.floor(share * resource.bound.units))
+    estimate_per_s = resource.arrivals.at(now_s)
+    estimate_per_s -= 1.0 / demand.TIME_CONSTANT_S
+    share = headroom * estimate_per_s / resource.bound.rate_per_s
+    return max(0, math.floor(min(1.0, share) * resource.bound.units))
 
 
 def units_for_tokens(resource: state.ResourceState, tokens: float) -> int:
@@ -32,23 +37,24 @@
 
 def pending_tokens(resource: state.ResourceState) -> float:
     """Returns the tokens that waiting work needs, held or not."""
-    return max(float(len(resource.queue)), resource.shortfall)
+    pending = max(float(len(resource.queue)), resource.shortfall)
+    return min(pending, resource.bound.burst)
+
+
+def reserved_tokens(resource: state.ResourceState, now_s: float) -> float:
+    """Returns the tokens that a lender keeps for its own demand."""
+    soon = resource.arrivals.at(now_s) * RESERVE_S
+    return pending_tokens(resource) + min(soon, resource.tokens / 2)
 
 
 def wanted_units(resource: state.ResourceState, now_s: float) -> int:
     """Returns the units that this VM would like to use."""
-    wanted = max(
-        units_for_rate(resource, now_s, BORROWER_HEADROOM),
-        units_for_tokens(resource, pending_tokens(resource)),
-    )
+    wanted = units_for_rate(resource, now_s, BORROWER_HEADROOM)
     if resource.shortfall > 0:
         wanted = max(wanted, GROWTH_RATIO * resource.usable_units)
     return min(resource.bound.units, wanted)
 
 
 def kept_units(resource: state.ResourceState, now_s: float) -> int:
-    """Returns the units that a lender does not lend."""
-    return max(
-        units_for_rate(resource, now_s, LENDER_HEADROOM),
-        units_for_tokens(resource, pending_tokens(resource)),
-    )
+    """Returns the units that a lender does not lend for a rate."""
+    return units_for_rate(resource, now_s, LENDER_HEADROOM)
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -16,6 +16,8 @@
 Answer = state.Admitted | state.Waiting | state.Denied
 
 ACTIVE_S = 2.0
+SHORTFALL_S = 0.5
+RETURN_AT_ONCE_RATIO = 0.05
 
 configure = configuring.configure
 
@@ -123,10 +125,12 @@
     returns = {}
     for resource in in_use:
         bucket.advance(resource, now_s)
-        returns.update(borrowing.return_surplus(quota, now_s, resource))
+        surplus = borrowing.return_surplus(resource, now_s, 0.0)
+        returns.update(surplus)
     decisions, asks = _settle(quota, now_s, in_use, renew=True)
     for resource in in_use:
-        resource.shortfall = 0.0
+        if now_s - resource.last_arrival_s > SHORTFALL_S:
+            resource.shortfall = 0.0
         if _is_idle(resource, now_s):
             quota.active.discard(resource.bound.resource)
     given_back = borrowing.send_returns(returns)
@@ -220,7 +224,14 @@
     names = borrowing.accept(quota, now_s, sender, message)
     resources = _configured(quota, names)
     decisions, asks = _settle(quota, now_s, resources)
-    return (*asks, *admission.as_effects(now_s, decisions))
+    returns = {}
+    for resource in resources:
+        surplus = borrowing.return_surplus(
+            resource, now_s, RETURN_AT_ONCE_RATIO
+        )
+        returns.update(surplus)
+    given_back = borrowing.send_returns(returns)
+    return (*asks, *given_back, *admission.as_effects(now_s, decisions))
 
 
 def _take_returned(
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -149,6 +149,8 @@
         asked_units: Units of the unanswered ask.
         asked_tokens: Tokens of the unanswered ask.
         retry_s: It is not asked before this time, in seconds.
+        backoff_s: Last delay after an answer that was short, in seconds.
+        units_retry_s: It is not asked for units alone before this time.
     """
 
     asked_s: float = -math.inf
@@ -156,6 +158,8 @@
     asked_units: int = 0
     asked_tokens: float = 0.0
     retry_s: float = -math.inf
+    backoff_s: float = 0.0
+    units_retry_s: float = -math.inf
 
 
 @attrs.frozen
--- a/mulberrydeck/quota/tests/test_messages.py
+++ b/mulberrydeck/quota/tests/test_messages.py
@@ -29,7 +29,8 @@
 
 
 def exchange(lender, borrower, now_s=10.0):
-    """Lets the borrower ask and returns the lender's answer."""
+    """Lets a borrower in steady demand ask; returns the lender's answer."""
+    borrower.resources[BOUND.resource].arrivals.add(now_s, 12.0)
     _, done = reducer.admit(borrower, now_s, BOUND.resource, "r")
     (answer,) = reducer.receive(lender, now_s, "b", done[0].message)
     return answer.message
@@ -53,7 +54,7 @@
     once = balance(borrower)
     reducer.receive(borrower, 10.0, "a", loan)
     assert balance(borrower) == once
-    assert once.borrowed_units == balance(lender).lent_units
+    assert once.borrowed_units == balance(lender).lent_units > 0
 
 
 @pytest.mark.parametrize(
