Borrow units only for demand that is certain

Cause, seen by printing every VM's balance at each wrongful refusal: two close arrivals at a small account made a VM hold 580 of 1000 units with 1.2 tokens, while another VM found all lenders empty.

Ruled out: exhaustion of the account; the held tokens sufficed.

Change: the estimate counts less twice its standard error.

--- a/mulberrydeck/quota/needs.py
+++ b/mulberrydeck/quota/needs.py
@@ -9,14 +9,16 @@
 LENDER_HEADROOM = 1.0
 GROWTH_RATIO = 2
 RESERVE_S = 0.2
+CERTAINTY = 2.0
 
 
 def units_for_rate(
     resource: state.ResourceState, now_s: float, headroom: float
 ) -> int:
-    """Returns the units whose rate covers the estimated demand.
+    """Returns the units whose rate covers the demand that is certain.
 
-    A single arrival is no evidence of a rate and counts for nothing.
+    The estimate counts less its standard error, so that a few arrivals are
+    not taken for a rate.
 
     Args:
         resource: The resource.
@@ -24,8 +26,9 @@
         headroom: Factor on the estimate.
     """
     estimate_per_s = resource.arrivals.at(now_s)
-    estimate_per_s -= 1.0 / demand.TIME_CONSTANT_S
-    share = headroom * estimate_per_s / resource.bound.rate_per_s
+    error_per_s = math.sqrt(estimate_per_s / (2 * demand.TIME_CONSTANT_S))
+    certain_per_s = estimate_per_s - CERTAINTY * error_per_s
+    share = headroom * certain_per_s / resource.bound.rate_per_s
     return max(0, math.floor(min(1.0, share) * resource.bound.units))
 
 
