Ask the lenders that probably hold most tokens first

Cause: the fleet held 6.2 tokens on average where a central bucket held 8.7 (5/s, burst 10, load 0.7). VMs drained their own zone's holder, and holders of zones with few callers stayed full and gained nothing.

Change: an answer tells what the lender could still lend; the borrower splits what it lacks by these figures, grown by the rate since. Choice of lenders has its own module.

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -163,6 +163,7 @@
         units: Units lent; 0 when there is nothing to lend.
         tokens: Tokens that move with the units.
         duration_s: Validity from the ask's `sent_s` on the borrower's clock.
+        spare_tokens: Tokens that the lender could still lend.
     """
 
     resource: str
@@ -170,6 +171,7 @@
     units: int
     tokens: float
     duration_s: float
+    spare_tokens: float = 0.0
 
 
 @attrs.frozen
--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -6,8 +6,8 @@
 
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
-from mulberrydeck.quota import borrowing
 from mulberrydeck.quota import bucket
+from mulberrydeck.quota import choosing
 from mulberrydeck.quota import state
 
 MAX_QUEUE_LENGTH = 1000
@@ -76,7 +76,7 @@
     """
     if not resource.queue:
         return []
-    lender_s = borrowing.lender_wait_s(quota, resource, now_s)
+    lender_s = choosing.lender_wait_s(quota, resource, now_s)
     kept: collections.deque[state.WaitingRequest] = collections.deque()
     denied = []
     for request in resource.queue:
@@ -99,7 +99,7 @@
     """Returns when the next request can expect a token, in seconds."""
     ahead = len(resource.queue) + 1.0
     own_s = bucket.wait_s(resource, ahead)
-    asking_s = borrowing.next_ask_s(quota, resource, now_s)
+    asking_s = choosing.next_ask_s(quota, resource, now_s)
     refill_s = ahead / resource.bound.rate_per_s
     maturing_s = min(
         (part.usable_s - now_s for part in resource.maturing),
--- a/mulberrydeck/quota/borrowing.py
+++ b/mulberrydeck/quota/borrowing.py
@@ -5,18 +5,16 @@
 from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import bucket
+from mulberrydeck.quota import choosing
 from mulberrydeck.quota import needs
 from mulberrydeck.quota import state
 
-ASK_INTERVAL_S = 0.02
-ANSWER_TIMEOUT_S = 0.15
 MIN_BACKOFF_S = 0.04
 MAX_BACKOFF_S = 1.0
 UNITS_RETRY_S = 1.0
 ASK_FROM_RATIO = 1.1
 OVERASK_RATIO = 1.2
 PREFETCH_S = 0.1
-LIKELY_FILL_RATIO = 0.5
 RETURN_SURPLUS_RATIO = 0.3
 RENEW_BEFORE_RATIO = 0.5
 
@@ -29,7 +27,7 @@
     """Returns what to ask of which lender to cover the present need.
 
     The zone's own holder comes first; when it cannot help, as many others are
-    asked, nearest first, as are likely to hold enough together.
+    asked, fullest first, as are likely to hold enough together.
 
     Args:
         quota: State of this VM.
@@ -40,23 +38,21 @@
         return {}
     tokens = _missing_tokens(resource, now_s)
     units = _missing_units(resource, now_s)
-    ready = _lenders_to_ask(quota, resource, now_s)
+    ready = choosing.ready_lenders(quota, resource, now_s)
     if tokens > 0:
-        lenders = ready[: _lenders_needed(quota, resource, tokens)]
+        shares = choosing.share_tokens(quota, resource, now_s, ready, tokens)
+    elif units > 0:
+        shares = choosing.share_units(resource, now_s, ready)
     else:
-        lenders = [
-            name
-            for name in ready
-            if now_s >= _view(resource, name).units_retry_s
-        ][:1]
-    if not lenders or (tokens <= 0 and units <= 0):
         return {}
-    part = messages.QuotaRequest(
-        resource=resource.bound.resource,
-        units=math.ceil(units / len(lenders)),
-        tokens=tokens / len(lenders),
-    )
-    return dict.fromkeys(lenders, part)
+    return {
+        lender: messages.QuotaRequest(
+            resource=resource.bound.resource,
+            units=math.ceil(units * share),
+            tokens=tokens * share,
+        )
+        for lender, share in shares.items()
+    }
 
 
 def request_renewals(
@@ -70,7 +66,7 @@
     for loan in resource.borrowed.values():
         view = resource.lenders.setdefault(loan.key.lender, state.LenderView())
         left_s = loan.expires_s - now_s
-        if left_s < renew_after_s and _may_ask(view, now_s):
+        if left_s < renew_after_s and choosing.may_ask(view, now_s):
             by_lender.setdefault(loan.key.lender, []).append(loan.key.loan_id)
     return {
         lender: messages.QuotaRequest(
@@ -138,38 +134,6 @@
         del quota.asks[oldest]
 
 
-def is_answer_due(resource: state.ResourceState, now_s: float) -> bool:
-    """Returns whether a lender may still answer an ask."""
-    return any(_is_due(view, now_s) for view in resource.lenders.values())
-
-
-def next_ask_s(
-    quota: state.QuotaState, resource: state.ResourceState, now_s: float
-) -> float:
-    """Returns the time until a lender may be asked again, in seconds."""
-    waits_s = [
-        _ready_s(_view(resource, name)) - now_s for name in _lender_names(quota)
-    ]
-    return max(0.0, min(waits_s, default=math.inf))
-
-
-def lender_wait_s(
-    quota: state.QuotaState, resource: state.ResourceState, now_s: float
-) -> float:
-    """Returns the time until a lender that may have tokens can be asked.
-
-    It is 0 while an answer may come, and infinite when each lender has
-    answered that it has nothing.
-    """
-    if is_answer_due(resource, now_s):
-        return 0.0
-    views = [_view(resource, name) for name in _lender_names(quota)]
-    waits_s = [
-        _ready_s(view) - now_s for view in views if view.retry_s <= now_s
-    ]
-    return max(0.0, min(waits_s, default=math.inf))
-
-
 def return_surplus(
     resource: state.ResourceState, now_s: float, least_ratio: float
 ) -> dict[state.LoanKey, messages.ReturnedLoan]:
@@ -253,7 +217,7 @@
     coming = sum(
         view.asked_tokens
         for view in resource.lenders.values()
-        if _is_due(view, now_s)
+        if choosing.is_due(view, now_s)
     )
     return max(0.0, missing - coming)
 
@@ -265,59 +229,11 @@
     coming = sum(
         view.asked_units
         for view in resource.lenders.values()
-        if _is_due(view, now_s)
+        if choosing.is_due(view, now_s)
     )
     return max(0, wanted - resource.usable_units - coming)
 
 
-def _lenders_needed(
-    quota: state.QuotaState, resource: state.ResourceState, tokens: float
-) -> int:
-    zones = len(quota.other_holders) + 1
-    likely = resource.bound.burst / zones * LIKELY_FILL_RATIO
-    return math.ceil(tokens / likely)
-
-
-def _view(resource: state.ResourceState, lender: str) -> state.LenderView:
-    return resource.lenders.get(lender) or state.LenderView()
-
-
-def _lender_names(quota: state.QuotaState) -> tuple[str, ...]:
-    if quota.zone_holder:
-        return (quota.zone_holder, *quota.other_holders)
-    return quota.other_holders
-
-
-def _is_due(view: state.LenderView, now_s: float) -> bool:
-    return view.ask_id > 0 and now_s - view.asked_s < ANSWER_TIMEOUT_S
-
-
-def _ready_s(view: state.LenderView) -> float:
-    busy_s = ANSWER_TIMEOUT_S if view.ask_id else ASK_INTERVAL_S
-    return max(view.retry_s, view.asked_s + busy_s)
-
-
-def _may_ask(view: state.LenderView, now_s: float) -> bool:
-    busy_s = ANSWER_TIMEOUT_S if view.ask_id else 0.0
-    return now_s >= view.asked_s + busy_s
-
-
-def _lenders_to_ask(
-    quota: state.QuotaState, resource: state.ResourceState, now_s: float
-) -> list[str]:
-    if quota.zone_holder:
-        nearest = _view(resource, quota.zone_holder)
-        if now_s >= _ready_s(nearest):
-            return [quota.zone_holder]
-        if _is_due(nearest, now_s):
-            return []
-    return [
-        name
-        for name in quota.other_holders
-        if now_s >= _ready_s(_view(resource, name))
-    ]
-
-
 def _add_request(parts: Requests, request: messages.QuotaRequest) -> None:
     earlier = parts.get(request.resource)
     if earlier is None:
@@ -358,10 +274,15 @@
     ask: state.SentAsk,
     message: messages.QuotaLoan,
 ) -> None:
+    view = resource.lenders.setdefault(ask.lender, state.LenderView())
     units = 0
     tokens = 0.0
     for grant in message.grants:
-        if grant.resource != request.resource or grant.units <= 0:
+        if grant.resource != request.resource:
+            continue
+        view.spare_tokens = grant.spare_tokens
+        view.answered_s = now_s
+        if grant.units <= 0:
             continue
         key = state.LoanKey(
             ask.lender, message.lender_incarnation, grant.loan_id
@@ -373,7 +294,6 @@
             units += grant.units
             tokens += grant.tokens
             _add(resource, key, grant, expires_s)
-    view = resource.lenders.setdefault(ask.lender, state.LenderView())
     if view.ask_id == message.ask_id:
         view.ask_id = 0
     if units < request.units:
--- /dev/null
+++ b/mulberrydeck/quota/choosing.py
@@ -0,0 +1,142 @@
+"""Chooses which lenders to ask, and when."""
+
+import math
+
+from mulberrydeck.quota import state
+
+ASK_INTERVAL_S = 0.02
+ANSWER_TIMEOUT_S = 0.15
+LIKELY_RATIO = 0.7
+TOLERANCE = 1e-6
+
+
+def ready_lenders(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> list[str]:
+    """Returns the lenders that may be asked now, the best first.
+
+    The zone's own holder is asked alone, and the others after its answer.
+    """
+    if quota.zone_holder:
+        nearest = _view(resource, quota.zone_holder)
+        if now_s >= _ready_s(nearest):
+            return [quota.zone_holder]
+        if is_due(nearest, now_s):
+            return []
+    return [
+        name
+        for name in quota.other_holders
+        if now_s >= _ready_s(_view(resource, name))
+    ]
+
+
+def share_tokens(
+    quota: state.QuotaState,
+    resource: state.ResourceState,
+    now_s: float,
+    ready: list[str],
+    tokens: float,
+) -> dict[str, float]:
+    """Returns which part of the tokens to ask of which lender.
+
+    Lenders that probably hold most are asked first, so that none stays full
+    and loses what it would gain while others run empty.
+
+    Args:
+        quota: State of this VM.
+        resource: The resource.
+        now_s: Current time, in seconds.
+        ready: Lenders that may be asked.
+        tokens: Tokens wanted.
+    """
+    likely = {
+        name: _likely_tokens(quota, resource, now_s, name) for name in ready
+    }
+    chosen: dict[str, float] = {}
+    for name in sorted(ready, key=lambda name: -likely[name]):
+        if sum(chosen.values()) * LIKELY_RATIO >= tokens:
+            break
+        chosen[name] = max(likely[name], TOLERANCE)
+    total = sum(chosen.values())
+    return {name: part / total for name, part in chosen.items()}
+
+
+def share_units(
+    resource: state.ResourceState, now_s: float, ready: list[str]
+) -> dict[str, float]:
+    """Returns the one lender to ask for units alone, if any."""
+    for name in ready:
+        if now_s >= _view(resource, name).units_retry_s:
+            return {name: 1.0}
+    return {}
+
+
+def is_answer_due(resource: state.ResourceState, now_s: float) -> bool:
+    """Returns whether a lender may still answer an ask."""
+    return any(is_due(view, now_s) for view in resource.lenders.values())
+
+
+def next_ask_s(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
+    """Returns the time until a lender may be asked again, in seconds."""
+    waits_s = [
+        _ready_s(_view(resource, name)) - now_s for name in _lender_names(quota)
+    ]
+    return max(0.0, min(waits_s, default=math.inf))
+
+
+def lender_wait_s(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
+    """Returns the time until a lender that may have tokens can be asked.
+
+    It is 0 while an answer may come, and infinite when each lender has
+    answered that it has nothing.
+    """
+    if is_answer_due(resource, now_s):
+        return 0.0
+    views = [_view(resource, name) for name in _lender_names(quota)]
+    waits_s = [
+        _ready_s(view) - now_s for view in views if view.retry_s <= now_s
+    ]
+    return max(0.0, min(waits_s, default=math.inf))
+
+
+def is_due(view: state.LenderView, now_s: float) -> bool:
+    """Returns whether the lender may still answer an ask."""
+    return view.ask_id > 0 and now_s - view.asked_s < ANSWER_TIMEOUT_S
+
+
+def may_ask(view: state.LenderView, now_s: float) -> bool:
+    """Returns whether a renewal may be sent to the lender."""
+    busy_s = ANSWER_TIMEOUT_S if view.ask_id else 0.0
+    return now_s >= view.asked_s + busy_s
+
+
+def _likely_tokens(
+    quota: state.QuotaState,
+    resource: state.ResourceState,
+    now_s: float,
+    lender: str,
+) -> float:
+    zones = len(quota.other_holders) + 1
+    view = _view(resource, lender)
+    gain_per_s = resource.bound.rate_per_s / zones
+    gained = (now_s - view.answered_s) * gain_per_s
+    return min(resource.bound.burst / zones, view.spare_tokens + gained)
+
+
+def _view(resource: state.ResourceState, lender: str) -> state.LenderView:
+    return resource.lenders.get(lender) or state.LenderView()
+
+
+def _lender_names(quota: state.QuotaState) -> tuple[str, ...]:
+    if quota.zone_holder:
+        return (quota.zone_holder, *quota.other_holders)
+    return quota.other_holders
+
+
+def _ready_s(view: state.LenderView) -> float:
+    busy_s = ANSWER_TIMEOUT_S if view.ask_id else ASK_INTERVAL_S
+    return max(view.retry_s, view.asked_s + busy_s)
--- a/mulberrydeck/quota/lending.py
+++ b/mulberrydeck/quota/lending.py
@@ -146,8 +146,8 @@
     key: state.AskKey,
     request: messages.QuotaRequest,
 ) -> messages.QuotaGrant:
-    free_tokens = resource.tokens - needs.reserved_tokens(resource, now_s)
-    wanted_tokens = max(0.0, min(request.tokens, free_tokens))
+    free_tokens = _spare_tokens(quota, resource, now_s)
+    wanted_tokens = min(request.tokens, free_tokens)
     units = min(
         _unlent_units(quota, resource),
         max(
@@ -156,7 +156,10 @@
         ),
     )
     if units <= 0:
-        return messages.QuotaGrant(request.resource, 0, 0, 0.0, 0.0)
+        spare_tokens = _spare_tokens(quota, resource, now_s)
+        return messages.QuotaGrant(
+            request.resource, 0, 0, 0.0, 0.0, spare_tokens
+        )
     share = min(free_tokens, resource.tokens * units / resource.usable_units)
     tokens = max(wanted_tokens, share)
     tokens = min(tokens, resource.bound.depth_of(units))
@@ -179,6 +182,7 @@
         units=units,
         tokens=tokens,
         duration_s=quota.settings.quota_lease_s,
+        spare_tokens=_spare_tokens(quota, resource, now_s),
     )
 
 
@@ -195,6 +199,14 @@
     return resource.own_units - resource.lent_units
 
 
+def _spare_tokens(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
+    free = resource.tokens - needs.reserved_tokens(resource, now_s)
+    most = resource.bound.depth_of(max(0, _unlent_units(quota, resource)))
+    return max(0.0, min(free, most))
+
+
 def _spare_for_rate(
     resource: state.ResourceState, now_s: float, wanted: int
 ) -> int:
--- a/mulberrydeck/quota/needs.py
+++ b/mulberrydeck/quota/needs.py
@@ -12,24 +12,29 @@
 CERTAINTY = 2.0
 
 
+def certain_rate_per_s(resource: state.ResourceState, now_s: float) -> float:
+    """Returns the demand less its error, in tokens per second.
+
+    A few arrivals are thus not taken for a rate.
+    """
+    estimate_per_s = resource.arrivals.at(now_s)
+    error_per_s = math.sqrt(estimate_per_s / (2 * demand.TIME_CONSTANT_S))
+    return max(0.0, estimate_per_s - CERTAINTY * error_per_s)
+
+
 def units_for_rate(
     resource: state.ResourceState, now_s: float, headroom: float
 ) -> int:
-    """Returns the units whose rate covers the demand that is certain.
-
-    The estimate counts less its standard error, so that a few arrivals are
-    not taken for a rate.
+    """Returns the units whose rate covers the certain demand.
 
     Args:
         resource: The resource.
         now_s: Current time, in seconds.
-        headroom: Factor on the estimate.
+        headroom: Factor on the demand.
     """
-    estimate_per_s = resource.arrivals.at(now_s)
-    error_per_s = math.sqrt(estimate_per_s / (2 * demand.TIME_CONSTANT_S))
-    certain_per_s = estimate_per_s - CERTAINTY * error_per_s
-    share = headroom * certain_per_s / resource.bound.rate_per_s
-    return max(0, math.floor(min(1.0, share) * resource.bound.units))
+    wanted_per_s = headroom * certain_rate_per_s(resource, now_s)
+    share = min(1.0, wanted_per_s / resource.bound.rate_per_s)
+    return math.floor(share * resource.bound.units)
 
 
 def units_for_tokens(resource: state.ResourceState, tokens: float) -> int:
@@ -46,7 +51,7 @@
 
 def reserved_tokens(resource: state.ResourceState, now_s: float) -> float:
     """Returns the tokens that a lender keeps for its own demand."""
-    soon = resource.arrivals.at(now_s) * RESERVE_S
+    soon = certain_rate_per_s(resource, now_s) * RESERVE_S
     return pending_tokens(resource) + min(soon, resource.tokens / 2)
 
 
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -151,6 +151,8 @@
         retry_s: It is not asked before this time, in seconds.
         backoff_s: Last delay after an answer that was short, in seconds.
         units_retry_s: It is not asked for units alone before this time.
+        spare_tokens: Tokens that it could still lend when it answered.
+        answered_s: When it answered, in seconds.
     """
 
     asked_s: float = -math.inf
@@ -160,6 +162,8 @@
     retry_s: float = -math.inf
     backoff_s: float = 0.0
     units_retry_s: float = -math.inf
+    spare_tokens: float = 0.0
+    answered_s: float = -math.inf
 
 
 @attrs.frozen
