Spread an ask over all lenders when a zone holds few tokens

Cause: after a request the drained holder refilled alone, at a sixth of the rate, while the others stayed full (fleet at 3.8 tokens of the central bucket's 4.5; 1/s, burst 5, load 0.5).

Ruled out: tokens held idle; at each wrongful refusal the whole fleet held less than one token.

Change: below 2 tokens per zone all lenders are asked at once, each in proportion to what it probably holds, so that all refill together.

The benchmark paired requests of one instant by the order of decision, which counted refusals twice over in batches; it now pairs the number admitted.

--- a/bench/quota_policy.py
+++ b/bench/quota_policy.py
@@ -134,7 +134,7 @@
         ideal = [central.admit(at_s) for at_s, _, _ in mine]
         outcomes = sorted(
             (each for each in built.outcomes if each.resource == name),
-            key=lambda each: each.arrived_s,
+            key=lambda each: (each.arrived_s, not each.admitted),
         )
         wrongful[name] = [
             good and not each.admitted
--- a/mulberrydeck/quota/choosing.py
+++ b/mulberrydeck/quota/choosing.py
@@ -8,6 +8,7 @@
 ANSWER_TIMEOUT_S = 0.15
 LIKELY_RATIO = 0.7
 TOLERANCE = 1e-6
+SPREAD_BELOW_TOKENS = 2.0
 
 
 def ready_lenders(
@@ -17,6 +18,12 @@
 
     The zone's own holder is asked alone, and the others after its answer.
     """
+    if is_spread(quota, resource):
+        return [
+            name
+            for name in _lender_names(quota)
+            if now_s >= _ready_s(_view(resource, name))
+        ]
     if quota.zone_holder:
         nearest = _view(resource, quota.zone_holder)
         if now_s >= _ready_s(nearest):
@@ -30,6 +37,12 @@
     ]
 
 
+def is_spread(quota: state.QuotaState, resource: state.ResourceState) -> bool:
+    """Returns whether a zone holds too few tokens to be asked alone."""
+    zones = len(quota.other_holders) + 1
+    return resource.bound.burst / zones < SPREAD_BELOW_TOKENS
+
+
 def share_tokens(
     quota: state.QuotaState,
     resource: state.ResourceState,
@@ -54,7 +67,8 @@
     }
     chosen: dict[str, float] = {}
     for name in sorted(ready, key=lambda name: -likely[name]):
-        if sum(chosen.values()) * LIKELY_RATIO >= tokens:
+        enough = sum(chosen.values()) * LIKELY_RATIO >= tokens
+        if enough and not is_spread(quota, resource):
             break
         chosen[name] = max(likely[name], TOLERANCE)
     total = sum(chosen.values())
