Wait for the zone's holder and back off from silent lenders

Cause, seen in a cut zone: right after an answer the zone's holder was not asked again for 20 ms, so the borrower turned to a lender beyond the cut and waited for it, while its own holder had 5 tokens.

Ruled out: exhaustion of the zone's share (5 to 7 tokens were held).

Change: others are asked only once the zone's holder was short; asks of one lender are 5 ms apart; a lender that does not answer within 0.15 s counts as short and is asked ever later.

--- a/mulberrydeck/quota/borrowing.py
+++ b/mulberrydeck/quota/borrowing.py
@@ -9,8 +9,7 @@
 from mulberrydeck.quota import needs
 from mulberrydeck.quota import state
 
-MIN_BACKOFF_S = 0.04
-MAX_BACKOFF_S = 1.0
+ENOUGH_RATIO = 0.99
 UNITS_RETRY_S = 1.0
 ASK_FROM_RATIO = 1.1
 OVERASK_RATIO = 1.2
@@ -36,6 +35,7 @@
     """
     if quota.stopping:
         return {}
+    choosing.give_up_silent(resource, now_s)
     tokens = _missing_tokens(resource, now_s)
     units = _missing_units(resource, now_s)
     ready = choosing.ready_lenders(quota, resource, now_s)
@@ -298,23 +298,10 @@
         view.ask_id = 0
     if units < request.units:
         view.units_retry_s = now_s + UNITS_RETRY_S
-    if request.tokens > 0:
-        _note_tokens(resource, view, now_s, tokens >= request.tokens * 0.99)
-
-
-def _note_tokens(
-    resource: state.ResourceState,
-    view: state.LenderView,
-    now_s: float,
-    enough: bool,
-) -> None:
-    """Backs off from a lender for longer each time that it was short."""
-    if enough:
+    if tokens < request.tokens * ENOUGH_RATIO:
+        choosing.back_off(resource, view, now_s)
+    elif request.tokens > 0:
         view.backoff_s = 0.0
-        return
-    first_s = max(MIN_BACKOFF_S, 0.5 / resource.bound.rate_per_s)
-    view.backoff_s = min(MAX_BACKOFF_S, max(first_s, 2 * view.backoff_s))
-    view.retry_s = now_s + view.backoff_s
 
 
 def _extend(
--- a/mulberrydeck/quota/choosing.py
+++ b/mulberrydeck/quota/choosing.py
@@ -4,7 +4,9 @@
 
 from mulberrydeck.quota import state
 
-ASK_INTERVAL_S = 0.02
+ASK_INTERVAL_S = 0.005
+MIN_BACKOFF_S = 0.04
+MAX_BACKOFF_S = 1.0
 ANSWER_TIMEOUT_S = 0.15
 LIKELY_RATIO = 0.7
 TOLERANCE = 1e-6
@@ -28,7 +30,7 @@
         nearest = _view(resource, quota.zone_holder)
         if now_s >= _ready_s(nearest):
             return [quota.zone_holder]
-        if is_due(nearest, now_s):
+        if nearest.retry_s <= now_s:
             return []
     return [
         name
@@ -37,6 +39,25 @@
     ]
 
 
+def back_off(
+    resource: state.ResourceState, view: state.LenderView, now_s: float
+) -> None:
+    """Asks a lender that was short or silent later, and ever later."""
+    first_s = max(MIN_BACKOFF_S, 0.5 / resource.bound.rate_per_s)
+    view.backoff_s = min(MAX_BACKOFF_S, max(first_s, 2 * view.backoff_s))
+    view.retry_s = now_s + view.backoff_s
+
+
+def give_up_silent(resource: state.ResourceState, now_s: float) -> None:
+    """Takes an ask that was not answered in time for an empty answer."""
+    for view in resource.lenders.values():
+        if view.ask_id and not is_due(view, now_s):
+            view.ask_id = 0
+            view.spare_tokens = 0.0
+            view.answered_s = now_s
+            back_off(resource, view, now_s)
+
+
 def is_spread(quota: state.QuotaState, resource: state.ResourceState) -> bool:
     """Returns whether a zone holds too few tokens to be asked alone."""
     zones = len(quota.other_holders) + 1
