Ask lenders of slow accounts again sooner

Cause: after a short answer a lender of a 1/s account was left alone for 0.5 s, in which the fleet gains half a token.

Change: the first backoff is the time of a tenth of a token, at least 40 ms; it still doubles to 1 s, so an over-rate account costs no more messages (31.1/s before and after). Tests of a truthful retry_after and of a rate change under way.

--- a/mulberrydeck/quota/choosing.py
+++ b/mulberrydeck/quota/choosing.py
@@ -43,7 +43,7 @@
     resource: state.ResourceState, view: state.LenderView, now_s: float
 ) -> None:
     """Asks a lender that was short or silent later, and ever later."""
-    first_s = max(MIN_BACKOFF_S, 0.5 / resource.bound.rate_per_s)
+    first_s = max(MIN_BACKOFF_S, 0.1 / resource.bound.rate_per_s)
     view.backoff_s = min(MAX_BACKOFF_S, max(first_s, 2 * view.backoff_s))
     view.retry_s = now_s + view.backoff_s
 
--- a/mulberrydeck/quota/tests/test_reducer.py
+++ b/mulberrydeck/quota/tests/test_reducer.py
@@ -130,3 +130,34 @@
     built = make_fleet()
     assert not any(vm.quota.active for vm in built.vms.values())
     assert all(vm.sent == 0 for vm in built.vms.values())
+
+
+def test_retry_after_is_truthful():
+    built = make_fleet(rate_per_s=2.0, burst=4.0)
+    for _ in range(6):
+        built.request("c2x", ACCOUNT)
+    built.run(built.now_s + 0.5)
+    denied = [each for each in built.outcomes if not each.admitted]
+    assert denied
+    late_s = max(each.decided_s + each.retry_after_s for each in denied)
+    before = count(built)
+    built.run(late_s)
+    built.request("c2x", ACCOUNT)
+    built.run(late_s + 0.5)
+    assert count(built) == before + 1
+
+
+def test_rate_change_under_way_stays_within_the_larger_rate():
+    built = make_fleet(rate_per_s=10.0, burst=10.0)
+    smaller = fleet.make_bound("kilimani", 5.0, 5.0)
+    for number, name in enumerate(built.vms):
+        at_s = built.now_s + 2.0 + number * 0.3
+        built.at(at_s, lambda name=name: built.configure(name, (smaller,)))
+        for step in range(200):
+            at_s = built.now_s + 0.05 * step
+            built.at(at_s, lambda name=name: built.request(name, ACCOUNT))
+    start_s = built.now_s
+    built.run(start_s + 12.0)
+    assert fleet.largest_excess(built.outcomes, 10.0, 10.0) <= 1e-6
+    settled = [o for o in built.outcomes if o.arrived_s > start_s + 5.0]
+    assert fleet.largest_excess(settled, 5.0, 5.0) <= 1e-6
