Give loans back that arrive after a planned stop began

Cause: a loan answered while the borrower stopped stayed with it until its end, since only loans held at the stop were given back.

Change: such loans are returned as they arrive. Returning has its own module, so that borrowing stays small; policy unchanged.

--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -10,6 +10,7 @@
 from mulberrydeck.quota import bucket
 from mulberrydeck.quota import configuring
 from mulberrydeck.quota import lending
+from mulberrydeck.quota import returning
 from mulberrydeck.quota import state
 
 Effects = tuple[object, ...]
@@ -125,7 +126,7 @@
     returns = {}
     for resource in in_use:
         bucket.advance(resource, now_s)
-        surplus = borrowing.return_surplus(resource, now_s, 0.0)
+        surplus = returning.return_surplus(resource, now_s, 0.0)
         returns.update(surplus)
     decisions, asks = _settle(quota, now_s, in_use, renew=True)
     for resource in in_use:
@@ -133,7 +134,7 @@
             resource.shortfall = 0.0
         if _is_idle(resource, now_s):
             quota.active.discard(resource.bound.resource)
-    given_back = borrowing.send_returns(returns)
+    given_back = returning.send_returns(returns)
     decisions.extend(admission.release(quota))
     return (*given_back, *asks, *admission.as_effects(now_s, decisions))
 
@@ -160,13 +161,16 @@
 
 
 def release_all(quota: state.QuotaState, now_s: float) -> Effects:
-    """Gives all loans back for a planned stop; nothing is borrowed any more."""
+    """Gives all loans back for a planned stop.
+
+    Nothing is borrowed or lent any more, so call it when no new requests
+    come. Loans that are still on their way are given back as they arrive.
+    """
     quota.stopping = True
-    returns = {}
-    for resource in quota.resources.values():
+    resources = list(quota.resources.values())
+    for resource in resources:
         bucket.advance(resource, now_s)
-        returns.update(borrowing.give_back(resource, resource.borrowed_units))
-    return tuple(borrowing.send_returns(returns))
+    return _give_all_back(resources)
 
 
 def balances(quota: state.QuotaState) -> tuple[state.Balance, ...]:
@@ -224,14 +228,24 @@
     names = borrowing.accept(quota, now_s, sender, message)
     resources = _configured(quota, names)
     decisions, asks = _settle(quota, now_s, resources)
+    raised = admission.as_effects(now_s, decisions)
+    if quota.stopping:
+        return (*_give_all_back(resources), *raised)
     returns = {}
     for resource in resources:
-        surplus = borrowing.return_surplus(
+        surplus = returning.return_surplus(
             resource, now_s, RETURN_AT_ONCE_RATIO
         )
         returns.update(surplus)
-    given_back = borrowing.send_returns(returns)
-    return (*asks, *given_back, *admission.as_effects(now_s, decisions))
+    given_back = returning.send_returns(returns)
+    return (*asks, *given_back, *raised)
+
+
+def _give_all_back(resources: list[state.ResourceState]) -> Effects:
+    returns = {}
+    for resource in resources:
+        returns.update(returning.give_back(resource, resource.borrowed_units))
+    return tuple(returning.send_returns(returns))
 
 
 def _take_returned(
--- /dev/null
+++ b/mulberrydeck/quota/returning.py
@@ -0,0 +1,83 @@
+"""The borrower's side: loans given back before they expire."""
+
+from mulberrydeck.core import effects
+from mulberrydeck.peers import messages
+from mulberrydeck.quota import bucket
+from mulberrydeck.quota import needs
+from mulberrydeck.quota import state
+
+RETURN_SURPLUS_RATIO = 0.3
+
+
+def return_surplus(
+    resource: state.ResourceState, now_s: float, least_ratio: float
+) -> dict[state.LoanKey, messages.ReturnedLoan]:
+    """Stops using units that are not needed and returns what to give back.
+
+    Args:
+        resource: The resource, advanced to `now_s`.
+        now_s: Current time, in seconds.
+        least_ratio: Surplus from which units go back, as a share of the bound.
+    """
+    if not resource.borrowed or resource.queue or resource.shortfall:
+        return {}
+    wanted = needs.wanted_units(resource, now_s)
+    surplus = resource.usable_units - wanted
+    least = max(
+        least_ratio * resource.bound.units, wanted * RETURN_SURPLUS_RATIO
+    )
+    if wanted > 0 and surplus < least:
+        return {}
+    return give_back(resource, min(surplus, resource.borrowed_units))
+
+
+def give_back(
+    resource: state.ResourceState, units: int
+) -> dict[state.LoanKey, messages.ReturnedLoan]:
+    """Stops using borrowed units and returns what to give back.
+
+    Args:
+        resource: The resource, advanced to the current time.
+        units: Units to give back.
+    """
+    returns = {}
+    for loan in list(resource.borrowed.values()):
+        if units <= 0:
+            break
+        given = min(units, loan.units)
+        units -= given
+        tokens = _tokens_to_return(resource, given)
+        returns[loan.key] = messages.ReturnedLoan(
+            resource=resource.bound.resource,
+            loan_id=loan.key.loan_id,
+            kept_units=loan.units - given,
+            tokens=tokens,
+        )
+        loan.units -= given
+        resource.borrowed_units -= given
+        resource.tokens -= tokens
+        if loan.units == 0:
+            del resource.borrowed[loan.key]
+    bucket.clamp(resource)
+    return returns
+
+
+def send_returns(
+    returns: dict[state.LoanKey, messages.ReturnedLoan],
+) -> list[object]:
+    """Returns one message for each lender process."""
+    by_lender: dict[tuple[str, str], list[messages.ReturnedLoan]] = {}
+    for key, returned in returns.items():
+        process = (key.lender, key.lender_incarnation)
+        by_lender.setdefault(process, []).append(returned)
+    return [
+        effects.SendMessage(
+            lender, messages.QuotaReturn(incarnation, tuple(loans))
+        )
+        for (lender, incarnation), loans in by_lender.items()
+    ]
+
+
+def _tokens_to_return(resource: state.ResourceState, units: int) -> float:
+    share = resource.tokens * units / resource.usable_units
+    return max(0.0, min(share, resource.bound.depth_of(units)))
--- a/mulberrydeck/quota/tests/test_messages.py
+++ b/mulberrydeck/quota/tests/test_messages.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import reducer
 from mulberrydeck.quota import state
@@ -126,6 +127,17 @@
     assert balance(borrower).borrowed_units == 0
 
 
+def test_loan_that_arrives_after_a_planned_stop_is_given_back():
+    lender, borrower = make_lender(), make_borrower()
+    loan = exchange(lender, borrower)
+    reducer.release_all(borrower, 10.0)
+    for done in reducer.receive(borrower, 10.0, "a", loan):
+        if isinstance(done, effects.SendMessage):
+            reducer.receive(lender, 10.0, "b", done.message)
+    assert balance(borrower).borrowed_units == 0
+    assert balance(lender).lent_units == 0
+
+
 def test_tokens_move_with_units_and_are_not_minted():
     lender, borrower = make_lender(), make_borrower()
     for number in range(5):
