--- a/bench/quota_policy.py
+++ b/bench/quota_policy.py
@@ -83,8 +83,8 @@
     arrivals = scenario.arrivals(random.Random(seed + 1), start_s)
     for at_s, vm, resource in arrivals:
         built.at(at_s, lambda vm=vm, name=resource: built.request(vm, name))
-    for at_s, zones in scenario.cuts:
-        built.at(start_s + at_s, lambda zones=zones: built.cut.update(zones))
+    for at_s, zone in scenario.cuts:
+        built.at(start_s + at_s, lambda zone=zone: built.cut_off(zone))
     built.run(start_s)
     sent_before = {name: vm.sent for name, vm in built.vms.items()}
     built.run(start_s + scenario.duration_s + 2.0)
--- a/bench/quota_scenarios.py
+++ b/bench/quota_scenarios.py
@@ -36,13 +36,13 @@
         name: Short description.
         streams: What arrives.
         duration_s: Length of the measurement, in seconds.
-        cuts: Zones that are cut off together, with the time from the start.
+        cuts: Zones that are cut off, with the time from the start, in seconds.
     """
 
     name: str
     streams: tuple[Stream, ...]
     duration_s: float = 300.0
-    cuts: tuple[tuple[float, tuple[str, ...]], ...] = ()
+    cuts: tuple[tuple[float, str], ...] = ()
 
     @property
     def bounds(self) -> tuple[state.Bound, ...]:
@@ -119,11 +119,17 @@
     Scenario(
         "zone b1 cut, even, load 0.5",
         (Stream(MEDIUM, 0.5),),
-        cuts=((0.0, ("b1",)),),
+        cuts=((0.0, "b1"),),
     ),
     Scenario(
         "zone b1 cut, callers at b1, load 0.1",
         (Stream(MEDIUM, 0.1, ("b1x", "b1y")),),
-        cuts=((0.0, ("b1",)),),
+        cuts=((0.0, "b1"),),
+    ),
+    Scenario(
+        "zone b1 cut, even, small: 2/s, burst 10, load 0.3",
+        (Stream(_bound("small", 2.0, 10.0), 0.3),),
+        1500.0,
+        cuts=((0.0, "b1"),),
     ),
 )
--- a/mulberrydeck/quota/configuring.py
+++ b/mulberrydeck/quota/configuring.py
@@ -48,10 +48,12 @@
     bound: state.Bound,
     own_units: int,
 ) -> None:
-    bucket.advance(resource, now_s)
-    resource.bound = bound
     coming = sum(part.units for part in resource.maturing)
     growth = own_units - resource.own_units - coming
+    if growth == 0 and resource.bound == bound:
+        return
+    bucket.advance(resource, now_s)
+    resource.bound = bound
     if growth > 0:
         settings = quota.settings
         delay_s = settings.quota_lease_s + settings.lease_margin_s
--- a/mulberrydeck/quota/tests/fleet.py
+++ b/mulberrydeck/quota/tests/fleet.py
@@ -95,13 +95,33 @@
         }
         own = units if name == holder else {}
         reducer.configure(vm.quota, self.clock(vm), bounds, own)
+        self.set_lenders(name)
+
+    def set_lenders(self, name):
+        """Names the holders that the VM can reach, nearest first."""
+        vm = self.vms[name]
         others = sorted(
-            (other for zone, other in self.holders.items() if zone != vm.zone),
+            (
+                other
+                for zone, other in self.holders.items()
+                if zone != vm.zone and not self.is_cut(vm.zone, zone)
+            ),
             key=lambda other: self.delay_s(name, other),
         )
+        holder = self.holders[vm.zone]
         near = "" if name == holder else holder
         reducer.set_lenders(vm.quota, near, tuple(others))
 
+    def is_cut(self, zone, other):
+        return (zone in self.cut) != (other in self.cut)
+
+    def cut_off(self, zone):
+        """Cuts a zone off; membership notices after the peer timeout."""
+        self.cut.add(zone)
+        for name, vm in self.vms.items():
+            at_s = self.now_s + vm.quota.settings.peer_timeout_s
+            self.at(at_s, lambda name=name: self.set_lenders(name))
+
     def clock(self, vm):
         return self.now_s + vm.clock_offset_s
 
@@ -182,9 +202,7 @@
             )
 
     def receive(self, source, to, message):
-        if (self.vms[source].zone in self.cut) != (
-            self.vms[to].zone in self.cut
-        ):
+        if self.is_cut(self.vms[source].zone, self.vms[to].zone):
             return
         vm = self.vms[to]
         done = reducer.receive(vm.quota, self.clock(vm), source, message)
