Add membership, documents, zone leases, request life and peer transport

Cause: the parts need one reducer and one owner per zone. Ruled out: a zone lease with an expiry, since a zone cut off from the platform would lose its quota; dividing bounds by the membership list, since two views of it overlap. Change: the lease is taken over only on evidence that its holder is gone; own quota starts after loans of the earlier holder have expired; a larger share waits until every VM reports the configuration.

--- a/mulberrydeck/core/effects.py
+++ b/mulberrydeck/core/effects.py
@@ -3,6 +3,7 @@
 import attrs
 
 from mulberrydeck import errors
+from mulberrydeck.core import events
 
 
 @attrs.frozen
@@ -100,11 +101,14 @@
 
     Attributes:
         request_id: The request that waits for the answer.
+        attempt: Number of the entry VM's attempt; a later attempt of the same
+            request replaces the claim of an earlier one.
         account: Client account.
         run_id: The caller's identifier.
     """
 
     request_id: str
+    attempt: int
     account: str
     run_id: str
 
@@ -114,12 +118,14 @@
     """Record the outcome of a single run in the platform.
 
     Attributes:
+        request_id: The request that made the claim.
         account: Client account.
         run_id: The caller's identifier.
         status: HTTP status of the answer; 0 if no target ran it, so that the
             claim is released.
     """
 
+    request_id: str
     account: str
     run_id: str
     status: int
@@ -131,11 +137,16 @@
 
     Attributes:
         expected_version: Version to replace; 0 to create.
-        epoch: New epoch.
+        lease: New content; an empty holder releases the lease.
     """
 
     expected_version: int
-    epoch: int
+    lease: events.ZoneLease
+
+
+@attrs.frozen
+class ReadZone:
+    """Read the zone's lease object."""
 
 
 @attrs.frozen
--- a/mulberrydeck/core/events.py
+++ b/mulberrydeck/core/events.py
@@ -87,11 +87,14 @@
         holder: Name of the VM that holds the zone's own quota.
         incarnation: Process of that VM.
         epoch: Grows by one with each change of holder.
+        division: Places, as `region/zone`, over which the zone's own quota
+            was last divided; empty before the first division.
     """
 
     holder: str
     incarnation: str
     epoch: int
+    division: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -120,12 +123,16 @@
     Attributes:
         request_id: The request that asked.
         state: What was found.
+        account: Client account of the claim.
+        run_id: The caller's identifier of the claim.
         status: HTTP status of the earlier run if `FINISHED`, else 0.
     """
 
     at_s: float
     request_id: str
     state: ClaimState
+    account: str
+    run_id: str
     status: int = 0
 
 
@@ -142,6 +149,8 @@
         run_id: Identifier of a single run, or empty.
         deadline_s: Time left that the caller asked for, or 0 if unset.
         relayed_account: Account named by a relaying VM; None from callers.
+        relayed_attempt: Number of the relaying VM's attempt, from 1; 0 from
+            callers.
     """
 
     at_s: float
@@ -153,6 +162,7 @@
     run_id: str = ""
     deadline_s: float = 0.0
     relayed_account: str | None = None
+    relayed_attempt: int = 0
 
 
 class AttemptOutcome(enum.Enum):
@@ -249,8 +259,22 @@
     address: str = ""
 
 
+@attrs.frozen
+class Started:
+    """The process has opened its listeners."""
+
+    at_s: float
+
+
 @attrs.frozen
 class StopRequested:
     """The process was asked to stop gracefully."""
 
     at_s: float
+
+
+@attrs.frozen
+class StopFinished:
+    """The last request of a stopping process has ended."""
+
+    at_s: float
--- a/mulberrydeck/core/gateway.py
+++ b/mulberrydeck/core/gateway.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mulberrydeck import errors
 from mulberrydeck.core import effects
 
 
@@ -172,6 +173,20 @@
     target: str
 
 
+@attrs.frozen
+class RunOutcome:
+    """What is known of a single run.
+
+    Attributes:
+        state: `absent`, `started`, `finished`, or `unavailable` when the
+            platform cannot be asked.
+        status: HTTP status of the run's answer if `finished`, else 0.
+    """
+
+    state: str
+    status: int = 0
+
+
 Decision = effects.Refuse | effects.ForwardToTarget | effects.ForwardToVm
 
 
@@ -198,3 +213,6 @@
 
     def explain(self, query: ExplainQuery) -> Explanation:
         """Tells how a request would be treated."""
+
+    def run_outcome(self, key: str, run_id: str) -> RunOutcome | errors.Problem:
+        """Returns what is known of a single run of the key's account."""
--- /dev/null
+++ b/mulberrydeck/core/reports.py
@@ -0,0 +1,128 @@
+"""What operators and callers can ask of one VM, worked out from its state."""
+
+from mulberrydeck.core import gateway
+from mulberrydeck.core import requests
+from mulberrydeck.core import state as core_state
+from mulberrydeck.quota import reducer as quota
+from mulberrydeck.routing import choice
+from mulberrydeck.routing import lookup
+from mulberrydeck.routing import reducer as routing
+
+
+def entry_vms(state: core_state.State) -> tuple[gateway.EntryVm, ...]:
+    """Returns the VMs that callers may use now."""
+    settings = state.settings
+    found = []
+    if not state.leaving:
+        address = settings.advertised_caller_address or settings.caller_address
+        found.append(gateway.EntryVm(settings.name, settings.zone, address))
+    for peer in state.members.live_peers(state.now_s):
+        if not peer.leaving:
+            address = peer.heartbeat.caller_address
+            found.append(gateway.EntryVm(peer.name, peer.zone, address))
+    return tuple(found)
+
+
+def answer_lookup(
+    state: core_state.State, query: gateway.LookupQuery
+) -> gateway.LookupAnswer:
+    """Answers which entry VMs a caller should use."""
+    if state.configuration is None:
+        lifetime_s = state.settings.lookup_lifetime_s
+        return gateway.LookupAnswer(entry_vms(state), lifetime_s, 0)
+    return lookup.answer(
+        state.configuration,
+        entry_vms(state),
+        query,
+        state.settings.lookup_lifetime_s,
+    )
+
+
+def status(state: core_state.State) -> gateway.Status:
+    """Returns what is in force on this VM."""
+    versions = state.documents.by_name
+    holder = state.settings.name if state.zone.epoch else state.zone.holder
+    return gateway.Status(
+        name=state.settings.name,
+        zone=state.settings.zone,
+        leaving=state.leaving,
+        config_version=versions["config"].version,
+        keys_version=versions["keys"].version,
+        platform_age_s=state.now_s - state.platform_answered_s,
+        zone_holder=holder,
+        peers=_peers(state),
+        quotas=_quotas(state),
+        targets=routing.target_statuses(state.routing, state.now_s),
+    )
+
+
+def _peers(state: core_state.State) -> tuple[gateway.PeerStatus, ...]:
+    return tuple(
+        gateway.PeerStatus(
+            peer.name,
+            peer.zone,
+            state.members.is_alive(peer.name, state.now_s),
+            peer.leaving,
+            peer.document_version("config"),
+        )
+        for peer in state.members.peers.values()
+    )
+
+
+def _quotas(state: core_state.State) -> tuple[gateway.QuotaStatus, ...]:
+    return tuple(
+        gateway.QuotaStatus(
+            balance.resource,
+            balance.own_units,
+            balance.lent_units,
+            balance.borrowed_units,
+            balance.tokens,
+        )
+        for balance in quota.balances(state.quota)
+    )
+
+
+def explain(
+    state: core_state.State, query: gateway.ExplainQuery
+) -> gateway.Explanation:
+    """Tells which rules a request would meet and where it would go."""
+    active = state.configuration
+    if active is None:
+        steps = ("No configuration is in force on this VM; apply one.",)
+        return gateway.Explanation(False, steps, "", "")
+    rule = active.access_rule(query.account, query.service)
+    if rule is None:
+        step = (
+            f"No access rule lets {query.account!r} reach {query.service!r}; "
+            "add one whose selectors match both."
+        )
+        return gateway.Explanation(False, (step,), "", "")
+    steps = [f"Access rule {rule.name!r} allows it."]
+    limit = active.limit_of(query.account)
+    if limit is None:
+        steps.append("No limit rule matches; the rate is not limited.")
+    else:
+        steps.append(
+            f"Limit rule {limit.name!r}: {limit.rate_per_s} requests/s, "
+            f"burst {limit.burst}."
+        )
+    zone = query.place or state.settings.zone
+    for number, step in enumerate(active.spill_order(query.service, zone), 1):
+        names = ", ".join(f"{name} ({weight})" for name, weight in step.zones)
+        steps.append(f"Spill step {number}: {names}.")
+    vm = _chosen_vm(state, query.service)
+    if not vm:
+        steps.append("No VM reports a free slot now; look at the targets.")
+    return gateway.Explanation(bool(vm), tuple(steps), vm, "")
+
+
+def _chosen_vm(state: core_state.State, service: str) -> str:
+    picked = choice.preview(
+        state.routing, state.now_s, service, requests.peer_loads(state)
+    )
+    match picked:
+        case choice.Local():
+            return state.settings.name
+        case choice.Remote(vm):
+            return vm
+    return ""
--- /dev/null
+++ b/mulberrydeck/core/requests.py
@@ -0,0 +1,428 @@
+"""Life of one request: authenticate, limit, choose, forward, retry.
+
+The VM that a caller reached (entry VM) authenticates and limits. The VM that
+owns the chosen target (owner) takes the slot, claims a single run and sends
+the request. They may be the same VM. Only the entry VM retries.
+"""
+
+from mulberrydeck import errors
+from mulberrydeck.core import effects
+from mulberrydeck.core import events
+from mulberrydeck.core import problems
+from mulberrydeck.core import state as core_state
+from mulberrydeck.model import configuration
+from mulberrydeck.quota import reducer as quota
+from mulberrydeck.quota import state as quota_state
+from mulberrydeck.routing import choice
+from mulberrydeck.routing import reducer as routing
+from mulberrydeck.routing import state as routing_state
+
+MAX_ATTEMPTS = 4
+NO_CHOICE_RETRY_S = 0.5
+
+Effects = list[object]
+
+
+def arrived(state: core_state.State, event: events.RequestArrived) -> Effects:
+    """Decides on a request head from a caller or a relaying VM."""
+    route = _route(state, event)
+    if isinstance(route, errors.Problem):
+        return [effects.Refuse(event.request_id, route)]
+    if event.relayed_account is None:
+        account = _authenticate(state, event, route)
+    else:
+        account = event.relayed_account
+    if isinstance(account, errors.Problem):
+        return [effects.Refuse(event.request_id, account)]
+    if not route.repeatable and not event.run_id:
+        problem = problems.run_id_missing()
+        return [effects.Refuse(event.request_id, problem)]
+    request = _open(state, event, route, account)
+    if event.relayed_account is not None:
+        return _acquire(state, request)
+    state.retries.earn()
+    return _limit(state, request)
+
+
+def _route(
+    state: core_state.State, event: events.RequestArrived
+) -> configuration.Route | errors.Problem:
+    if state.configuration is None:
+        return problems.not_configured()
+    route = state.configuration.route_of(
+        event.service, event.method, event.path
+    )
+    return route or problems.unknown_service(event.service)
+
+
+def _authenticate(
+    state: core_state.State,
+    event: events.RequestArrived,
+    route: configuration.Route,
+) -> str | errors.Problem:
+    if route.open_to_all:
+        return ""
+    if not event.key:
+        return problems.key_missing()
+    account = account_of_key(state, event.key)
+    if isinstance(account, errors.Problem):
+        return account
+    if state.configuration.access_rule(account, event.service) is None:
+        return problems.not_allowed(account, event.service)
+    return account
+
+
+def account_of_key(state: core_state.State, key: str) -> str | errors.Problem:
+    """Returns the client account of a key that is in force."""
+    keys = state.documents.by_name["keys"]
+    unconfirmed_s = state.now_s - keys.confirmed_at_s
+    if state.key_index is None or unconfirmed_s > state.settings.keys_offline_s:
+        return problems.keys_stale()
+    return state.key_index.account_of(key) or problems.key_rejected()
+
+
+def _open(
+    state: core_state.State,
+    event: events.RequestArrived,
+    route: configuration.Route,
+    account: str,
+) -> core_state.Request:
+    allowed_s = route.deadline_s
+    if event.deadline_s > 0:
+        allowed_s = min(allowed_s, event.deadline_s)
+    request = core_state.Request(
+        request_id=event.request_id,
+        service=event.service,
+        route=route,
+        account=account,
+        run_id=event.run_id if not route.repeatable else "",
+        relayed_attempt=event.relayed_attempt,
+        deadline_at_s=event.at_s + allowed_s,
+    )
+    state.requests[event.request_id] = request
+    return request
+
+
+def _limit(state: core_state.State, request: core_state.Request) -> Effects:
+    limited = request.account and state.configuration.limit_of(request.account)
+    if not limited:
+        return _choose(state, request)
+    resource = f"account/{request.account}"
+    verdict, produced = quota.admit(
+        state.quota, state.now_s, resource, request.request_id
+    )
+    match verdict:
+        case quota_state.Admitted():
+            return produced + _choose(state, request)
+        case quota_state.Denied(retry_after_s):
+            problem = problems.rate_limited(request.account, retry_after_s)
+            return produced + _refuse(state, request, problem)
+    return produced
+
+
+def quota_decided(
+    state: core_state.State, event: events.QuotaDecided
+) -> Effects:
+    """Continues a request that waited for quota."""
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return []
+    if event.admitted:
+        return _choose(state, request)
+    problem = problems.rate_limited(request.account, event.retry_after_s)
+    return _refuse(state, request, problem)
+
+
+def _choose(
+    state: core_state.State,
+    request: core_state.Request,
+    retry_after_s: float = NO_CHOICE_RETRY_S,
+) -> Effects:
+    if state.now_s >= request.deadline_at_s:
+        return _refuse(state, request, problems.deadline_exceeded("no"))
+    picked = None
+    if request.attempts < MAX_ATTEMPTS:
+        picked = choice.choose(
+            state.routing,
+            state.now_s,
+            request.service,
+            peer_loads(state),
+            frozenset(request.excluded),
+        )
+    match picked:
+        case choice.Local():
+            return _acquire(state, request)
+        case choice.Remote(vm):
+            return _relay(state, request, vm)
+    problem = problems.no_capacity(request.service, retry_after_s)
+    return _refuse(state, request, problem)
+
+
+def peer_loads(state: core_state.State) -> tuple[choice.PeerLoad, ...]:
+    """Returns the capacity that live peers report."""
+    return tuple(
+        choice.PeerLoad(peer.name, peer.zone, peer.heartbeat.loads)
+        for peer in state.members.live_peers(state.now_s)
+        if not peer.leaving
+    )
+
+
+def _relay(
+    state: core_state.State, request: core_state.Request, vm: str
+) -> Effects:
+    heartbeat = state.members.peers[vm].heartbeat
+    request.attempts += 1
+    request.excluded.add(vm)
+    forward = effects.ForwardToVm(
+        request_id=request.request_id,
+        attempt=request.attempts,
+        vm=vm,
+        address=heartbeat.relay_address,
+        account=request.account,
+        remaining_s=request.deadline_at_s - state.now_s,
+        repeatable=request.route.repeatable,
+        link=_link(state, heartbeat.zone),
+    )
+    return [forward]
+
+
+def _link(state: core_state.State, zone: str) -> str:
+    source = state.configuration.region_of(state.settings.zone)
+    destination = state.configuration.region_of(zone)
+    return "" if source == destination else f"{source}/{destination}"
+
+
+def _acquire(state: core_state.State, request: core_state.Request) -> Effects:
+    request.excluded.add(state.settings.name)
+    result, produced = routing.acquire(
+        state.routing,
+        state.now_s,
+        request.service,
+        request.account,
+        request.request_id,
+    )
+    match result:
+        case routing_state.Acquired(target, address):
+            return produced + _use_slot(state, request, target, address)
+        case routing_state.Queued():
+            request.queued = True
+            return produced
+        case routing_state.Full(retry_after_s):
+            return produced + _no_slot(state, request, retry_after_s)
+    return produced
+
+
+def slot_decided(state: core_state.State, event: events.SlotDecided) -> Effects:
+    """Continues a request that waited for a slot."""
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return []
+    request.queued = False
+    if event.target:
+        return _use_slot(state, request, event.target, event.address)
+    return _no_slot(state, request, NO_CHOICE_RETRY_S)
+
+
+def _no_slot(
+    state: core_state.State, request: core_state.Request, retry_after_s: float
+) -> Effects:
+    if request.relayed_attempt:
+        problem = problems.no_capacity(request.service, retry_after_s)
+        return _refuse(state, request, problem)
+    return _choose(state, request, retry_after_s)
+
+
+def _use_slot(
+    state: core_state.State,
+    request: core_state.Request,
+    target: str,
+    address: str,
+) -> Effects:
+    request.target = target
+    request.target_address = address
+    if not request.run_id:
+        return _send(state, request)
+    attempt = request.relayed_attempt or request.attempts + 1
+    claim = effects.Claim(
+        request.request_id, attempt, request.account, request.run_id
+    )
+    return [claim]
+
+
+def claim_answered(
+    state: core_state.State, event: events.ClaimAnswered
+) -> Effects:
+    """Sends a claimed run, or refuses it."""
+    request = state.requests.get(event.request_id)
+    won = event.state is events.ClaimState.WON
+    if request is None:
+        return [_release_claim(event)] if won else []
+    match event.state:
+        case events.ClaimState.WON:
+            request.claimed = True
+            return _send(state, request)
+        case events.ClaimState.TAKEN:
+            problem = problems.claim_taken()
+        case events.ClaimState.FINISHED:
+            problem = problems.claim_finished(event.status)
+        case _:
+            problem = problems.claim_unavailable()
+    return _give_back_slot(state, request) + _refuse(state, request, problem)
+
+
+def _release_claim(event: events.ClaimAnswered) -> effects.RecordRun:
+    """Gives back a claim whose caller hung up before the run was sent."""
+    return effects.RecordRun(
+        event.request_id, event.account, event.run_id, status=0
+    )
+
+
+def _send(state: core_state.State, request: core_state.Request) -> Effects:
+    remaining_s = request.deadline_at_s - state.now_s
+    if remaining_s <= 0:
+        problem = problems.deadline_exceeded("no")
+        given_back = _give_back_slot(state, request)
+        return given_back + _refuse(state, request, problem)
+    request.attempts += 1
+    forward = effects.ForwardToTarget(
+        request_id=request.request_id,
+        attempt=request.attempts,
+        target=request.target,
+        address=request.target_address,
+        account=request.account,
+        remaining_s=remaining_s,
+        repeatable=request.route.repeatable,
+    )
+    return [forward]
+
+
+def attempt_ended(
+    state: core_state.State, event: events.AttemptEnded
+) -> Effects:
+    """Records how an attempt ended; a failed one is retried or refused."""
+    request = state.requests.get(event.request_id)
+    if request is None or event.attempt != request.attempts:
+        return []
+    produced = _settle_target(state, request, event)
+    if event.outcome is events.AttemptOutcome.ANSWERED:
+        return produced
+    if _may_retry(state, request, event):
+        return produced + _choose(state, request)
+    return produced + _refuse(state, request, _final_problem(state, event))
+
+
+def _settle_target(
+    state: core_state.State,
+    request: core_state.Request,
+    event: events.AttemptEnded,
+) -> Effects:
+    if not request.target:
+        return []
+    produced = _release_slot(state, request, event)
+    if not request.claimed:
+        return produced
+    match event.outcome:
+        case events.AttemptOutcome.ANSWERED:
+            status = event.status
+        case events.AttemptOutcome.NOT_RUN:
+            status = 0
+        case events.AttemptOutcome.UNKNOWN:
+            return produced
+    request.claimed = False
+    return [*produced, _record(request, status)]
+
+
+def _record(request: core_state.Request, status: int) -> effects.RecordRun:
+    return effects.RecordRun(
+        request.request_id, request.account, request.run_id, status
+    )
+
+
+def _release_slot(
+    state: core_state.State,
+    request: core_state.Request,
+    event: events.AttemptEnded,
+) -> Effects:
+    request.target = ""
+    return routing.release(
+        state.routing,
+        state.now_s,
+        request.request_id,
+        event.outcome,
+        event.status,
+        event.latency_s,
+    )
+
+
+def _may_retry(
+    state: core_state.State,
+    request: core_state.Request,
+    event: events.AttemptEnded,
+) -> bool:
+    if request.relayed_attempt or not event.replayable:
+        return False
+    if event.outcome is events.AttemptOutcome.UNKNOWN:
+        if not request.route.repeatable:
+            return False
+        return state.retries.spend()
+    return True
+
+
+def _final_problem(
+    state: core_state.State, event: events.AttemptEnded
+) -> errors.Problem:
+    request = state.requests[event.request_id]
+    if event.outcome is events.AttemptOutcome.UNKNOWN:
+        if state.now_s >= request.deadline_at_s:
+            return problems.deadline_exceeded("unknown")
+        return problems.outcome_unknown()
+    return problems.no_capacity(request.service, NO_CHOICE_RETRY_S)
+
+
+def _give_back_slot(
+    state: core_state.State, request: core_state.Request
+) -> Effects:
+    """Frees a slot whose request was never sent."""
+    if not request.target:
+        return []
+    ended = events.AttemptEnded(
+        state.now_s,
+        request.request_id,
+        request.attempts,
+        events.AttemptOutcome.NOT_RUN,
+    )
+    produced = _release_slot(state, request, ended)
+    if request.claimed:
+        request.claimed = False
+        produced = [*produced, _record(request, 0)]
+    return produced
+
+
+def _refuse(
+    state: core_state.State,
+    request: core_state.Request,
+    problem: errors.Problem,
+) -> Effects:
+    return [effects.Refuse(request.request_id, problem)]
+
+
+def closed(state: core_state.State, event: events.RequestClosed) -> Effects:
+    """Frees all that a request holds; its outcome may stay unknown."""
+    request = state.requests.pop(event.request_id, None)
+    if request is None:
+        return []
+    quota.forget(state.quota, request.request_id)
+    produced: Effects = []
+    if request.queued:
+        produced += routing.forget(
+            state.routing, state.now_s, request.request_id
+        )
+    if request.target:
+        ended = events.AttemptEnded(
+            event.at_s,
+            request.request_id,
+            request.attempts,
+            events.AttemptOutcome.UNKNOWN,
+        )
+        produced += _release_slot(state, request, ended)
+    return produced
--- /dev/null
+++ b/mulberrydeck/core/state.py
@@ -0,0 +1,148 @@
+"""State of the reducer."""
+
+import random
+
+import attrs
+
+from mulberrydeck.core import documents
+from mulberrydeck.core import members
+from mulberrydeck.core import zones
+from mulberrydeck.keys import keyring
+from mulberrydeck.model import compiled
+from mulberrydeck.model import configuration
+from mulberrydeck.quota import state as quota_state
+from mulberrydeck.routing import state as routing_state
+from mulberrydeck.settings import declarations
+
+HANDOVER_MARGINS = 2
+
+
+@attrs.define
+class Request:
+    """A request that this VM handles.
+
+    Attributes:
+        request_id: Unique identifier.
+        service: Name of the service.
+        route: Route that it matched.
+        account: Client account, or empty on open routes.
+        run_id: Identifier of a single run, or empty.
+        relayed_attempt: Attempt of the relaying VM; 0 if a caller sent it.
+        deadline_at_s: When its time is over.
+        attempts: Attempts made.
+        excluded: VMs that must not be tried again.
+        target: Target whose slot it holds, or empty.
+        target_address: Address of that target.
+        claimed: Whether this VM holds the claim of its single run.
+        queued: Whether it waits for a slot.
+    """
+
+    request_id: str
+    service: str
+    route: configuration.Route
+    account: str
+    run_id: str
+    relayed_attempt: int
+    deadline_at_s: float
+    attempts: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+    target: str = ""
+    target_address: str = ""
+    claimed: bool = False
+    queued: bool = False
+
+
+@attrs.define
+class RetryBudget:
+    """Limits retries to a share of first attempts.
+
+    Attributes:
+        ratio: Tokens earned per first attempt.
+        capacity: Most tokens that can be saved.
+        tokens: Retries allowed now.
+    """
+
+    ratio: float
+    capacity: float = 10.0
+    tokens: float = 10.0
+
+    def earn(self) -> None:
+        """Counts a first attempt."""
+        self.tokens = min(self.capacity, self.tokens + self.ratio)
+
+    def spend(self) -> bool:
+        """Takes one retry; returns whether there was one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@attrs.define
+class State:
+    """Everything that one VM knows.
+
+    Attributes:
+        settings: Settings of this VM.
+        incarnation: Identifier of this process.
+        now_s: Time of the last event, in monotonic seconds.
+        members: Known peers.
+        documents: Configuration and keyring as received.
+        zone: Lease of this VM's zone.
+        quota: Shares of fleet-wide bounds.
+        routing: Targets, slots and health.
+        retries: Budget of retries.
+        configuration: Applied configuration, or None.
+        key_index: Keys in force.
+        requests: Requests being handled, by identifier.
+        platform_answered_s: When the platform last answered, or -inf.
+        leaving: Whether the process is stopping.
+        lease_active: Whether the zone lease was in use at the last tick.
+    """
+
+    settings: declarations.Settings
+    incarnation: str
+    members: members.MembersState
+    documents: documents.DocumentsState
+    zone: zones.ZoneState
+    quota: quota_state.QuotaState
+    routing: routing_state.RoutingState
+    retries: RetryBudget
+    now_s: float = 0.0
+    configuration: compiled.CompiledConfiguration | None = None
+    key_index: keyring.KeyIndex | None = None
+    requests: dict[str, Request] = attrs.field(factory=dict)
+    platform_answered_s: float = float("-inf")
+    leaving: bool = False
+    lease_active: bool = False
+
+
+def create(settings: declarations.Settings, incarnation: str) -> State:
+    """Returns the state of a process that has just started.
+
+    Args:
+        settings: Settings of this VM.
+        incarnation: Identifier of this process, unique for all time.
+    """
+    lease_s = max(settings.quota_lease_s, settings.target_lease_s)
+    return State(
+        settings=settings,
+        incarnation=incarnation,
+        members=members.MembersState(settings.name, settings.peer_timeout_s),
+        documents=documents.DocumentsState(),
+        zone=zones.ZoneState(
+            zone=settings.zone,
+            vm_name=settings.name,
+            incarnation=incarnation,
+            takeover_s=settings.zone_takeover_s,
+            handover_s=lease_s + HANDOVER_MARGINS * settings.lease_margin_s,
+        ),
+        quota=quota_state.QuotaState(incarnation, settings),
+        routing=routing_state.RoutingState(
+            settings.name,
+            settings.zone,
+            settings,
+            random.Random(incarnation).getrandbits(64),
+        ),
+        retries=RetryBudget(settings.retry_budget_ratio),
+    )
--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -51,11 +51,13 @@
         echo_s: The receiver's `sent_s` of its last heartbeat seen here, or -1.
         zone: Availability zone of the sender.
         leaving: Whether the sender is stopping.
+        peer_address: Where the sender receives peer messages, `host:port`.
         caller_address: Where callers reach the sender, `host:port`.
         relay_address: Where VMs send relayed requests, `host:port`.
         documents: Versions that the sender has applied.
         holder_epoch: Epoch of the zone lease that the sender holds, or 0.
         loads: Capacity per service.
+        owned_targets: Targets that only the sender may use now.
     """
 
     incarnation: str
@@ -64,11 +66,13 @@
     echo_s: float
     zone: str
     leaving: bool
+    peer_address: str
     caller_address: str
     relay_address: str
     documents: tuple[DocumentVersion, ...]
     holder_epoch: int
     loads: tuple[ServiceLoad, ...]
+    owned_targets: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- /dev/null
+++ b/mulberrydeck/peers/transport.py
@@ -0,0 +1,156 @@
+"""Transport of peer messages over ZeroMQ push and pull sockets.
+
+Each VM binds one pull socket and opens one push socket per peer. Messages to a
+peer that cannot be reached are dropped: every message is periodic or repeated
+by its sender.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import gevent
+import zmq
+import zmq.green
+
+from mulberrydeck import errors
+from mulberrydeck.peers import codec
+from mulberrydeck.peers import envelope
+
+SEND_QUEUE_MESSAGES = 256
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 2500
+HANDSHAKE_MS = 2000
+
+
+@attrs.define
+class Counters:
+    """Traffic since the process started.
+
+    Attributes:
+        sent_messages: Messages handed to ZeroMQ.
+        sent_bytes: Their size, in bytes.
+        received_messages: Messages received.
+        received_bytes: Their size, in bytes.
+        dropped_messages: Messages to peers that could not be reached.
+        malformed_messages: Messages that failed authentication or decoding.
+    """
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    dropped_messages: int = 0
+    malformed_messages: int = 0
+
+
+class PeerTransport:
+    """Sends and receives peer messages.
+
+    Attributes:
+        counters: Traffic counters.
+    """
+
+    def __init__(
+        self,
+        vm_name: str,
+        listen_address: str,
+        source_ip: str,
+        secret: str,
+        deliver: Callable[[str, object], None],
+    ) -> None:
+        """Prepares the transport without opening sockets.
+
+        Args:
+            vm_name: Name of this VM.
+            listen_address: `ip:port` to bind.
+            source_ip: Local IP of outgoing connections, or empty.
+            secret: Secret shared by all VMs.
+            deliver: Called with sender and message.
+        """
+        self.vm_name = vm_name
+        self.listen_address = listen_address
+        self.source_ip = source_ip
+        self.secret = secret.encode()
+        self.deliver = deliver
+        self.counters = Counters()
+        self._context = zmq.green.Context()
+        self._pull = None
+        self._push_by_peer: dict[str, zmq.green.Socket] = {}
+        self._reader = None
+
+    def start(self) -> None:
+        """Binds the listening socket and starts reading."""
+        self._pull = self._context.socket(zmq.PULL)
+        self._configure(self._pull)
+        self._pull.setsockopt(zmq.MAXMSGSIZE, 2 * codec.MAX_MESSAGE_BYTES)
+        self._pull.bind(f"tcp://{self.listen_address}")
+        self._reader = gevent.spawn(self._read)
+
+    def stop(self) -> None:
+        """Closes all sockets after a short time to flush them."""
+        if self._reader is not None:
+            self._reader.kill()
+        for name in list(self._push_by_peer):
+            self.disconnect(name, linger_ms=200)
+        if self._pull is not None:
+            self._pull.close(linger=0)
+
+    def connect(self, name: str, address: str) -> None:
+        """Opens a connection to a peer, replacing an earlier one."""
+        self.disconnect(name)
+        push = self._context.socket(zmq.PUSH)
+        self._configure(push)
+        push.setsockopt(zmq.IMMEDIATE, 1)
+        push.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        source = f"{self.source_ip}:0;" if self.source_ip else ""
+        push.connect(f"tcp://{source}{address}")
+        self._push_by_peer[name] = push
+
+    def disconnect(self, name: str, linger_ms: int = 0) -> None:
+        """Closes the connection to a peer, if any."""
+        push = self._push_by_peer.pop(name, None)
+        if push is not None:
+            push.close(linger=linger_ms)
+
+    def send(self, name: str, message: object) -> None:
+        """Sends a message, or drops and counts it."""
+        push = self._push_by_peer.get(name)
+        if push is None:
+            self.counters.dropped_messages += 1
+            return
+        payload = codec.encode(message)
+        sealed = envelope.seal(
+            self.secret, envelope.Envelope(self.vm_name, payload)
+        )
+        try:
+            push.send(sealed, flags=zmq.NOBLOCK)
+        except zmq.Again:
+            self.counters.dropped_messages += 1
+            return
+        self.counters.sent_messages += 1
+        self.counters.sent_bytes += len(sealed)
+
+    def _configure(self, socket: zmq.green.Socket) -> None:
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+
+    def _read(self) -> None:
+        while True:
+            self._receive(self._pull.recv())
+
+    def _receive(self, data: bytes) -> None:
+        self.counters.received_messages += 1
+        self.counters.received_bytes += len(data)
+        try:
+            opened = envelope.open_sealed(self.secret, data)
+            message = codec.decode(opened.payload)
+        except errors.MessageError:
+            self.counters.malformed_messages += 1
+            return
+        self.deliver(opened.sender, message)
--- /dev/null
+++ b/mulberrydeck/platformapi/names.py
@@ -0,0 +1,22 @@
+"""Names of the objects kept in the platform."""
+
+import hashlib
+
+CONTROL_PREFIX = "control/"
+CONFIG = "control/config"
+KEYS = "control/keys"
+RUNS_PREFIX = "runs/"
+RUN_DIGEST_BYTES = 16
+
+document_by_object = {CONFIG: "config", KEYS: "keys"}
+
+
+def zone_lease(zone: str) -> str:
+    """Returns the name of a zone's lease object."""
+    return f"control/zones/{zone}"
+
+
+def run(account: str, run_id: str) -> str:
+    """Returns the name of the claim object of a single run."""
+    digest = hashlib.blake2b(run_id.encode(), digest_size=RUN_DIGEST_BYTES)
+    return f"{RUNS_PREFIX}{account}/{digest.hexdigest()}"
--- a/mulberrydeck/settings/declarations.py
+++ b/mulberrydeck/settings/declarations.py
@@ -47,6 +47,12 @@
         "address",
         default="",
     )
+    advertised_peer_address: str = setting(
+        "Address that peers are told for peer messages; empty means "
+        "`peer_address`.",
+        "address",
+        default="",
+    )
     source_ip: str = setting(
         "Local IP of outgoing connections; empty lets the system choose.",
         "address",
--- /dev/null
+++ b/mulberrydeck/shell/__init__.py
@@ -0,0 +1,1 @@
+"""The gevent shell around the reducer: timers, platform, polls."""
--- /dev/null
+++ b/mulberrydeck/shell/core_gateway.py
@@ -0,0 +1,62 @@
+"""The gateway between the HTTP side and the reducer."""
+
+import gevent
+
+from mulberrydeck import errors
+from mulberrydeck.core import gateway
+from mulberrydeck.core import reports
+from mulberrydeck.core import requests
+from mulberrydeck.quota import reducer as quota
+from mulberrydeck.runs import recorder
+from mulberrydeck.shell import runtime as runtime_module
+
+MAX_PACING_WAIT_S = 0.25
+
+
+class CoreGateway:
+    """Implements `core.gateway.Gateway` on the runtime.
+
+    Attributes:
+        runtime: Owner of the state.
+        runs: Reads outcomes of single runs.
+    """
+
+    def __init__(
+        self, runtime: runtime_module.Runtime, runs: recorder.RunRecorder
+    ) -> None:
+        self.runtime = runtime
+        self.runs = runs
+        self.now_s = runtime.now_s
+        self.submit = runtime.submit
+        self.decide = runtime.decide
+
+    def allow_bytes(self, link: str, count: int) -> None:
+        """Blocks the greenlet until the link may carry `count` bytes."""
+        state = self.runtime.state
+        resource = f"link/{link}"
+        while True:
+            wait_s = quota.take(state.quota, self.now_s(), resource, count)
+            if wait_s <= 0:
+                return
+            gevent.sleep(min(wait_s, MAX_PACING_WAIT_S))
+
+    def lookup(self, query: gateway.LookupQuery) -> gateway.LookupAnswer:
+        """Answers which entry VMs to use."""
+        return reports.answer_lookup(self.runtime.state, query)
+
+    def status(self) -> gateway.Status:
+        """Returns what is in force on this VM."""
+        return reports.status(self.runtime.state)
+
+    def explain(self, query: gateway.ExplainQuery) -> gateway.Explanation:
+        """Tells how a request would be treated."""
+        return reports.explain(self.runtime.state, query)
+
+    def run_outcome(
+        self, key: str, run_id: str
+    ) -> gateway.RunOutcome | errors.Problem:
+        """Returns what is known of a single run of the key's account."""
+        account = requests.account_of_key(self.runtime.state, key)
+        if isinstance(account, errors.Problem):
+            return account
+        return self.runs.outcome(account, run_id)
--- /dev/null
+++ b/mulberrydeck/shell/request_port.py
@@ -0,0 +1,35 @@
+"""Carries out effects of the request path that touch the outside."""
+
+import gevent
+
+from mulberrydeck.core import effects
+from mulberrydeck.core import events
+from mulberrydeck.runs import recorder
+from mulberrydeck.shell import runtime as runtime_module
+
+
+def connect_runs(
+    runtime: runtime_module.Runtime, runs: recorder.RunRecorder
+) -> None:
+    """Lets the recorder carry out claims in greenlets of their own."""
+
+    def claim(effect: effects.Claim) -> None:
+        found = runs.claim(effect)
+        event = events.ClaimAnswered(
+            runtime.now_s(),
+            effect.request_id,
+            found.state,
+            effect.account,
+            effect.run_id,
+            found.status,
+        )
+        runtime.submit(event)
+
+    def spawn_claim(effect: effects.Claim) -> None:
+        gevent.spawn(claim, effect)
+
+    def spawn_record(effect: effects.RecordRun) -> None:
+        gevent.spawn(runs.record, effect)
+
+    runtime.handlers[effects.Claim] = spawn_claim
+    runtime.handlers[effects.RecordRun] = spawn_record
