Add stand-ins for the platform and for targets

Cause: tests, demo and benchmarks need the platform's object API and targets as processes, and neither exists outside production. Change: the object API with versions, conditional writes, watches and a VM list, and targets with slots, status and a log of each run; both take faults over HTTP while they run.

--- /dev/null
+++ b/standins/http_client.py
@@ -0,0 +1,153 @@
+"""Blocking HTTP/1.1 client that never sends a request twice by itself."""
+
+import collections.abc
+import http.client
+import json
+import socket
+import time
+
+import attrs
+from gevent import socket as gevent_socket
+
+from standins import serving
+
+DEFAULT_TIMEOUT_S = 30.0
+
+Body = bytes | collections.abc.Iterable[bytes] | None
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Headers by lower-case name.
+        body: Whole body.
+        latency_s: Time from sending to the last byte, in seconds.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    latency_s: float
+
+    def json(self) -> object:
+        """Returns the decoded JSON body."""
+        return json.loads(self.body)
+
+
+@attrs.frozen
+class NoAnswer:
+    """An exchange that brought no whole answer.
+
+    Attributes:
+        reason: Kind and text of the error.
+        latency_s: Time until it was known, in seconds.
+    """
+
+    reason: str
+    latency_s: float
+
+
+class Client:
+    """One keep-alive connection to one address.
+
+    Attributes:
+        address: Server, `ip:port`.
+        source_ip: Local IP; empty lets the system choose.
+        timeout_s: Longest wait for a piece of an answer, in seconds.
+        headers: Headers of every request.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        source_ip: str = "",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        headers: dict[str, str] | None = None,
+    ):
+        self.address = address
+        self.source_ip = source_ip
+        self.timeout_s = timeout_s
+        self.headers = headers or {}
+        self.connection: http.client.HTTPConnection | None = None
+
+    def open(self) -> http.client.HTTPConnection:
+        """Returns the open connection, dialling if there is none.
+
+        Raises:
+            OSError: The server can't be reached.
+        """
+        if self.connection is None or self.connection.sock is None:
+            host, port = serving.split_address(self.address)
+            source = (self.source_ip, 0) if self.source_ip else None
+            dialled = gevent_socket.create_connection(
+                (host, port), self.timeout_s, source
+            )
+            dialled.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = http.client.HTTPConnection(host, port)
+            connection.auto_open = 0
+            connection.sock = dialled
+            self.connection = connection
+        return self.connection
+
+    def close(self) -> None:
+        """Closes the connection if one is open."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: Body = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer | NoAnswer:
+        """Sends one request and reads its whole answer.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Body; an iterable is sent in chunks.
+            headers: Headers besides the client's own.
+        """
+        start_s = time.monotonic()
+        merged = self.headers | (headers or {})
+        try:
+            connection = self.open()
+            connection.request(method, path, body, merged)
+            response = connection.getresponse()
+            content = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            self.close()
+            reason = f"{type(error).__name__}: {error}"
+            return NoAnswer(reason, time.monotonic() - start_s)
+        known = {name.lower(): value for name, value in response.getheaders()}
+        if response.will_close:
+            self.close()
+        latency_s = time.monotonic() - start_s
+        return Answer(response.status, known, content, latency_s)
+
+
+def call(
+    address: str, method: str, path: str, data: object = None
+) -> Answer | NoAnswer:
+    """Sends one request with a JSON body on a connection of its own."""
+    client = Client(address)
+    body = None if data is None else json.dumps(data).encode()
+    try:
+        return client.request(method, path, body)
+    finally:
+        client.close()
+
+
+def fetch(address: str, path: str) -> object:
+    """Returns the JSON answer of a GET request."""
+    return call(address, "GET", path).json()
+
+
+def send(address: str, path: str, data: object) -> object:
+    """Posts JSON and returns the JSON answer."""
+    return call(address, "POST", path, data).json()
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's object API, with injectable faults."""
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,169 @@
+"""HTTP serving shared by the stand-ins: one loop, small JSON answers."""
+
+import collections.abc
+import json
+import socket
+import struct
+import time
+import urllib.parse
+
+import gevent
+from gevent import pywsgi
+from gevent import socket as gevent_socket
+
+PIPELINED_PAUSE_S = 0.01
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Environ = dict[str, object]
+StartResponse = collections.abc.Callable[..., object]
+Application = collections.abc.Callable[
+    [Environ, StartResponse], collections.abc.Iterable[bytes]
+]
+
+
+class Connection:
+    """The accepted connection of a request, for faults below HTTP.
+
+    Attributes:
+        socket: The accepted socket.
+    """
+
+    def __init__(self, accepted: gevent_socket.socket):
+        self.socket = accepted
+
+    def finish(self) -> None:
+        """Sends what is buffered and ends the connection."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def drop(self) -> None:
+        """Ends the connection without an answer."""
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+        self.finish()
+
+    def hangs_up_within(self, wait_s: float) -> bool:
+        """Waits up to `wait_s` seconds; returns whether the peer closed."""
+        deadline = time.monotonic() + wait_s
+        while (left_s := deadline - time.monotonic()) > 0:
+            try:
+                gevent_socket.wait_read(self.socket.fileno(), timeout=left_s)
+                if not self.socket.recv(1, socket.MSG_PEEK):
+                    return True
+            except TimeoutError:
+                return False
+            except OSError:
+                return True
+            gevent.sleep(PIPELINED_PAUSE_S)
+        return False
+
+
+class Handler(pywsgi.WSGIHandler):
+    """Request handler that hands its connection to the application."""
+
+    def get_environ(self) -> Environ:
+        """Returns the WSGI environment with the connection added."""
+        environ = super().get_environ()
+        environ["standins.connection"] = Connection(self.socket)
+        environ["standins.headers"] = self.headers.items()
+        return environ
+
+
+class Server(pywsgi.WSGIServer):
+    """WSGI server without Nagle's delay between head and body."""
+
+    handler_class = Handler
+
+    def handle(self, client_socket: object, address: object) -> None:
+        """Serves one accepted connection."""
+        client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(client_socket, address)
+
+
+def start(listen: str, application: Application) -> Server:
+    """Returns a started server.
+
+    Args:
+        listen: Address as `ip:port`; port 0 lets the system choose.
+        application: The WSGI application.
+    """
+    host, port = split_address(listen)
+    server = Server((host, port), application, log=None, backlog=1024)
+    server.start()
+    return server
+
+
+def address_of(server: Server) -> str:
+    """Returns the `ip:port` that a started server listens on."""
+    return f"{server.server_host}:{server.server_port}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns IP and port of an `ip:port` address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def announce(*words: str) -> None:
+    """Prints the ready line that a parent process waits for."""
+    print("ready", *words, flush=True)
+
+
+def connection_of(environ: Environ) -> Connection:
+    """Returns the connection that a request came by."""
+    return environ["standins.connection"]
+
+
+def query_of(environ: Environ) -> dict[str, str]:
+    """Returns the query parameters of a request."""
+    return dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+
+
+def read_body(environ: Environ) -> bytes:
+    """Returns the whole body of a request."""
+    return environ["wsgi.input"].read()
+
+
+def read_json(environ: Environ) -> object:
+    """Returns the decoded JSON body of a request."""
+    return json.loads(read_body(environ) or b"{}")
+
+
+def answer(
+    start_response: StartResponse,
+    status: str,
+    body: bytes = b"",
+    headers: collections.abc.Iterable[tuple[str, str]] = (),
+) -> list[bytes]:
+    """Answers with a whole body.
+
+    Args:
+        start_response: The WSGI callable.
+        status: Status code and reason.
+        body: The whole body.
+        headers: Headers besides the length.
+    """
+    length = ("Content-Length", str(len(body)))
+    start_response(status, [*headers, length])
+    return [body]
+
+
+def answer_json(
+    start_response: StartResponse, data: object, status: str = "200 OK"
+) -> list[bytes]:
+    """Answers with JSON."""
+    body = json.dumps(data).encode()
+    content_type = ("Content-Type", "application/json")
+    return answer(start_response, status, body, [content_type])
+
+
+def answer_dropped(
+    environ: Environ, start_response: StartResponse
+) -> list[bytes]:
+    """Ends the connection in place of an answer."""
+    connection_of(environ).drop()
+    start_response("500 Dropped", [("Connection", "close")])
+    return []
--- /dev/null
+++ b/standins/target/app.py
@@ -0,0 +1,221 @@
+"""WSGI application of one target stand-in."""
+
+import hashlib
+import json
+import time
+
+import attrs
+import cattrs
+import gevent
+
+from standins import serving
+from standins.target import answers
+from standins.target import behaviour
+
+NOT_RUN = ("Mulberrydeck-Ran", "no")
+HANG_S = 3600.0
+FORGED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged"
+
+
+@attrs.frozen
+class Order:
+    """What a request asks the stand-in to do.
+
+    Attributes:
+        work_s: Time to work, in seconds; None means the usual time.
+        answer_bytes: Length of the answer; None answers a JSON receipt.
+        pace_s: Pause between two blocks of the answer, in seconds.
+        chunked: Whether the answer's length is not told.
+    """
+
+    work_s: float | None
+    answer_bytes: int | None
+    pace_s: float
+    chunked: bool
+
+
+class Target:
+    """One target: its work, status and control paths.
+
+    Attributes:
+        state: Slots, behaviour and log.
+    """
+
+    def __init__(self, state: behaviour.TargetState):
+        self.state = state
+
+    def __call__(self, environ, start_response):
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        if path == "/_target/status":
+            return self.serve_status(start_response)
+        if path.startswith("/_control"):
+            return self.control(path, environ, start_response)
+        run = self.run_of(environ)
+        if not self.state.occupy(run):
+            return serving.answer(
+                start_response, "503 Slots Full", headers=[NOT_RUN]
+            )
+        return self.work(run, environ, start_response)
+
+    def serve_status(self, start_response):
+        """Answers health and load."""
+        if self.state.behaviour.status_hangs:
+            gevent.sleep(HANG_S)
+        return serving.answer_json(start_response, self.state.report())
+
+    def run_of(self, environ: serving.Environ) -> behaviour.Run:
+        """Returns the log entry of a new request."""
+        self.state.arrived += 1
+        query = environ.get("QUERY_STRING", "")
+        return behaviour.Run(
+            index=self.state.arrived,
+            target=self.state.name,
+            start_s=time.monotonic(),
+            request_id=environ.get("HTTP_MULBERRYDECK_REQUEST_ID", ""),
+            account=environ.get("HTTP_MULBERRYDECK_ACCOUNT", ""),
+            run_id=environ.get("HTTP_MULBERRYDECK_RUN_ID", ""),
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"] + ("?" + query if query else ""),
+            headers=environ["standins.headers"],
+            concurrent=self.state.used,
+            leaving=self.state.behaviour.leaving,
+        )
+
+    def work(self, run, environ, start_response):
+        """Runs a request that holds a slot and yields its answer."""
+        outcome = "cancelled"
+        try:
+            order = order_of(environ)
+            digest = self.receive(run, environ)
+            outcome = self.labour(run, order, environ)
+            if outcome == "done":
+                outcome = self.state.takes_fault() or "done"
+            receipt = receipt_of(run, digest)
+            yield from self.respond(
+                run, order, receipt, outcome, environ, start_response
+            )
+        except GeneratorExit:
+            outcome = "cancelled"
+            raise
+        finally:
+            self.state.vacate(run, outcome)
+
+    def receive(self, run, environ) -> str:
+        """Reads the whole body; returns its digest."""
+        digest = hashlib.sha256()
+        while block := environ["wsgi.input"].read(answers.BLOCK_BYTES):
+            digest.update(block)
+            run.received_bytes += len(block)
+        return digest.hexdigest()
+
+    def labour(self, run, order: Order, environ) -> str:
+        """Spends the work time; returns the outcome."""
+        work_s = self.state.work_s(order.work_s)
+        deadline = environ.get("HTTP_MULBERRYDECK_DEADLINE", "")
+        allowed_s = float(deadline) if deadline else work_s
+        connection = serving.connection_of(environ)
+        if connection.hangs_up_within(min(work_s, allowed_s)):
+            return "cancelled"
+        if allowed_s < work_s:
+            return "deadline"
+        return "failed" if self.state.fails() else "done"
+
+    def respond(self, run, order, receipt, outcome, environ, start_response):
+        """Yields the answer that fits the outcome."""
+        match outcome:
+            case "cancelled" | "reset":
+                yield from serving.answer_dropped(environ, start_response)
+            case "hang":
+                gevent.sleep(HANG_S)
+            case "deadline":
+                status = "504 Deadline Exceeded"
+                yield from serving.answer(start_response, status)
+            case "failed":
+                status = "500 Internal Server Error"
+                yield from serving.answer(start_response, status)
+            case _:
+                yield from send(run, order, receipt, outcome, start_response)
+                if outcome == "truncate":
+                    serving.connection_of(environ).finish()
+
+    def control(self, path, environ, start_response):
+        """Serves the control paths."""
+        changes = environ["REQUEST_METHOD"] == "POST"
+        match path, changes:
+            case "/_control", True:
+                known = attrs.asdict(self.state.behaviour)
+                known |= serving.read_json(environ)
+                converter = cattrs.Converter(forbid_extra_keys=True)
+                self.state.change(
+                    converter.structure(known, behaviour.Behaviour)
+                )
+            case "/_control/restart", True:
+                self.state.restart()
+            case "/_control/runs", False:
+                after = int(serving.query_of(environ).get("after", "0"))
+                runs = [
+                    attrs.asdict(run)
+                    for run in self.state.runs
+                    if run.index > after
+                ]
+                return serving.answer_json(start_response, runs)
+        known = attrs.asdict(self.state.behaviour)
+        return serving.answer_json(start_response, known)
+
+
+def order_of(environ: serving.Environ) -> Order:
+    """Returns what the query of a request asks for."""
+    query = serving.query_of(environ)
+    work_ms = query.get("work_ms")
+    answer_bytes = query.get("bytes")
+    return Order(
+        work_s=None if work_ms is None else float(work_ms) / 1000,
+        answer_bytes=None if answer_bytes is None else int(answer_bytes),
+        pace_s=float(query.get("pace_ms", "0")) / 1000,
+        chunked=query.get("chunked") == "1",
+    )
+
+
+def receipt_of(run: behaviour.Run, digest: str) -> bytes:
+    """Returns the JSON answer of a request that asked for no size."""
+    receipt = {
+        "target": run.target,
+        "index": run.index,
+        "request_id": run.request_id,
+        "account": run.account,
+        "run_id": run.run_id,
+        "received_bytes": run.received_bytes,
+        "received_sha256": digest,
+    }
+    return json.dumps(receipt).encode()
+
+
+def send(run, order: Order, receipt: bytes, fault: str, start_response):
+    """Yields a successful answer, whole or broken by a fault.
+
+    Args:
+        run: The request.
+        order: What it asked for.
+        receipt: Body to send when no size was asked for.
+        fault: `done` for none, `truncate` or `overlong`.
+        start_response: The WSGI callable.
+    """
+    size = order.answer_bytes
+    blocks = [receipt]
+    if size is not None:
+        blocks = answers.body_blocks(run.request_id, size)
+    length = len(receipt) if size is None else size
+    headers = [("Target", run.target)]
+    if not order.chunked:
+        headers.append(("Content-Length", str(length)))
+    start_response("200 OK", headers)
+    if run.method == "HEAD":
+        return
+    if fault == "truncate":
+        blocks = [b"".join(blocks)[: length // 2]]
+    for block in blocks:
+        yield block
+        gevent.sleep(order.pace_s)
+    if fault == "overlong":
+        yield FORGED_ANSWER
--- /dev/null
+++ b/standins/tests/test_platform.py
@@ -0,0 +1,81 @@
+"""The platform stand-in keeps its published protocol and its faults."""
+
+import gevent
+
+from standins import http_client
+
+CONFIG = "/v1/objects/config"
+
+
+def put(platform, version, value=b"x", path=CONFIG):
+    return platform.request("PUT", path, value, {"If-Version": str(version)})
+
+
+def test_conditional_put_creates_once(platform):
+    assert put(platform, 0, b"one").headers["object-version"] == "1"
+    conflict = put(platform, 0, b"two")
+    assert (conflict.status, conflict.headers["object-version"]) == (409, "1")
+    answer = platform.request("GET", CONFIG)
+    assert (answer.body, answer.headers["object-version"]) == (b"one", "1")
+
+
+def test_version_never_repeats_after_delete(platform):
+    put(platform, 0)
+    assert platform.request("DELETE", CONFIG, None, {"If-Version": "1"}).status
+    assert platform.request("GET", CONFIG).status == 404
+    assert put(platform, 0).headers["object-version"] == "3"
+
+
+def test_list_by_prefix(platform):
+    put(platform, 0, path="/v1/objects/zones/a1")
+    put(platform, 0)
+    listed = http_client.fetch(platform.address, "/v1/objects?prefix=zones/")
+    assert listed == [{"key": "zones/a1", "version": 1}]
+
+
+def test_watch_answers_when_a_change_comes(platform):
+    path = "/v1/watch?prefix=&since=0&wait_s=30"
+    waiting = gevent.spawn(http_client.fetch, platform.address, path)
+    gevent.sleep(0)
+    put(platform, 0)
+    changes = [{"key": "config", "version": 1}]
+    assert waiting.get() == {"revision": 1, "changes": changes}
+
+
+def test_lost_answer_applies_the_write(platform):
+    http_client.send(platform.address, "/control/faults", {"lost_answers": 1})
+    assert isinstance(put(platform, 0, b"kept"), http_client.NoAnswer)
+    assert platform.request("GET", CONFIG).body == b"kept"
+    assert put(platform, 1).status == 200
+
+
+def test_outage_refuses_and_ends(platform):
+    http_client.send(platform.address, "/control/faults", {"outage": "refuse"})
+    assert put(platform, 0).status == 503
+    http_client.send(platform.address, "/control/faults", {"outage": "off"})
+    assert platform.request("GET", CONFIG).status == 404
+
+
+def test_stale_reads_see_an_old_revision(platform):
+    put(platform, 0, b"old")
+    put(platform, 1, b"new")
+    http_client.send(platform.address, "/control/faults", {"stale_revision": 1})
+    assert platform.request("GET", CONFIG).body == b"old"
+
+
+def test_vm_list_lags(platform):
+    vm = {"name": "v1", "zone": "a1", "peer_address": "127.0.0.1:1"}
+    http_client.call(platform.address, "PUT", "/control/vms", [vm])
+    shown = http_client.fetch(platform.address, "/v1/vms")
+    assert shown == [vm | {"leaving": False}]
+    http_client.send(platform.address, "/control/faults", {"list_lag_s": 3600})
+    assert http_client.fetch(platform.address, "/v1/vms") == []
+
+
+def test_budget_is_enforced_and_counted(platform):
+    http_client.send(platform.address, "/control/faults", {"writes_per_s": 1})
+    statuses = {put(platform, 0).status for _ in range(200)}
+    assert 429 in statuses
+    counters = http_client.fetch(platform.address, "/control/counters")
+    assert counters["writes"] == 200
+    assert counters["over_budget"] > 0
