Add a fault-injecting TCP proxy

Cause: failures between zones can't be provoked between processes on one machine without something in the path. Change: one process with many listeners; rules select sending and receiving places and delay, pace, hold, cut or silence what flows between them, also on connections that are already open. Bytes are counted for each pair of zones over time. Ruled out: shutdown before close to end a cut connection; the peer then saw an orderly end in place of a reset (test_cut_resets_old_and_new).

--- /dev/null
+++ b/standins/fault_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Fault-injecting TCP proxy between the processes of a deployment."""
--- /dev/null
+++ b/standins/fault_proxy/proxy.py
@@ -0,0 +1,123 @@
+"""The proxy's listeners and its control paths."""
+
+import socket
+
+import attrs
+import cattrs
+import gevent
+from gevent import server as gevent_server
+
+from standins import serving
+from standins.fault_proxy import connections
+from standins.fault_proxy import counters
+from standins.fault_proxy import rules
+from standins.fault_proxy import specification
+
+BACKLOG = 1024
+
+
+class Proxy:
+    """All links of one process.
+
+    Attributes:
+        rules: Rules in force.
+        counters: Bytes and connections.
+        places: Places by IP address.
+        open: Connections that are being passed on.
+    """
+
+    def __init__(self, wanted: specification.Specification):
+        self.rules = rules.Rules()
+        self.counters = counters.Counters()
+        self.places = {place.ip: place for place in wanted.places if place.ip}
+        self.places_by_name = {place.name: place for place in wanted.places}
+        self.open: set[connections.Connection] = set()
+        self.servers = [self.listen(link) for link in wanted.links]
+
+    def listen(self, link: specification.Link) -> gevent_server.StreamServer:
+        """Returns the started listener of a link."""
+
+        def handle(accepted, address):
+            self.handle(link, accepted, address[0])
+
+        server = gevent_server.StreamServer(
+            serving.split_address(link.listen), handle, backlog=BACKLOG
+        )
+        server.start()
+        return server
+
+    def handle(self, link: specification.Link, accepted, peer_ip: str) -> None:
+        """Passes one accepted connection on."""
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        source = self.places.get(peer_ip, specification.UNKNOWN_PLACE)
+        destination = self.places_by_name[link.place]
+        connection = connections.Connection(
+            accepted,
+            link.upstream,
+            self.flow(link.kind, source, destination),
+            self.flow(link.kind, destination, source),
+        )
+        self.counters.opened[link.kind] += 1
+        if connection.is_cut():
+            connections.reset(accepted)
+            return
+        self.open.add(connection)
+        try:
+            connection.run()
+        finally:
+            self.open.discard(connection)
+
+    def flow(
+        self,
+        kind: str,
+        source: specification.Place,
+        destination: specification.Place,
+    ) -> connections.Flow:
+        """Returns a new flow between two places."""
+        series = self.counters.series_of(kind, source.zone, destination.zone)
+        return connections.Flow(self.rules, kind, source, destination, series)
+
+    def add(self, rule: rules.Rule) -> rules.Rule:
+        """Puts a rule in force, also on open connections."""
+        known = self.rules.add(rule)
+        for connection in list(self.open):
+            if known.silence_existing:
+                connection.silence(known)
+            if known.cut and connection.is_cut():
+                connection.reset()
+        return known
+
+    def __call__(self, environ, start_response):
+        """Serves the control paths."""
+        path = environ["PATH_INFO"]
+        match environ["REQUEST_METHOD"], path.strip("/").split("/"):
+            case "POST", ["rules"]:
+                converter = cattrs.Converter(forbid_extra_keys=True)
+                wanted = converter.structure(
+                    serving.read_json(environ), rules.Rule
+                )
+                data = attrs.asdict(self.add(wanted))
+            case "DELETE", ["rules"]:
+                self.rules.clear()
+                data = []
+            case "DELETE", ["rules", rule_id]:
+                self.rules.remove(int(rule_id))
+                data = []
+            case "GET", ["rules"]:
+                listed = self.rules.rules.values()
+                data = [attrs.asdict(rule) for rule in listed]
+            case "GET", ["counters"]:
+                query = serving.query_of(environ)
+                data = self.counters.report(float(query.get("since_s", "0")))
+                data["open"] = len(self.open)
+            case _:
+                return serving.answer(start_response, "404 Not Found")
+        return serving.answer_json(start_response, data)
+
+
+def serve(wanted: specification.Specification) -> None:
+    """Serves a specification until the process is killed."""
+    proxy = Proxy(wanted)
+    control = serving.start(wanted.control, proxy)
+    serving.announce(serving.address_of(control))
+    gevent.wait()
--- a/standins/tests/test_processes.py
+++ b/standins/tests/test_processes.py
@@ -28,3 +28,15 @@
             assert status["slots"] == number
     assert not platform.is_running()
     assert not targets.is_running()
+
+
+def test_fault_proxy_runs_as_a_process(tmp_path):
+    spec = tmp_path / "proxy.json"
+    wanted = {"control": "127.0.0.1:0", "places": [], "links": []}
+    spec.write_text(json.dumps(wanted))
+    with processes.ProcessGroup(tmp_path) as group:
+        proxy = group.start_module(
+            "proxy", "standins.fault_proxy", "--spec", str(spec)
+        )
+        [control] = proxy.wait_ready()
+        assert http_client.fetch(control, "/rules") == []
