Add the harness that runs a deployment, and example configurations

Cause: tests, demo and benchmarks each need platform, targets, fault proxy and entry VMs as processes with matching addresses, ended whatever happens. Change: a deployment takes its places and targets from an example configuration and moves it to a loopback subnet of its own; the harness writes settings, keeps the platform's list right and ends all it started. Ruled out: ports from the system's ephemeral range; a VM that restarts could find its port taken by an outgoing connection of the same address.

--- /dev/null
+++ b/standins/addresses.py
@@ -0,0 +1,79 @@
+"""Loopback addresses of one deployment.
+
+Each running deployment holds a private part of 127.0.0.0/8, so that several
+can run on one machine with fixed port numbers, and so that the fault proxy
+knows the sender of a connection by its IP address.
+"""
+
+import random
+import socket
+
+import attrs
+
+EXAMPLE_PREFIX = "127.10"
+FIRST_SUBNET = 20
+LAST_SUBNET = 250
+LOCK_PORT = 20_999
+PROXIED_OFFSET = 10_000
+CALLER_PORT = 8080
+RELAY_PORT = 8081
+PEER_PORT = 8082
+PLATFORM_PORT = 7000
+CONTROL_PORT = 7001
+SHARED_ZONE = 250
+CALLER_HOST = 200
+
+
+class NoSubnetError(Exception):
+    """All subnets are in use; end another deployment first."""
+
+
+@attrs.frozen
+class Subnet:
+    """A part of the loopback network that one deployment uses alone.
+
+    Attributes:
+        prefix: First two numbers of all its addresses, such as `127.20`.
+        lock: Bound socket that reserves the subnet.
+    """
+
+    prefix: str
+    lock: socket.socket = attrs.field(repr=False, eq=False)
+
+    def ip(self, zone_number: int, host_number: int) -> str:
+        """Returns an address.
+
+        Args:
+            zone_number: Number of the zone, from 1.
+            host_number: Number of the host in the zone, from 1.
+        """
+        return f"{self.prefix}.{zone_number}.{host_number}"
+
+    def release(self) -> None:
+        """Gives the subnet up."""
+        self.lock.close()
+
+
+def reserve() -> Subnet:
+    """Returns a subnet that no other deployment on this machine uses.
+
+    Raises:
+        NoSubnetError: None is free.
+    """
+    numbers = list(range(FIRST_SUBNET, LAST_SUBNET))
+    random.shuffle(numbers)
+    for number in numbers:
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.255.254", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return Subnet(f"127.{number}", lock)
+    raise NoSubnetError("All loopback subnets are in use; end a deployment.")
+
+
+def proxied(address: str) -> str:
+    """Returns where the fault proxy listens in place of an address."""
+    host, _, port = address.rpartition(":")
+    return f"{host}:{int(port) + PROXIED_OFFSET}"
--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,154 @@
+"""What a deployment consists of: an example configuration and its VMs."""
+
+import copy
+import pathlib
+import tomllib
+
+import attrs
+import tomlkit
+
+from standins import addresses
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+
+Table = dict[str, object]
+
+
+@attrs.frozen
+class VmPlan:
+    """An entry VM that a deployment may run.
+
+    Attributes:
+        name: Unique name.
+        zone: Name of its availability zone.
+        zone_number: Number of the zone, from 1.
+        host_number: Number in the zone, from 1.
+        is_spare: Whether it starts only as a replacement.
+    """
+
+    name: str
+    zone: str
+    zone_number: int
+    host_number: int
+    is_spare: bool
+
+
+@attrs.frozen
+class Deployment:
+    """A configuration and the number of VMs in each zone.
+
+    Attributes:
+        name: Name of the example.
+        document: Decoded configuration, with the example's addresses.
+        vms_per_zone: Entry VMs by zone.
+        spares: VMs of each zone that can start later.
+    """
+
+    name: str
+    document: Table
+    vms_per_zone: dict[str, int]
+    spares: int = 2
+
+    @property
+    def zones(self) -> list[Table]:
+        """Returns the zones in order; the first has number 1."""
+        return self.document["zones"]
+
+    @property
+    def targets(self) -> list[Table]:
+        """Returns all targets."""
+        return self.document["targets"]
+
+    def region_of(self, zone: str) -> str:
+        """Returns the region of a zone."""
+        for known in self.zones:
+            if known["name"] == zone:
+                return known["region"]
+        raise KeyError(zone)
+
+    def vm_plans(self) -> list[VmPlan]:
+        """Returns all VMs, the spare ones included."""
+        plans = []
+        for zone_number, zone in enumerate(self.zones, start=1):
+            count = self.vms_per_zone[zone["name"]]
+            for host_number in range(1, count + self.spares + 1):
+                plans.append(
+                    VmPlan(
+                        f"{zone['name']}-vm{host_number}",
+                        zone["name"],
+                        zone_number,
+                        host_number,
+                        host_number > count,
+                    )
+                )
+        return plans
+
+    def placed(self, prefix: str, proxied_targets: bool) -> "Deployment":
+        """Returns the deployment with the addresses of a subnet.
+
+        Args:
+            prefix: First two numbers of the subnet's addresses.
+            proxied_targets: Whether VMs reach targets by the fault proxy.
+        """
+        document = copy.deepcopy(self.document)
+        for zone in document["zones"]:
+            zone["client_blocks"] = [
+                block.replace(addresses.EXAMPLE_PREFIX, prefix, 1)
+                for block in zone.get("client_blocks", ())
+            ]
+        for target in document["targets"]:
+            host = target["host"]
+            target["host"] = host.replace(addresses.EXAMPLE_PREFIX, prefix, 1)
+            if proxied_targets:
+                target["port"] += addresses.PROXIED_OFFSET
+        return attrs.evolve(self, document=document)
+
+    def write(self, path: pathlib.Path) -> None:
+        """Writes the configuration as TOML."""
+        path.write_text(tomlkit.dumps(self.document))
+
+
+def load(name: str, vms_per_zone: dict[str, int]) -> Deployment:
+    """Returns a deployment of an example configuration.
+
+    Args:
+        name: Name of a file in `examples`, without its suffix.
+        vms_per_zone: Entry VMs by zone.
+    """
+    text = (EXAMPLES / f"{name}.toml").read_text()
+    return Deployment(name, tomllib.loads(text), vms_per_zone)
+
+
+def kilele() -> Deployment:
+    """Returns the permit platform: 10 VMs in 6 zones, 36 targets."""
+    return load(
+        "kilele",
+        {
+            "coast-a": 2,
+            "coast-b": 2,
+            "highland-a": 2,
+            "highland-b": 2,
+            "lake-a": 1,
+            "lake-b": 1,
+        },
+    )
+
+
+def gruber() -> Deployment:
+    """Returns the logbook platform: 10 VMs in 6 zones, 36 targets."""
+    return load(
+        "gruber",
+        {
+            "vienna-a": 2,
+            "vienna-b": 2,
+            "styria-a": 2,
+            "styria-b": 2,
+            "tyrol-a": 1,
+            "tyrol-b": 1,
+        },
+    )
+
+
+def small() -> Deployment:
+    """Returns two regions with 4 VMs in 3 zones and 4 targets."""
+    return load("small", {"east-a": 2, "east-b": 1, "west-a": 1})
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,299 @@
+"""Runs a whole deployment as real processes on loopback.
+
+Example:
+    with fleet.Fleet(deployments.small(), directory) as running:
+        running.start()
+        running.apply()
+        key = running.issue_key("acme")
+        client = running.client("east-a-vm1", key)
+        client.request("GET", "/v1/services/permits/status")
+
+Whatever happens inside the block, all processes have ended after it.
+"""
+
+import collections.abc
+import pathlib
+import secrets
+import signal
+import sys
+
+import attrs
+import tomlkit
+
+from standins import addresses
+from standins import deployments
+from standins import http_client
+from standins import layout
+from standins import processes
+from standins import surroundings
+from standins import waiting
+from standins.target import behaviour
+
+KEY_HEADER = "Mulberrydeck-Key"
+
+
+class CommandError(AssertionError):
+    """An operator's command failed where it had to succeed."""
+
+
+@attrs.frozen
+class Options:
+    """How a fleet runs.
+
+    Attributes:
+        proxied: Kinds of connection that go through the fault proxy.
+        settings: Settings that differ from their defaults, for all VMs.
+        usual: Behaviour of all targets, besides their slots.
+        program: Command that runs mulberrydeck.
+    """
+
+    proxied: frozenset[str] = layout.ALL_KINDS
+    settings: dict[str, object] = attrs.field(factory=dict)
+    usual: behaviour.Behaviour = attrs.field(factory=behaviour.Behaviour)
+    program: tuple[str, ...] = (sys.executable, "-m", "mulberrydeck")
+
+
+@attrs.frozen
+class CommandResult:
+    """What an operator's command did.
+
+    Attributes:
+        exit_code: 0 done, 1 refused or failed, 2 bad input.
+        output: What it wrote to standard output.
+        errors: What it wrote to standard error.
+    """
+
+    exit_code: int
+    output: str
+    errors: str
+
+
+class Fleet:
+    """A deployment's processes.
+
+    Attributes:
+        options: How it runs.
+        layout: Addresses.
+        group: All processes.
+        surroundings: Platform, fault proxy and targets.
+        vms: Processes of VMs by name, also of ended ones.
+        listed: Names of VMs in the platform's list.
+        leaving: Names of VMs that the platform lists as leaving.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        directory: pathlib.Path,
+        options: Options | None = None,
+    ):
+        self.options = options or Options()
+        self.layout = layout.Layout(
+            deployment, addresses.reserve(), self.options.proxied
+        )
+        self.group = processes.ProcessGroup(directory)
+        self.surroundings = surroundings.Surroundings(
+            self.layout, self.group, self.options.usual
+        )
+        self.vms: dict[str, processes.Process] = {}
+        self.listed: list[str] = []
+        self.leaving: set[str] = set()
+        self.secret = secrets.token_hex(32)
+        self.commands = 0
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Ends all processes."""
+        self.group.kill_all()
+        self.layout.subnet.release()
+
+    # Start and stop.
+
+    def start(self) -> None:
+        """Starts everything and waits until it is ready."""
+        self.surroundings.start()
+        plans = self.layout.plans.values()
+        names = [plan.name for plan in plans if not plan.is_spare]
+        self.listed = list(names)
+        self.publish_vms()
+        for name in names:
+            self.launch_vm(name)
+        for name in names:
+            self.vms[name].wait_ready()
+
+    def launch_vm(self, name: str) -> processes.Process:
+        """Starts an entry VM without listing it or waiting for it."""
+        path = self.group.directory / f"{name}.toml"
+        wanted = self.layout.vm_settings(name, self.secret)
+        path.write_text(tomlkit.dumps(wanted | self.options.settings))
+        command = [*self.options.program, "serve", "--settings", str(path)]
+        self.vms[name] = self.group.start(name, command)
+        return self.vms[name]
+
+    def start_vm(self, name: str) -> processes.Process:
+        """Starts an entry VM, lists it and waits until it is ready."""
+        if name not in self.listed:
+            self.listed.append(name)
+        self.publish_vms()
+        process = self.launch_vm(name)
+        process.wait_ready()
+        return process
+
+    def publish_vms(self) -> None:
+        """Tells the platform which VMs there are."""
+        self.surroundings.publish_vms(
+            [
+                self.layout.listed_vm(name, name in self.leaving)
+                for name in self.listed
+            ]
+        )
+
+    def unlist(self, name: str) -> None:
+        """Takes a VM off the platform's list."""
+        self.listed.remove(name)
+        self.leaving.discard(name)
+        self.publish_vms()
+
+    def kill_vm(self, name: str, unlist: bool = True) -> None:
+        """Ends a VM at once, as a crash does.
+
+        Args:
+            name: Name of the VM.
+            unlist: Whether the platform's list loses it.
+        """
+        self.vms[name].kill()
+        if unlist:
+            self.unlist(name)
+
+    def pause_vm(self, name: str) -> None:
+        """Stops a VM's process until `resume_vm`."""
+        self.vms[name].send_signal(signal.SIGSTOP)
+
+    def resume_vm(self, name: str) -> None:
+        """Lets a paused VM's process run on."""
+        self.vms[name].send_signal(signal.SIGCONT)
+
+    def stop_vm(self, name: str) -> int:
+        """Stops a VM as planned and returns its exit code."""
+        self.leaving.add(name)
+        self.publish_vms()
+        self.vms[name].send_signal(signal.SIGTERM)
+        exit_code = self.vms[name].wait_end()
+        self.unlist(name)
+        return exit_code
+
+    def replace_vm(self, name: str) -> str:
+        """Kills a VM, starts a spare of its zone and returns its name."""
+        self.kill_vm(name)
+        zone = self.layout.plans[name].zone
+        spare = next(
+            plan.name
+            for plan in self.layout.plans.values()
+            if plan.zone == zone and plan.name not in self.vms
+        )
+        self.start_vm(spare)
+        return spare
+
+    def vms_in(self, zone: str) -> list[str]:
+        """Returns the names of a zone's VMs that still run."""
+        return [
+            name
+            for name, process in self.vms.items()
+            if self.layout.plans[name].zone == zone and process.is_running()
+        ]
+
+    def kill_zone(self, zone: str, unlist: bool = True) -> None:
+        """Ends all VMs and targets of a zone at once."""
+        self.surroundings.targets[zone].kill()
+        for name in self.vms_in(zone):
+            self.kill_vm(name, unlist)
+
+    # Operators.
+
+    def command(self, *arguments: str) -> CommandResult:
+        """Runs an operator's command against the platform."""
+        self.commands += 1
+        name = f"command-{self.commands}"
+        errors_path = self.group.directory / f"{name}.errors"
+        process = self.group.start(
+            name,
+            [*self.options.program, *arguments],
+            errors_path,
+            {
+                "MULBERRYDECK_PLATFORM": f"http://{self.layout.platform}",
+                "MULBERRYDECK_AUTHOR": "operator",
+            },
+        )
+        exit_code = process.wait_end()
+        return CommandResult(
+            exit_code, process.log(), errors_path.read_text(errors="replace")
+        )
+
+    def must(self, *arguments: str) -> str:
+        """Runs a command that has to succeed and returns its output.
+
+        Raises:
+            CommandError: Its exit code was not 0.
+        """
+        result = self.command(*arguments)
+        if result.exit_code != 0:
+            words = " ".join(arguments)
+            raise CommandError(f"{words}: {result.output}{result.errors}")
+        return result.output
+
+    def apply(self) -> None:
+        """Applies the deployment's configuration."""
+        deployment = self.layout.deployment
+        path = self.group.directory / f"{deployment.name}.toml"
+        deployment.write(path)
+        self.must("apply", str(path))
+
+    def issue_key(self, account: str) -> str:
+        """Issues a key for a client account and returns it."""
+        return self.must("key", "issue", account).split()[0]
+
+    # Callers.
+
+    def client(
+        self, vm: str, key: str = "", zone: str = "", timeout_s: float = 30.0
+    ) -> http_client.Client:
+        """Returns a caller's client of an entry VM.
+
+        Args:
+            vm: Name of the VM.
+            key: Key of a client account; empty sends none.
+            zone: Zone that the caller is near to; empty means the VM's.
+            timeout_s: Longest wait for a piece of an answer, in seconds.
+        """
+        direct = self.layout.vm_addresses(vm).caller
+        return http_client.Client(
+            self.layout.advertised("caller", direct),
+            self.layout.caller_ip(zone or self.layout.plans[vm].zone),
+            timeout_s,
+            {KEY_HEADER: key} if key else {},
+        )
+
+    def status(self, vm: str) -> dict[str, object]:
+        """Returns what a VM says about itself."""
+        address = self.layout.vm_addresses(vm).caller
+        return http_client.fetch(address, "/v1/status")
+
+    def wait_all(
+        self,
+        condition: collections.abc.Callable[[dict[str, object]], object],
+        what: str,
+        timeout_s: float = waiting.WAIT_TIMEOUT_S,
+    ) -> None:
+        """Waits until every running VM's status meets a condition."""
+        for name, process in self.vms.items():
+            if process.is_running():
+                waiting.until(
+                    lambda name=name: condition(self.status(name)),
+                    f"{name}: {what}",
+                    timeout_s,
+                )
--- /dev/null
+++ b/standins/layout.py
@@ -0,0 +1,182 @@
+"""Where every process of a running deployment listens and dials from."""
+
+import attrs
+
+from standins import addresses
+from standins import deployments
+from standins.fault_proxy import specification
+from standins.target import behaviour
+
+ALL_KINDS = frozenset({"caller", "relay", "peer", "platform", "target"})
+PLATFORM = "platform"
+
+
+@attrs.frozen
+class VmAddresses:
+    """Direct addresses of an entry VM, each `ip:port`.
+
+    Attributes:
+        caller: For callers.
+        relay: For relayed requests of other VMs.
+        peer: For peer messages.
+    """
+
+    caller: str
+    relay: str
+    peer: str
+
+
+class Layout:
+    """Addresses of one deployment.
+
+    Attributes:
+        subnet: Its part of the loopback network.
+        proxied: Kinds of connection that go through the fault proxy.
+        deployment: Configuration with the addresses in use.
+        plans: All VMs by name, the spare ones included.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        subnet: addresses.Subnet,
+        proxied: frozenset[str],
+    ):
+        self.subnet = subnet
+        self.proxied = proxied
+        self.deployment = deployment.placed(subnet.prefix, "target" in proxied)
+        self.plans = {plan.name: plan for plan in deployment.vm_plans()}
+        self.zone_numbers = {
+            zone["name"]: number
+            for number, zone in enumerate(deployment.zones, start=1)
+        }
+        self.target_addresses = {
+            target["name"]: f"{target['host']}:{self.direct_port(target)}"
+            for target in self.deployment.targets
+        }
+        self.platform = f"{self.platform_ip}:{addresses.PLATFORM_PORT}"
+        control_ip = subnet.ip(addresses.SHARED_ZONE, 2)
+        self.proxy_control = f"{control_ip}:{addresses.CONTROL_PORT}"
+
+    @property
+    def platform_ip(self) -> str:
+        """Returns the IP address of the platform."""
+        return self.subnet.ip(addresses.SHARED_ZONE, 1)
+
+    def vm_ip(self, name: str) -> str:
+        """Returns the IP address of an entry VM."""
+        plan = self.plans[name]
+        return self.subnet.ip(plan.zone_number, plan.host_number)
+
+    def caller_ip(self, zone: str) -> str:
+        """Returns the IP address of callers near a zone."""
+        return self.subnet.ip(self.zone_numbers[zone], addresses.CALLER_HOST)
+
+    def vm_addresses(self, name: str) -> VmAddresses:
+        """Returns the direct addresses of an entry VM."""
+        ip = self.vm_ip(name)
+        return VmAddresses(
+            f"{ip}:{addresses.CALLER_PORT}",
+            f"{ip}:{addresses.RELAY_PORT}",
+            f"{ip}:{addresses.PEER_PORT}",
+        )
+
+    def direct_port(self, target: deployments.Table) -> int:
+        """Returns the port that a target itself listens on."""
+        if "target" in self.proxied:
+            return target["port"] - addresses.PROXIED_OFFSET
+        return target["port"]
+
+    def advertised(self, kind: str, address: str) -> str:
+        """Returns the address that other processes are told."""
+        if kind in self.proxied:
+            return addresses.proxied(address)
+        return address
+
+    def vm_settings(self, name: str, secret: str) -> dict[str, object]:
+        """Returns the settings of an entry VM.
+
+        Args:
+            name: Name of the VM.
+            secret: Secret of the fleet.
+        """
+        own = self.vm_addresses(name)
+        platform = self.advertised(PLATFORM, self.platform)
+        return {
+            "name": name,
+            "zone": self.plans[name].zone,
+            "caller_address": own.caller,
+            "relay_address": own.relay,
+            "peer_address": own.peer,
+            "advertised_caller_address": self.advertised("caller", own.caller),
+            "advertised_relay_address": self.advertised("relay", own.relay),
+            "platform_url": f"http://{platform}",
+            "source_ip": self.vm_ip(name),
+            "fleet_secret": secret,
+        }
+
+    def listed_vm(self, name: str, leaving: bool) -> dict[str, object]:
+        """Returns an entry of the platform's VM list."""
+        peer = self.vm_addresses(name).peer
+        return {
+            "name": name,
+            "zone": self.plans[name].zone,
+            "peer_address": self.advertised("peer", peer),
+            "leaving": leaving,
+        }
+
+    def target_specification(
+        self, zone: str, usual: behaviour.Behaviour
+    ) -> list[dict[str, object]]:
+        """Returns the specification of all targets of a zone."""
+        return [
+            attrs.asdict(usual)
+            | {
+                "name": target["name"],
+                "listen": self.target_addresses[target["name"]],
+                "slots": target["slots"],
+            }
+            for target in self.deployment.targets
+            if target["zone"] == zone
+        ]
+
+    def proxy_specification(self) -> specification.Specification:
+        """Returns the fault proxy's places and links."""
+        links = [link for link in self.all_links() if link.kind in self.proxied]
+        return specification.Specification(
+            self.proxy_control, tuple(self.places()), tuple(links)
+        )
+
+    def places(self) -> list[specification.Place]:
+        """Returns every place that the fault proxy tells apart."""
+        found = [specification.Place(PLATFORM, PLATFORM, "", self.platform_ip)]
+        for name, plan in self.plans.items():
+            found.append(self.place(name, plan.zone, self.vm_ip(name)))
+        for zone in self.zone_numbers:
+            callers = f"callers-{zone}"
+            found.append(
+                specification.Place(callers, callers, "", self.caller_ip(zone))
+            )
+        for target in self.deployment.targets:
+            found.append(
+                self.place(target["name"], target["zone"], target["host"])
+            )
+        return found
+
+    def place(self, name: str, zone: str, ip: str) -> specification.Place:
+        """Returns a place in a zone."""
+        region = self.deployment.region_of(zone)
+        return specification.Place(name, zone, region, ip)
+
+    def all_links(self) -> list[specification.Link]:
+        """Returns a link for each address that could be proxied."""
+        ends = [(PLATFORM, PLATFORM, self.platform)]
+        for name in self.plans:
+            for kind, address in attrs.asdict(self.vm_addresses(name)).items():
+                ends.append((kind, name, address))
+        for name, address in self.target_addresses.items():
+            ends.append(("target", name, address))
+        return [
+            specification.Link(addresses.proxied(address), address, name, kind)
+            for kind, name, address in ends
+        ]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -33,21 +33,30 @@
 
     Attributes:
         name: Name in messages.
-        log_path: File that takes both output streams.
+        log_path: File that takes its output, and its errors by default.
         popen: The running or ended process.
     """
 
-    def __init__(self, name: str, command: list[str], log_path: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log_path: pathlib.Path,
+        errors_path: pathlib.Path | None = None,
+        environment: dict[str, str] | None = None,
+    ):
         self.name = name
         self.log_path = log_path
         self.log_start = log_path.stat().st_size if log_path.exists() else 0
-        with log_path.open("ab") as log:
+        errors_path = errors_path or log_path
+        with log_path.open("ab") as log, errors_path.open("ab") as errors:
             self.popen = subprocess.Popen(
                 command,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
-                stderr=subprocess.STDOUT,
+                stderr=errors,
                 cwd=REPOSITORY,
+                env=os.environ | (environment or {}),
                 preexec_fn=die_with_parent,
             )
 
@@ -126,10 +135,23 @@
     def __exit__(self, *details: object) -> None:
         self.kill_all()
 
-    def start(self, name: str, command: list[str]) -> Process:
-        """Starts a command; its log is `<name>.log`."""
+    def start(
+        self,
+        name: str,
+        command: list[str],
+        errors_path: pathlib.Path | None = None,
+        environment: dict[str, str] | None = None,
+    ) -> Process:
+        """Starts a command; its log is `<name>.log`.
+
+        Args:
+            name: Name in messages.
+            command: Program and arguments.
+            errors_path: File for standard error; None means the log.
+            environment: Variables besides this process's own.
+        """
         log_path = self.directory / f"{name}.log"
-        process = Process(name, command, log_path)
+        process = Process(name, command, log_path, errors_path, environment)
         self.processes.append(process)
         return process
 
--- /dev/null
+++ b/standins/tests/test_fleet.py
@@ -0,0 +1,56 @@
+"""The harness places, starts and ends the surroundings of a fleet."""
+
+from standins import addresses
+from standins import deployments
+from standins import fleet
+from standins import http_client
+
+
+def test_example_deployments_have_the_sizes_of_today():
+    for deployment in (deployments.kilele(), deployments.gruber()):
+        plans = deployment.vm_plans()
+        assert len([plan for plan in plans if not plan.is_spare]) == 10
+        assert len(deployment.zones) == 6
+        assert len(deployment.targets) == 36
+        assert len(deployment.document["accounts"]) == 8
+
+
+def test_deployments_get_subnets_of_their_own():
+    first = addresses.reserve()
+    second = addresses.reserve()
+    assert first.prefix != second.prefix
+    first.release()
+    second.release()
+
+
+def test_surroundings_are_reached_through_the_fault_proxy(tmp_path):
+    with fleet.Fleet(deployments.small(), tmp_path) as running:
+        outside = running.surroundings
+        outside.start()
+        settings = running.layout.vm_settings("east-a-vm1", "secret")
+        platform = settings["platform_url"].removeprefix("http://")
+        source_ip = settings["source_ip"]
+        assert source_ip == running.layout.vm_ip("east-a-vm1")
+
+        client = http_client.Client(platform, source_ip)
+        assert client.request("GET", "/v1/vms").json() == []
+        assert outside.platform_counters()["by_source"] == {source_ip: 1}
+        pairs = {
+            (one["source"], one["destination"])
+            for one in outside.traffic()["series"]
+        }
+        assert pairs == {("east-a", "platform"), ("platform", "east-a")}
+
+        outside.isolate("east-a")
+        answer = client.request("GET", "/v1/vms")
+        assert isinstance(answer, http_client.NoAnswer)
+        outside.heal()
+        assert client.request("GET", "/v1/vms").status == 200
+
+        outside.change_target("permits-east-a-1", leaving=True)
+        target = running.layout.deployment.targets[0]
+        address = f"{target['host']}:{target['port']}"
+        status = http_client.fetch(address, "/_target/status")
+        assert status["leaving"]
+        assert outside.runs() == []
+    assert not any(one.is_running() for one in running.group.processes)
