--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -108,47 +108,29 @@
         path.write_text(tomlkit.dumps(self.document))
 
 
-def load(name: str, vms_per_zone: dict[str, int]) -> Deployment:
+def load(name: str, vm_counts: tuple[int, ...]) -> Deployment:
     """Returns a deployment of an example configuration.
 
     Args:
         name: Name of a file in `examples`, without its suffix.
-        vms_per_zone: Entry VMs by zone.
+        vm_counts: Entry VMs of each zone, in order.
     """
-    text = (EXAMPLES / f"{name}.toml").read_text()
-    return Deployment(name, tomllib.loads(text), vms_per_zone)
+    document = tomllib.loads((EXAMPLES / f"{name}.toml").read_text())
+    zones = [zone["name"] for zone in document["zones"]]
+    vms_per_zone = dict(zip(zones, vm_counts, strict=True))
+    return Deployment(name, document, vms_per_zone)
 
 
 def kilele() -> Deployment:
     """Returns the permit platform: 10 VMs in 6 zones, 36 targets."""
-    return load(
-        "kilele",
-        {
-            "coast-a": 2,
-            "coast-b": 2,
-            "highland-a": 2,
-            "highland-b": 2,
-            "lake-a": 1,
-            "lake-b": 1,
-        },
-    )
+    return load("kilele", (2, 2, 2, 2, 1, 1))
 
 
 def gruber() -> Deployment:
     """Returns the logbook platform: 10 VMs in 6 zones, 36 targets."""
-    return load(
-        "gruber",
-        {
-            "vienna-a": 2,
-            "vienna-b": 2,
-            "styria-a": 2,
-            "styria-b": 2,
-            "tyrol-a": 1,
-            "tyrol-b": 1,
-        },
-    )
+    return load("gruber", (2, 2, 2, 2, 1, 1))
 
 
 def small() -> Deployment:
     """Returns two regions with 4 VMs in 3 zones and 4 targets."""
-    return load("small", {"east-a": 2, "east-b": 1, "west-a": 1})
+    return load("small", (2, 1, 1))
--- a/standins/layout.py
+++ b/standins/layout.py
@@ -68,9 +68,15 @@
         plan = self.plans[name]
         return self.subnet.ip(plan.zone_number, plan.host_number)
 
-    def caller_ip(self, zone: str) -> str:
-        """Returns the IP address of callers near a zone."""
-        return self.subnet.ip(self.zone_numbers[zone], addresses.CALLER_HOST)
+    def caller_ip(self, zone: str, block: int = 0) -> str:
+        """Returns the IP address of callers near a zone.
+
+        Args:
+            zone: Name of the zone.
+            block: Number of the client block, below `CALLER_BLOCKS`.
+        """
+        number = self.zone_numbers[zone] + block * addresses.CALLER_BLOCK_STEP
+        return self.subnet.ip(number, addresses.CALLER_HOST)
 
     def vm_addresses(self, name: str) -> VmAddresses:
         """Returns the direct addresses of an entry VM."""
@@ -152,17 +158,26 @@
         found = [specification.Place(PLATFORM, PLATFORM, "", self.platform_ip)]
         for name, plan in self.plans.items():
             found.append(self.place(name, plan.zone, self.vm_ip(name)))
-        for zone in self.zone_numbers:
-            callers = f"callers-{zone}"
-            found.append(
-                specification.Place(callers, callers, "", self.caller_ip(zone))
-            )
+        found.extend(self.caller_places())
         for target in self.deployment.targets:
             found.append(
                 self.place(target["name"], target["zone"], target["host"])
             )
         return found
 
+    def caller_places(self) -> list[specification.Place]:
+        """Returns a place for each client block."""
+        return [
+            specification.Place(
+                f"callers-{zone}-{block}",
+                f"callers-{zone}",
+                "",
+                self.caller_ip(zone, block),
+            )
+            for zone in self.zone_numbers
+            for block in range(addresses.CALLER_BLOCKS)
+        ]
+
     def place(self, name: str, zone: str, ip: str) -> specification.Place:
         """Returns a place in a zone."""
         region = self.deployment.region_of(zone)
--- a/standins/surroundings.py
+++ b/standins/surroundings.py
@@ -7,6 +7,7 @@
 import pathlib
 
 import attrs
+import cattrs
 
 from standins import http_client
 from standins import layout
@@ -172,15 +173,16 @@
         address = self.layout.target_addresses[name]
         http_client.send(address, "/_control", changes)
 
-    def runs_of(self, name: str) -> list[dict[str, object]]:
+    def runs_of(self, name: str) -> list[behaviour.Run]:
         """Returns the log of one target."""
         address = self.layout.target_addresses[name]
-        return http_client.fetch(address, "/_control/runs")
+        logged = http_client.fetch(address, "/_control/runs")
+        return cattrs.structure(logged, list[behaviour.Run])
 
-    def runs(self) -> list[dict[str, object]]:
+    def runs(self) -> list[behaviour.Run]:
         """Returns the logs of all running targets, by time of arrival."""
         found = []
         for target in self.layout.deployment.targets:
             if self.targets[target["zone"]].is_running():
                 found.extend(self.runs_of(target["name"]))
-        return sorted(found, key=lambda run: run["start_s"])
+        return sorted(found, key=lambda run: run.start_s)
--- /dev/null
+++ b/standins/traffic.py
@@ -0,0 +1,240 @@
+"""Callers of a deployment: open-loop arrivals, look-ups and retries.
+
+Requests are due at times that do not depend on how fast answers come, and
+latency counts from the time that a request was due, so that a slow system
+can't hide by slowing its callers (coordinated omission).
+"""
+
+import collections
+import random
+import time
+import urllib.parse
+
+import attrs
+import gevent
+import gevent.pool
+
+from standins import http_client
+
+TRIES = 3
+PROBLEM_TYPE = "application/problem+json"
+LOOKUP_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class Stream:
+    """Requests of one kind that arrive at a steady average rate.
+
+    Attributes:
+        name: Name in reports.
+        account: Client account.
+        key: Its key.
+        service: Service that is called.
+        path: Path and query within the service.
+        rate_per_s: Average rate of arrivals.
+        method: HTTP method.
+        single_run: Whether the request may run at most once.
+        body_bytes: Length of the body that is sent.
+    """
+
+    name: str
+    account: str
+    key: str
+    service: str
+    path: str
+    rate_per_s: float
+    method: str = "GET"
+    single_run: bool = False
+    body_bytes: int = 0
+
+
+@attrs.define
+class Record:
+    """What became of one request.
+
+    Attributes:
+        stream: Its kind.
+        request_id: Its identifier.
+        due_s: Monotonic time at which it was due, in seconds.
+        end_s: Monotonic time of the end, in seconds.
+        tries: How often it was sent.
+        status: HTTP status of the last answer; 0 if there was none.
+        kind: Kind of refusal; `unanswered`; empty when it was served.
+        not_run: Whether the answer says that it did not run.
+        body: Whole answer, for checks.
+    """
+
+    stream: Stream
+    request_id: str
+    due_s: float
+    end_s: float = 0.0
+    tries: int = 0
+    status: int = 0
+    kind: str = ""
+    not_run: bool = False
+    body: bytes = b""
+
+    @property
+    def latency_s(self) -> float:
+        """Returns the time from when it was due to its end, in seconds."""
+        return self.end_s - self.due_s
+
+
+class Callers:
+    """Callers near one zone, who share look-up answers and connections.
+
+    Attributes:
+        entrances: Addresses to ask first, `ip:port`.
+        source_ip: Their IP address.
+        timeout_s: Longest wait for a piece of an answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        entrances: list[str],
+        source_ip: str,
+        seed: int,
+        timeout_s: float = 30.0,
+    ):
+        self.entrances = entrances
+        self.source_ip = source_ip
+        self.timeout_s = timeout_s
+        self.random = random.Random(seed)
+        self.answers: dict[str, tuple[float, list[str]]] = {}
+        self.idle: dict[str, list[http_client.Client]] = (
+            collections.defaultdict(list)
+        )
+
+    def addresses(self, service: str) -> list[str]:
+        """Returns the addresses to use for a service, best first."""
+        until_s, known = self.answers.get(service, (0.0, []))
+        if time.monotonic() < until_s:
+            return known
+        asked = known + self.random.sample(self.entrances, len(self.entrances))
+        for address in asked:
+            found = self.look_up(address, service)
+            if found:
+                return found
+        return asked
+
+    def look_up(self, address: str, service: str) -> list[str]:
+        """Asks one VM which ones to use, and keeps the answer."""
+        query = urllib.parse.urlencode({"service": service})
+        client = http_client.Client(address, self.source_ip, LOOKUP_TIMEOUT_S)
+        answer = client.request("GET", f"/v1/lookup?{query}")
+        client.close()
+        match answer:
+            case http_client.Answer(status=200):
+                data = answer.json()
+                found = [vm["address"] for vm in data["vms"]]
+                until_s = time.monotonic() + data["lifetime_s"]
+                self.answers[service] = (until_s, found)
+                return found
+        return []
+
+    def send(self, record: Record) -> None:
+        """Sends a request, again through another VM if no answer came."""
+        stream = record.stream
+        headers = {"Mulberrydeck-Request-Id": record.request_id}
+        if stream.key:
+            headers["Mulberrydeck-Key"] = stream.key
+        if stream.single_run:
+            headers["Mulberrydeck-Run-Id"] = f"run-{record.request_id}"
+        for turn in range(TRIES):
+            known = self.addresses(stream.service)
+            address = known[turn % len(known)]
+            record.tries += 1
+            answer = self.exchange(address, stream, headers)
+            if isinstance(answer, http_client.Answer):
+                settle(record, answer)
+                return
+            self.answers.pop(stream.service, None)
+        record.kind = "unanswered"
+        record.end_s = time.monotonic()
+
+    def exchange(
+        self, address: str, stream: Stream, headers: dict[str, str]
+    ) -> http_client.Answer | http_client.NoAnswer:
+        """Sends a request once, on an idle connection if there is one."""
+        idle = self.idle[address]
+        client = (
+            idle.pop()
+            if idle
+            else http_client.Client(address, self.source_ip, self.timeout_s)
+        )
+        body = b"x" * stream.body_bytes if stream.body_bytes else None
+        path = f"/v1/services/{stream.service}{stream.path}"
+        answer = client.request(stream.method, path, body, headers)
+        if client.connection is not None:
+            idle.append(client)
+        return answer
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for idle in self.idle.values():
+            for client in idle:
+                client.close()
+        self.idle.clear()
+
+
+def settle(record: Record, answer: http_client.Answer) -> None:
+    """Writes an answer into a request's record."""
+    record.end_s = time.monotonic()
+    record.status = answer.status
+    record.body = answer.body
+    record.not_run = answer.headers.get("mulberrydeck-ran") == "no"
+    if answer.headers.get("content-type") == PROBLEM_TYPE:
+        record.kind = answer.json()["kind"]
+    elif answer.status >= 500:
+        record.kind = f"status-{answer.status}"
+
+
+class Load:
+    """Streams that run together.
+
+    Attributes:
+        callers: Groups of callers; each request comes from one of them.
+        records: Every request so far.
+    """
+
+    def __init__(self, callers: list[Callers], seed: int):
+        self.callers = callers
+        self.random = random.Random(seed)
+        self.records: list[Record] = []
+        self.requests = gevent.pool.Group()
+        self.arrivals = gevent.pool.Group()
+        self.started = 0
+
+    def start(self, stream: Stream, duration_s: float) -> None:
+        """Lets a stream's requests arrive for some seconds."""
+        self.started += 1
+        drawn = random.Random(self.random.random())
+        prefix = f"{stream.name}-{self.started}"
+        self.arrivals.spawn(self.arrive, stream, duration_s, drawn, prefix)
+
+    def arrive(
+        self,
+        stream: Stream,
+        duration_s: float,
+        drawn: random.Random,
+        prefix: str,
+    ) -> None:
+        """Sends the requests of a stream when they are due."""
+        due_s = time.monotonic()
+        end_s = due_s + duration_s
+        number = 0
+        while (due_s := due_s + drawn.expovariate(stream.rate_per_s)) < end_s:
+            gevent.sleep(max(0.0, due_s - time.monotonic()))
+            number += 1
+            record = Record(stream, f"{prefix}-{number}", due_s)
+            self.records.append(record)
+            callers = drawn.choice(self.callers)
+            self.requests.spawn(callers.send, record)
+
+    def finish(self) -> list[Record]:
+        """Waits for all arrivals and answers and returns the records."""
+        self.arrivals.join()
+        self.requests.join(raise_error=True)
+        for callers in self.callers:
+            callers.close()
+        return self.records
