Add the configuration model, platform client, keys and command line

Cause: the path from an operator's file to the platform did not exist. Change: TOML files are read into strictly typed configurations whose problems are all reported with file, key, value and remedy; a compiled form answers routes, rules, spill orders and client blocks; the platform client sends each call once over its own connection and tells refused from unknown writes; lost answers are resolved by reading back; keys are stored as salted digests; `check`, `apply`, `get`, `diff`, `label`, `drain`, `undrain`, `key` and `serve` form the command line. Ruled out: geventhttpclient's pooled client, which sends again by itself on a closed connection; only its response parser is used. Routes are not matched on raw paths, because a target may normalise `//` or `..`.

--- /dev/null
+++ b/mulberrydeck/cli/edit_commands.py
@@ -0,0 +1,114 @@
+"""Commands that change labels and drain targets."""
+
+import click
+
+from mulberrydeck.cli import options
+from mulberrydeck.cli import store
+from mulberrydeck.model import configuration
+from mulberrydeck.model import editing
+from mulberrydeck.platformapi import client
+
+
+@click.command()
+@options.platform
+@options.author
+@click.argument("kind", type=click.Choice(sorted(editing.LABELLED_TABLES)))
+@click.argument("name")
+@click.argument("labels", nargs=-1, required=True)
+def label(
+    objects: client.ObjectClient,
+    author: str,
+    kind: str,
+    name: str,
+    labels: tuple[str, ...],
+) -> None:
+    r"""Set or remove LABELS of the item NAME.
+
+    Each label is `key=value`, or `key-` to remove it. Labels of different
+    operators do not overwrite each other.
+
+    \b
+    Examples:
+      mulberrydeck label account acme tier=gold
+      mulberrydeck label zone north-a busy-
+    """
+    changes = dict(_parse_label(text) for text in labels)
+
+    def change(
+        current: configuration.Configuration,
+    ) -> configuration.Configuration:
+        return editing.set_labels(current, kind, name, changes)
+
+    summary = f"label {kind} {name} {' '.join(labels)}"
+    _edit(objects, author, summary, change)
+
+
+@click.command()
+@options.platform
+@options.author
+@click.argument("targets", nargs=-1, required=True)
+def drain(
+    objects: client.ObjectClient, author: str, targets: tuple[str, ...]
+) -> None:
+    r"""Let TARGETS finish their work and give them no more.
+
+    \b
+    Example:
+      mulberrydeck drain permits-3 permits-4
+    """
+    _set_draining(objects, author, targets, draining=True)
+
+
+@click.command()
+@options.platform
+@options.author
+@click.argument("targets", nargs=-1, required=True)
+def undrain(
+    objects: client.ObjectClient, author: str, targets: tuple[str, ...]
+) -> None:
+    r"""Give drained TARGETS new work again.
+
+    \b
+    Example:
+      mulberrydeck undrain permits-3
+    """
+    _set_draining(objects, author, targets, draining=False)
+
+
+def _set_draining(
+    objects: client.ObjectClient,
+    author: str,
+    targets: tuple[str, ...],
+    draining: bool,
+) -> None:
+    def change(
+        current: configuration.Configuration,
+    ) -> configuration.Configuration:
+        for target in targets:
+            current = editing.set_draining(current, target, draining)
+        return current
+
+    word = "drain" if draining else "undrain"
+    _edit(objects, author, f"{word} {' '.join(targets)}", change)
+
+
+def _edit(
+    objects: client.ObjectClient, author: str, summary: str, change: object
+) -> None:
+    stored = store.edit_configuration(objects, author, summary, change)
+    click.echo(f"{summary}: in force as version {stored.version}.")
+
+
+def _parse_label(text: str) -> tuple[str, str | None]:
+    key, sign, value = text.partition("=")
+    if sign:
+        return key, value
+    if key.endswith("-"):
+        return key.removesuffix("-"), None
+    raise click.BadParameter(
+        f"{text!r} is no label; write `key=value`, or `key-` to remove it.",
+        param_hint="LABELS",
+    )
+
+
+commands = (label, drain, undrain)
--- /dev/null
+++ b/mulberrydeck/cli/serve_command.py
@@ -0,0 +1,33 @@
+"""The command that runs the process of an entry VM."""
+
+import pathlib
+
+import click
+
+from mulberrydeck.settings import loading
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help="Settings of this VM; docs/settings.md lists them.",
+)
+@click.pass_context
+def serve(ctx: click.Context, path: pathlib.Path) -> None:
+    r"""Run the process of an entry VM until SIGTERM.
+
+    \b
+    Example:
+      mulberrydeck serve --settings vm.toml
+    """
+    settings = loading.load(path)
+    # Operators' commands need none of the server's libraries.
+    from mulberrydeck import compose
+
+    ctx.exit(compose.run(settings))
+
+
+commands = (serve,)
--- /dev/null
+++ b/mulberrydeck/cli/store.py
@@ -0,0 +1,208 @@
+"""Reads and conditionally writes the documents that operators change."""
+
+from collections.abc import Callable
+import contextlib
+from typing import Generic
+from typing import TypeVar
+
+import attrs
+import gevent
+from returns import result
+
+from mulberrydeck import errors
+from mulberrydeck.keys import keyring
+from mulberrydeck.model import configuration
+from mulberrydeck.model import documents
+from mulberrydeck.model import loading
+from mulberrydeck.platformapi import client
+from mulberrydeck.platformapi import resolve
+
+EDIT_ATTEMPTS = 10
+EDIT_BACKOFF_S = 0.05
+SHOWN_LINES = 5
+
+Document = TypeVar("Document")
+
+
+@attrs.frozen
+class Kind(Generic[Document]):
+    """How one kind of document is kept.
+
+    Attributes:
+        key: Its key in the platform.
+        encode: Turns it into bytes.
+        decode: Turns bytes into it.
+        empty: What stands for an absent document.
+    """
+
+    key: str
+    encode: Callable[[Document], bytes]
+    decode: Callable[[bytes], Document]
+    empty: Document
+
+
+@attrs.frozen
+class Stored(Generic[Document]):
+    """A document with its version; version 0 if it is absent."""
+
+    document: Document
+    version: int
+
+
+CONFIGURATION = Kind(
+    documents.DOCUMENT_KEY,
+    documents.encode,
+    documents.decode,
+    documents.ConfigurationDocument(None, configuration.Configuration()),
+)
+KEYRING = Kind(
+    keyring.DOCUMENT_KEY, keyring.encode, keyring.decode, keyring.Keyring()
+)
+
+
+def read(
+    objects: client.ObjectClient, kind: Kind[Document]
+) -> Stored[Document]:
+    """Returns a document as the platform keeps it.
+
+    Raises:
+        errors.PlatformUnavailableError: The platform did not answer.
+        errors.ConfigurationError: The document is malformed.
+    """
+    match objects.get(kind.key):
+        case result.Success(found):
+            return Stored(kind.decode(found.content), found.version)
+        case result.Failure(errors.NotFoundError()):
+            return Stored(kind.empty, client.ABSENT)
+        case result.Failure(error):
+            raise error
+
+
+def write(
+    objects: client.ObjectClient,
+    kind: Kind[Document],
+    document: Document,
+    expected_version: int,
+) -> int:
+    """Writes a document if its version is unchanged.
+
+    Args:
+        objects: The client.
+        kind: Kind of the document.
+        document: The document with the note of its change.
+        expected_version: Version to replace; 0 to create.
+
+    Returns:
+        The version that holds the change.
+
+    Raises:
+        errors.ConflictError: Another change came first; names its author.
+        errors.PlatformUnavailableError: Nothing was changed.
+        errors.PlatformOutcomeUnknownError: Whether it was changed is unknown.
+    """
+    token = document.note.token
+
+    def includes(content: bytes) -> bool:
+        return kind.decode(content).note.includes(token)
+
+    written = resolve.put_and_resolve(
+        objects, kind.key, kind.encode(document), expected_version, includes
+    )
+    match written:
+        case result.Success(version):
+            return version
+        case result.Failure(errors.ConflictError()):
+            raise errors.ConflictError(_conflict_text(objects, kind))
+        case result.Failure(error):
+            raise error
+
+
+def edit(
+    objects: client.ObjectClient,
+    kind: Kind[Document],
+    change: Callable[[Document], Document],
+) -> Stored[Document]:
+    """Applies a change to a document, again after each conflict.
+
+    Args:
+        objects: The client.
+        kind: Kind of the document.
+        change: Returns the changed document with a new note, or an equal one
+            if there is nothing to change.
+
+    Returns:
+        The document that holds the change.
+
+    Raises:
+        errors.ConflictError: Other changes kept coming first.
+        errors.PlatformUnavailableError: Nothing was changed.
+        errors.PlatformOutcomeUnknownError: Whether it was changed is unknown.
+    """
+    attempt = 0
+    while True:
+        stored = read(objects, kind)
+        changed = change(stored.document)
+        if changed == stored.document:
+            return stored
+        try:
+            version = write(objects, kind, changed, stored.version)
+        except errors.ConflictError:
+            attempt += 1
+            if attempt == EDIT_ATTEMPTS:
+                raise
+            gevent.sleep(EDIT_BACKOFF_S * attempt)
+        else:
+            return Stored(changed, version)
+
+
+def edit_configuration(
+    objects: client.ObjectClient,
+    author: str,
+    summary: str,
+    change: Callable[
+        [configuration.Configuration], configuration.Configuration
+    ],
+) -> Stored[documents.ConfigurationDocument]:
+    """Applies a small change to the configuration in force.
+
+    Args:
+        objects: The client.
+        author: Operator that makes the change.
+        summary: What changes, in one line.
+        change: Returns the changed configuration.
+
+    Raises:
+        errors.ConfigurationError: The change leads to an unsound one.
+        errors.MulberrydeckError: See `edit`.
+    """
+
+    def change_document(
+        document: documents.ConfigurationDocument,
+    ) -> documents.ConfigurationDocument:
+        changed = change(document.configuration)
+        if changed == document.configuration:
+            return document
+        loading.verify(changed, "changed configuration")
+        note = documents.new_note(author, (summary,), document.note)
+        return documents.ConfigurationDocument(note, changed)
+
+    return edit(objects, CONFIGURATION, change_document)
+
+
+def describe(stored: Stored[Document]) -> str:
+    """Returns who made the change that is in force, when and what."""
+    note = stored.document.note
+    if note is None:
+        return f"version {stored.version} is in force"
+    summary = "; ".join(note.summary[:SHOWN_LINES]) or "no summary"
+    return (
+        f"{note.author} came first with version {stored.version} at "
+        f"{note.changed_at} ({summary})"
+    )
+
+
+def _conflict_text(objects: client.ObjectClient, kind: Kind[Document]) -> str:
+    winner = f"another writer changed `{kind.key}` first"
+    with contextlib.suppress(errors.MulberrydeckError):
+        winner = describe(read(objects, kind))
+    return f"{winner}; nothing of yours was changed. Read it again and retry."
--- a/mulberrydeck/errors.py
+++ b/mulberrydeck/errors.py
@@ -27,6 +27,10 @@
     """The platform did not take the call; nothing was changed."""
 
 
+class PlatformRefusedError(PlatformUnavailableError):
+    """The platform rejected the call as malformed; nothing was changed."""
+
+
 class PlatformOutcomeUnknownError(MulberrydeckError):
     """The platform may or may not have carried out a change."""
 
--- /dev/null
+++ b/mulberrydeck/keys/secrets.py
@@ -0,0 +1,90 @@
+"""Form and digests of callers' keys.
+
+A key reads `mdk_<key id>_<secret>`. Only a salt and a keyed hash of the secret
+are stored (BLAKE2b with the salt as key, RFC 7693), which suffices because a
+secret has 256 random bits, so that guessing it from the hash is hopeless.
+"""
+
+import hashlib
+import hmac
+import re
+import secrets
+
+import attrs
+
+from mulberrydeck import errors
+
+PREFIX = "mdk"
+KEY_ID_BYTES = 8
+SECRET_BYTES = 32
+SALT_BYTES = 16
+DIGEST_BYTES = 32
+
+_form = re.compile(
+    rf"{PREFIX}_([0-9a-f]{{{2 * KEY_ID_BYTES}}})"
+    rf"_([0-9a-f]{{{2 * SECRET_BYTES}}})"
+)
+
+
+@attrs.frozen
+class PresentedKey:
+    """A key as a caller presents it.
+
+    Attributes:
+        key_id: Public part, which names the record.
+        secret: Secret part.
+    """
+
+    key_id: str
+    secret: str = attrs.field(repr=False)
+
+    def text(self) -> str:
+        """Returns the whole key, which must be shown only to its owner."""
+        return f"{PREFIX}_{self.key_id}_{self.secret}"
+
+
+def generate() -> PresentedKey:
+    """Returns a new random key."""
+    return PresentedKey(
+        secrets.token_hex(KEY_ID_BYTES), secrets.token_hex(SECRET_BYTES)
+    )
+
+
+def parse(text: str) -> PresentedKey:
+    """Returns the parts of a key.
+
+    Args:
+        text: The key as presented.
+
+    Raises:
+        errors.KeyFormatError: The text does not have the form of a key.
+    """
+    match = _form.fullmatch(text)
+    if match is None:
+        raise errors.KeyFormatError(
+            f"The key does not have the form {PREFIX}_<key id>_<secret>; "
+            "present it as it was issued."
+        )
+    return PresentedKey(*match.groups())
+
+
+def new_salt() -> bytes:
+    """Returns a random salt."""
+    return secrets.token_bytes(SALT_BYTES)
+
+
+def digest(secret: str, salt: bytes) -> bytes:
+    """Returns the keyed hash of a secret.
+
+    Args:
+        secret: Secret part of a key.
+        salt: Salt of the record.
+    """
+    return hashlib.blake2b(
+        secret.encode("ascii"), digest_size=DIGEST_BYTES, key=salt
+    ).digest()
+
+
+def equal(one: bytes, other: bytes) -> bool:
+    """Compares two digests in constant time."""
+    return hmac.compare_digest(one, other)
--- /dev/null
+++ b/mulberrydeck/keys/tests/test_keyring.py
@@ -0,0 +1,77 @@
+"""Tests of keys."""
+
+import pytest
+
+from mulberrydeck import errors
+from mulberrydeck.keys import keyring
+from mulberrydeck.keys import secrets
+
+ISSUED_S = 1000.0
+
+
+def issued(account: str) -> tuple[keyring.Keyring, keyring.IssuedKey]:
+    key = keyring.issue(account, ISSUED_S)
+    return keyring.add(keyring.Keyring(), key.record, ISSUED_S), key
+
+
+def test_a_key_belongs_to_its_account_only():
+    ring, key = issued("acme")
+    other = keyring.issue("beta")
+    ring = keyring.add(ring, other.record, ISSUED_S)
+    index = keyring.KeyIndex(ring)
+    assert index.account_of(key.secret) == "acme"
+    assert index.account_of(other.secret) == "beta"
+    mixed = key.secret[:20] + other.secret[20:]
+    assert index.account_of(mixed) is None
+
+
+@pytest.mark.parametrize("text", ["", "mdk_", "x" * 5000, "mdk_é_ü", "Mdk_1_2"])
+def test_malformed_keys_have_no_account(text):
+    ring, _ = issued("acme")
+    assert keyring.KeyIndex(ring).account_of(text) is None
+
+
+def test_unknown_keys_cost_the_same_comparison(monkeypatch):
+    ring, key = issued("acme")
+    index = keyring.KeyIndex(ring)
+    compared = []
+
+    def compare(one, other):
+        compared.append((len(one), len(other)))
+        return one == other
+
+    monkeypatch.setattr(secrets, "equal", compare)
+    assert index.account_of(keyring.issue("acme").secret) is None
+    assert index.account_of(key.secret) == "acme"
+    assert compared[0] == compared[1]
+
+
+def test_the_secret_is_not_stored():
+    ring, key = issued("acme")
+    encoded = keyring.encode(ring)
+    secret = secrets.parse(key.secret).secret
+    assert secret.encode() not in encoded
+    assert secret not in repr(key)
+    assert keyring.decode(encoded) == ring
+
+
+def test_a_withdrawn_key_leaves_a_tombstone_for_a_time():
+    ring, key = issued("acme")
+    ring = keyring.withdraw(ring, key.record.key_id, 2000.0)
+    again = keyring.withdraw(ring, key.record.key_id, 3000.0)
+    assert keyring.KeyIndex(ring).account_of(key.secret) is None
+    assert again == ring
+    assert ring.records[0].digest == b""
+    late_s = 2000.0 + keyring.TOMBSTONE_RETENTION_S
+    ring = keyring.add(ring, keyring.issue("beta").record, late_s)
+    assert [record.account for record in ring.records] == ["beta"]
+
+
+def test_unknown_keys_cannot_be_withdrawn():
+    with pytest.raises(errors.NotFoundError, match="key list"):
+        keyring.withdraw(keyring.Keyring(), "0123", ISSUED_S)
+
+
+def test_malformed_keyrings_are_a_typed_error():
+    with pytest.raises(errors.ConfigurationError, match="malformed"):
+        keyring.decode(b"[]")
--- /dev/null
+++ b/mulberrydeck/model/checks.py
@@ -0,0 +1,212 @@
+"""Checks of values and references within a configuration."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import ipaddress
+
+from mulberrydeck.model import client_blocks
+from mulberrydeck.model import configuration
+from mulberrydeck.model import findings
+from mulberrydeck.model import selector_text
+from mulberrydeck.model import steering_checks
+
+MAX_PORT = 65_535
+
+
+def check(checked: configuration.Configuration) -> list[findings.Finding]:
+    """Returns all problems of a configuration; empty if it is sound."""
+    found: list[findings.Finding] = []
+    for examine in _examinations:
+        found.extend(examine(checked))
+    return found
+
+
+def _names(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    for table in (
+        "regions",
+        "zones",
+        "services",
+        "targets",
+        "accounts",
+        "access",
+        "steering",
+        "limits",
+    ):
+        yield from _unique_names(table, getattr(checked, table))
+    for position, service in enumerate(checked.services):
+        yield from _unique_names(f"services[{position}].routes", service.routes)
+
+
+def _unique_names(
+    table: str, items: Iterable[object]
+) -> Iterator[findings.Finding]:
+    seen = set()
+    for position, item in enumerate(items):
+        key = f"{table}[{position}].name"
+        if not selector_text.is_word(item.name):
+            yield findings.Finding(
+                key,
+                item.name,
+                "is no valid name; use letters, digits and inner `.`, `_` or "
+                "`-`.",
+            )
+        elif "/" in item.name:
+            yield findings.Finding(
+                key, item.name, "must not contain a slash; use `-`."
+            )
+        if item.name in seen:
+            yield findings.Finding(
+                key, item.name, "is used twice; rename one of the two."
+            )
+        seen.add(item.name)
+
+
+def _labels(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    for table in ("regions", "zones", "services", "targets", "accounts"):
+        for position, item in enumerate(getattr(checked, table)):
+            for label, value in item.labels.items():
+                key = f"{table}[{position}].labels.{label}"
+                if not selector_text.is_word(label):
+                    yield findings.Finding(
+                        key, value, "has an invalid label key; rename it."
+                    )
+                if not selector_text.is_word(value):
+                    yield findings.Finding(
+                        key,
+                        value,
+                        "is no valid label value; use letters, digits and "
+                        "inner `.`, `_`, `/` or `-`.",
+                    )
+
+
+def _places(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    regions = {region.name for region in checked.regions}
+    for position, zone in enumerate(checked.zones):
+        if zone.region not in regions:
+            yield _unknown(f"zones[{position}].region", zone.region, "regions")
+    yield from client_blocks.check(checked.zones)
+
+
+def _links(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    regions = {region.name for region in checked.regions}
+    seen = set()
+    for position, link in enumerate(checked.links):
+        key = f"links[{position}]"
+        for end in ("source", "destination"):
+            region = getattr(link, end)
+            if region not in regions:
+                yield _unknown(f"{key}.{end}", region, "regions")
+        if link.source == link.destination:
+            yield findings.Finding(
+                f"{key}.destination",
+                link.destination,
+                "equals the source; name two regions.",
+            )
+        if link.cap_bytes_per_s <= 0:
+            yield _not_positive(f"{key}.cap_bytes_per_s", link.cap_bytes_per_s)
+        if (link.source, link.destination) in seen:
+            yield findings.Finding(
+                key,
+                f"{link.source}/{link.destination}",
+                "is declared twice; remove one of the two.",
+            )
+        seen.add((link.source, link.destination))
+
+
+def _routes(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    for position, service in enumerate(checked.services):
+        seen = set()
+        for number, route in enumerate(service.routes):
+            key = f"services[{position}].routes[{number}]"
+            yield from _route(key, route)
+            for method in route.methods or ("",):
+                if (route.path_prefix, method) in seen:
+                    yield findings.Finding(
+                        f"{key}.path_prefix",
+                        route.path_prefix,
+                        "has the same prefix and method as another route; "
+                        "remove one of the two.",
+                    )
+                seen.add((route.path_prefix, method))
+
+
+def _route(key: str, route: configuration.Route) -> Iterator[findings.Finding]:
+    segments = route.path_prefix.split("/")
+    if not route.path_prefix.startswith("/") or {".", ".."} & set(segments):
+        yield findings.Finding(
+            f"{key}.path_prefix",
+            route.path_prefix,
+            "must start with `/` and hold no `.` or `..` segment.",
+        )
+    if route.deadline_s <= 0:
+        yield _not_positive(f"{key}.deadline_s", route.deadline_s)
+    for method in route.methods:
+        if not (method.isalpha() and method.isupper()):
+            yield findings.Finding(
+                f"{key}.methods", method, "write methods like `GET`."
+            )
+
+
+def _targets(
+    checked: configuration.Configuration,
+) -> Iterator[findings.Finding]:
+    zones = {zone.name for zone in checked.zones}
+    services = {service.name for service in checked.services}
+    for position, target in enumerate(checked.targets):
+        key = f"targets[{position}]"
+        if target.zone not in zones:
+            yield _unknown(f"{key}.zone", target.zone, "zones")
+        if target.service not in services:
+            yield _unknown(f"{key}.service", target.service, "services")
+        if target.slots <= 0:
+            yield _not_positive(f"{key}.slots", target.slots)
+        if not 0 < target.port <= MAX_PORT:
+            yield findings.Finding(
+                f"{key}.port", target.port, f"use a port from 1 to {MAX_PORT}."
+            )
+        if not _is_ip(target.host):
+            yield findings.Finding(
+                f"{key}.host", target.host, "write an IP address."
+            )
+
+
+def _limits(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    for position, limit in enumerate(checked.limits):
+        if not 0 < limit.rate_per_s < float("inf"):
+            yield _not_positive(
+                f"limits[{position}].rate_per_s", limit.rate_per_s
+            )
+        if limit.burst < 1:
+            yield findings.Finding(
+                f"limits[{position}].burst", limit.burst, "use at least 1."
+            )
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _unknown(key: str, value: str, table: str) -> findings.Finding:
+    return findings.Finding(
+        key, value, f"is not declared in [[{table}]]; declare or correct it."
+    )
+
+
+def _not_positive(key: str, value: float) -> findings.Finding:
+    return findings.Finding(key, value, "must be above 0; raise it.")
+
+
+_examinations = (
+    _names,
+    _labels,
+    _places,
+    _links,
+    _routes,
+    _targets,
+    _limits,
+    steering_checks.check,
+)
--- a/mulberrydeck/model/configuration.py
+++ b/mulberrydeck/model/configuration.py
@@ -104,10 +104,12 @@
             are implied, and `local` is `zone`, `region` or `remote` relative
             to the VM that decides.
         weight: Relative share among the zones of the same step.
+        same_step: Whether it belongs to the step of the preference before it.
     """
 
     zones: selectors.Selector
     weight: int = 1
+    same_step: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/mulberrydeck/model/differences.py
@@ -0,0 +1,61 @@
+"""Compares two configurations item by item."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from mulberrydeck.model import configuration
+from mulberrydeck.model import places
+from mulberrydeck.model import writing
+
+
+def compare(
+    old: configuration.Configuration, new: configuration.Configuration
+) -> tuple[str, ...]:
+    """Returns one line for each item that differs; empty if none does.
+
+    Args:
+        old: The configuration in force.
+        new: The configuration that replaces it.
+    """
+    lines: list[str] = []
+    for field in attrs.fields(configuration.Configuration):
+        table = field.name
+        lines += _table(table, getattr(old, table), getattr(new, table))
+    return tuple(lines)
+
+
+def _table(
+    table: str, old: tuple[object, ...], new: tuple[object, ...]
+) -> Iterator[str]:
+    old_by_name = {_name(item): item for item in old}
+    new_by_name = {_name(item): item for item in new}
+    for name in old_by_name:
+        if name not in new_by_name:
+            yield f"{table} {name}: removed"
+    for name, item in new_by_name.items():
+        if name not in old_by_name:
+            yield f"{table} {name}: added"
+        else:
+            yield from _item(f"{table} {name}", old_by_name[name], item)
+    if set(old_by_name) == set(new_by_name) and list(old_by_name) != list(
+        new_by_name
+    ):
+        yield f"{table}: order changed"
+
+
+def _item(place: str, old: object, new: object) -> Iterator[str]:
+    for field in attrs.fields(type(old)):
+        before = getattr(old, field.name)
+        after = getattr(new, field.name)
+        if before != after:
+            yield (
+                f"{place}: {field.name} {writing.plain(before)!r} -> "
+                f"{writing.plain(after)!r}"
+            )
+
+
+def _name(item: object) -> str:
+    if isinstance(item, places.Link):
+        return f"{item.source}/{item.destination}"
+    return item.name
--- /dev/null
+++ b/mulberrydeck/model/documents.py
@@ -0,0 +1,107 @@
+"""Encoding of the configuration for the platform."""
+
+import datetime
+import uuid
+
+import attrs
+import msgspec
+
+from mulberrydeck import errors
+from mulberrydeck.model import configuration
+
+DOCUMENT_KEY = "config"
+MAX_DOCUMENT_BYTES = 1_000_000
+SUMMARY_LINES = 50
+EARLIER_TOKENS = 50
+
+
+@attrs.frozen
+class ChangeNote:
+    """Who made a change, when and what.
+
+    Attributes:
+        author: Operator that made the change.
+        changed_at: Time of the change in UTC, ISO 8601.
+        token: Unique identifier of the change.
+        summary: What changed, one line an item.
+        earlier_tokens: Tokens of the changes that it is based on, newest first.
+    """
+
+    author: str
+    changed_at: str
+    token: str
+    summary: tuple[str, ...] = ()
+    earlier_tokens: tuple[str, ...] = ()
+
+    def includes(self, token: str) -> bool:
+        """Returns whether a change is this one or one that it is based on."""
+        return token == self.token or token in self.earlier_tokens
+
+
+def new_note(
+    author: str, summary: tuple[str, ...], previous: ChangeNote | None
+) -> ChangeNote:
+    """Returns the note of a change that is made now.
+
+    Args:
+        author: Operator that makes the change.
+        summary: What changes, one line an item.
+        previous: Note of the document that it replaces, if any.
+    """
+    earlier: tuple[str, ...] = ()
+    if previous is not None:
+        earlier = (previous.token, *previous.earlier_tokens)
+    now = datetime.datetime.now(datetime.UTC)
+    return ChangeNote(
+        author,
+        now.isoformat(timespec="seconds"),
+        uuid.uuid4().hex,
+        summary[:SUMMARY_LINES],
+        earlier[:EARLIER_TOKENS],
+    )
+
+
+@attrs.frozen
+class ConfigurationDocument:
+    """The configuration as the platform keeps it.
+
+    Attributes:
+        note: The change that led to it; None if there was none yet.
+        configuration: The configuration.
+    """
+
+    note: ChangeNote | None
+    configuration: configuration.Configuration
+
+
+def encode(document: ConfigurationDocument) -> bytes:
+    """Returns a document as compact JSON.
+
+    Raises:
+        errors.ConfigurationError: The result is too large for the platform.
+    """
+    encoded = msgspec.json.encode(document)
+    if len(encoded) > MAX_DOCUMENT_BYTES:
+        raise errors.ConfigurationError(
+            f"The configuration takes {len(encoded)} bytes; shorten it below "
+            f"{MAX_DOCUMENT_BYTES}, for instance by larger client blocks."
+        )
+    return encoded
+
+
+def decode(content: bytes) -> ConfigurationDocument:
+    """Returns the document that `encode` wrote.
+
+    Raises:
+        errors.ConfigurationError: The content is malformed.
+    """
+    try:
+        return _decoder.decode(content)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.ConfigurationError(
+            f"The stored configuration is malformed ({error}); apply a sound "
+            "one."
+        ) from error
+
+
+_decoder = msgspec.json.Decoder(ConfigurationDocument)
--- /dev/null
+++ b/mulberrydeck/model/loading.py
@@ -0,0 +1,122 @@
+"""Reads and checks configuration files."""
+
+import pathlib
+import tomllib
+
+import attrs
+
+from mulberrydeck import errors
+from mulberrydeck.model import checks
+from mulberrydeck.model import configuration
+from mulberrydeck.model import findings
+from mulberrydeck.model import structuring
+
+BASE_KEY = "based_on_version"
+
+
+@attrs.frozen
+class ConfigurationFile:
+    """Content of a configuration file.
+
+    Attributes:
+        configuration: The checked configuration.
+        based_on_version: Version in force that it was derived from, or None if
+            the file does not say.
+    """
+
+    configuration: configuration.Configuration
+    based_on_version: int | None = None
+
+
+def load(path: pathlib.Path) -> configuration.Configuration:
+    """Returns the checked configuration of a TOML file.
+
+    Args:
+        path: The file.
+
+    Raises:
+        errors.ConfigurationError: See `load_file`.
+    """
+    return load_file(path).configuration
+
+
+def loads(text: str, source: str) -> configuration.Configuration:
+    """Returns the checked configuration of a TOML text.
+
+    Args:
+        text: The TOML text.
+        source: Name of the source for messages.
+
+    Raises:
+        errors.ConfigurationError: See `load_file`.
+    """
+    return parse(text, source).configuration
+
+
+def load_file(path: pathlib.Path) -> ConfigurationFile:
+    """Returns the checked content of a TOML file.
+
+    Args:
+        path: The file.
+
+    Raises:
+        errors.ConfigurationError: The file is missing or malformed, or a value
+            is unknown, of a wrong type or inconsistent with another. The
+            message names all problems, one a line.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.ConfigurationError(
+            f"{path}: cannot be read ({error}); check path and encoding."
+        ) from error
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str) -> ConfigurationFile:
+    """Returns the checked content of a TOML text.
+
+    Args:
+        text: The TOML text.
+        source: Name of the source for messages.
+
+    Raises:
+        errors.ConfigurationError: See `load_file`.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise errors.ConfigurationError(
+            f"{source}: is not valid TOML ({error}); correct the line."
+        ) from error
+    based_on_version = _pop_base(raw, source)
+    structured = structuring.structure(raw)
+    if isinstance(structured, list):
+        raise findings.error_of(source, structured)
+    verify(structured, source)
+    return ConfigurationFile(structured, based_on_version)
+
+
+def verify(checked: configuration.Configuration, source: str) -> None:
+    """Checks values and references of a configuration.
+
+    Args:
+        checked: The configuration.
+        source: Name of the source for messages.
+
+    Raises:
+        errors.ConfigurationError: A value is out of range or inconsistent.
+    """
+    found = checks.check(checked)
+    if found:
+        raise findings.error_of(source, found)
+
+
+def _pop_base(raw: dict[str, object], source: str) -> int | None:
+    version = raw.pop(BASE_KEY, None)
+    if version is None or (type(version) is int and version >= 0):
+        return version
+    finding = findings.Finding(
+        BASE_KEY, version, "write the version that `mulberrydeck get` showed."
+    )
+    raise findings.error_of(source, [finding])
--- /dev/null
+++ b/mulberrydeck/model/steering_checks.py
@@ -0,0 +1,54 @@
+"""Checks that rules select something that exists."""
+
+from collections.abc import Iterator
+
+from mulberrydeck.model import configuration
+from mulberrydeck.model import findings
+from mulberrydeck.model import implied_labels
+from mulberrydeck.model import selector_text
+from mulberrydeck.model import selectors
+
+
+def check(checked: configuration.Configuration) -> Iterator[findings.Finding]:
+    """Yields rules whose spill order cannot lead to any zone.
+
+    Args:
+        checked: The configuration.
+    """
+    for position, rule in enumerate(checked.steering):
+        key = f"steering[{position}].spill_order"
+        if not rule.spill_order:
+            yield findings.Finding(key, [], "is empty; name at least one step.")
+        for number, preference in enumerate(rule.spill_order):
+            yield from _preference(f"{key}[{number}]", preference, checked)
+
+
+def _preference(
+    key: str,
+    preference: configuration.Preference,
+    checked: configuration.Configuration,
+) -> Iterator[findings.Finding]:
+    if preference.weight < 1:
+        yield findings.Finding(
+            f"{key}.weight", preference.weight, "use at least 1."
+        )
+    if not _matches_any_zone(preference.zones, checked):
+        yield findings.Finding(
+            f"{key}.zones",
+            selector_text.write(preference.zones),
+            "matches no zone; correct the selector or label a zone.",
+        )
+
+
+def _matches_any_zone(
+    selector: selectors.Selector, checked: configuration.Configuration
+) -> bool:
+    regions = {region.name: region for region in checked.regions}
+    known = [zone for zone in checked.zones if zone.region in regions]
+    return any(
+        selector.matches(
+            implied_labels.of_zone(zone, regions[zone.region], from_zone)
+        )
+        for from_zone in known
+        for zone in known
+    )
--- /dev/null
+++ b/mulberrydeck/model/writing.py
@@ -0,0 +1,54 @@
+"""Writes a configuration as TOML."""
+
+import attrs
+import tomlkit
+
+from mulberrydeck.model import configuration
+from mulberrydeck.model import loading
+from mulberrydeck.model import selector_text
+from mulberrydeck.model import selectors
+
+
+def dumps(written: configuration.Configuration, version: int) -> str:
+    """Returns the TOML text of a configuration; `loading.loads` reverses it.
+
+    Args:
+        written: The configuration.
+        version: Its version in the platform, kept as `based_on_version`.
+    """
+    content = {loading.BASE_KEY: version} | plain(written)
+    return tomlkit.dumps(content)
+
+
+def plain(value: object) -> object:
+    """Returns TOML types for a part of a configuration, without defaults.
+
+    Args:
+        value: A model object or a value within it.
+    """
+    match value:
+        case selectors.Selector():
+            return selector_text.write(value)
+        case tuple():
+            return [plain(item) for item in value]
+        case dict():
+            return dict(value)
+        case _ if attrs.has(type(value)):
+            return _fields(value)
+        case _:
+            return value
+
+
+def _fields(value: object) -> dict[str, object]:
+    written = {}
+    for field in attrs.fields(type(value)):
+        item = getattr(value, field.name)
+        if item != _default(field):
+            written[field.name] = plain(item)
+    return written
+
+
+def _default(field: attrs.Attribute) -> object:
+    if isinstance(field.default, attrs.Factory):
+        return field.default.factory()
+    return field.default
--- /dev/null
+++ b/mulberrydeck/platformapi/client.py
@@ -0,0 +1,243 @@
+"""Client of the platform's object API.
+
+A call is sent at most once. Its result tells the truth about what it may have
+changed: `PlatformUnavailableError` means nothing, and
+`PlatformOutcomeUnknownError` that a write may or may not have taken effect.
+"""
+
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+from returns import result
+
+from mulberrydeck import errors
+from mulberrydeck.platformapi import exchange
+from mulberrydeck.platformapi import records
+
+ABSENT = 0
+MAX_OBJECT_BYTES = 1_000_000
+
+Answered = TypeVar("Answered")
+
+
+class ObjectClient:
+    """Calls the object API over HTTP.
+
+    Args:
+        url: Base URL of the platform.
+        timeout_s: Time allowed for one call, in seconds; a watch may wait
+            longer by its `wait_s`.
+        source_ip: Local IP of connections; empty lets the system choose.
+    """
+
+    def __init__(self, url: str, timeout_s: float, source_ip: str = "") -> None:
+        self.endpoint = exchange.Endpoint(url, source_ip)
+        self.timeout_s = timeout_s
+
+    def get(
+        self, key: str
+    ) -> result.Result[records.StoredObject, errors.MulberrydeckError]:
+        """Reads an object.
+
+        Returns:
+            The object; fails with `NotFoundError` or
+            `PlatformUnavailableError`.
+        """
+        answer = self._read(_object_path(key))
+        return answer.map(
+            lambda whole: records.StoredObject(key, _version(whole), whole.body)
+        )
+
+    def list(
+        self, prefix: str
+    ) -> result.Result[
+        tuple[records.ObjectVersion, ...], errors.MulberrydeckError
+    ]:
+        """Lists the keys that start with a prefix."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        return self._read_json(
+            f"/v1/objects?{query}", tuple[records.ObjectVersion, ...]
+        )
+
+    def watch(
+        self, prefix: str, since: int, wait_s: float
+    ) -> result.Result[records.ObjectChanges, errors.MulberrydeckError]:
+        """Waits for changes.
+
+        Args:
+            prefix: Watches keys that start with it.
+            since: Revision of the last answer.
+            wait_s: How long the platform may wait for a change, in seconds.
+
+        Returns:
+            The changes, possibly none; fails with `NotFoundError` if `since`
+            is too old, after which the caller reads everything anew.
+        """
+        query = urllib.parse.urlencode(
+            {"prefix": prefix, "since": since, "wait_s": wait_s}
+        )
+        return self._read_json(
+            f"/v1/watch?{query}", records.ObjectChanges, wait_s
+        )
+
+    def vms(
+        self,
+    ) -> result.Result[tuple[records.VmEntry, ...], errors.MulberrydeckError]:
+        """Returns the platform's list of VMs, which may lag."""
+        return self._read_json("/v1/vms", tuple[records.VmEntry, ...])
+
+    def put(
+        self, key: str, value: bytes, expected_version: int
+    ) -> result.Result[int, errors.MulberrydeckError]:
+        """Writes an object if its version is unchanged.
+
+        Args:
+            key: Key of the object.
+            value: Raw content.
+            expected_version: Version to replace; `ABSENT` to create.
+
+        Returns:
+            The new version; fails with `ConflictError`,
+            `PlatformUnavailableError` or `PlatformOutcomeUnknownError`.
+        """
+        if len(value) > MAX_OBJECT_BYTES:
+            return result.Failure(
+                errors.PlatformRefusedError(
+                    f"{key} has {len(value)} bytes; shorten it below "
+                    f"{MAX_OBJECT_BYTES}."
+                )
+            )
+        answer = self._write("PUT", key, value, expected_version)
+        return answer.map(_version)
+
+    def delete(
+        self, key: str, expected_version: int
+    ) -> result.Result[None, errors.MulberrydeckError]:
+        """Deletes an object if its version is unchanged.
+
+        Args:
+            key: Key of the object.
+            expected_version: Version to delete.
+
+        Returns:
+            None; fails like `put` and with `NotFoundError`.
+        """
+        answer = self._write("DELETE", key, b"", expected_version)
+        return answer.map(lambda _: None)
+
+    def _read_json(
+        self, path: str, kind: type[Answered], wait_s: float = 0.0
+    ) -> result.Result[Answered, errors.MulberrydeckError]:
+        return self._read(path, wait_s).bind(
+            lambda whole: _decode(whole.body, kind)
+        )
+
+    def _read(
+        self, path: str, wait_s: float = 0.0
+    ) -> result.Result[exchange.Answer, errors.MulberrydeckError]:
+        request = exchange.Request("GET", path)
+        try:
+            answer = self.endpoint.exchange(request, self.timeout_s + wait_s)
+        except (exchange.NotSentError, exchange.NoAnswerError) as error:
+            return result.Failure(
+                errors.PlatformUnavailableError(
+                    f"The platform did not answer ({error}); try again later."
+                )
+            )
+        if answer.status in (404, 410):
+            return result.Failure(
+                errors.NotFoundError(
+                    f"The platform has nothing at {path}; check the name."
+                )
+            )
+        if answer.status != 200:
+            return result.Failure(_unavailable(answer))
+        return result.Success(answer)
+
+    def _write(
+        self, method: str, key: str, value: bytes, expected_version: int
+    ) -> result.Result[exchange.Answer, errors.MulberrydeckError]:
+        headers = {"If-Version": str(expected_version)}
+        request = exchange.Request(method, _object_path(key), headers, value)
+        try:
+            answer = self.endpoint.exchange(request, self.timeout_s)
+        except exchange.NotSentError as error:
+            return result.Failure(
+                errors.PlatformUnavailableError(
+                    f"The platform cannot be reached ({error}); nothing was "
+                    "changed, try again later."
+                )
+            )
+        except exchange.NoAnswerError as error:
+            return result.Failure(_unknown(key, str(error)))
+        return _judge_write(key, answer)
+
+
+def _judge_write(
+    key: str, answer: exchange.Answer
+) -> result.Result[exchange.Answer, errors.MulberrydeckError]:
+    if 200 <= answer.status < 300:
+        return result.Success(answer)
+    match answer.status:
+        case 409 | 412:
+            return result.Failure(
+                errors.ConflictError(
+                    f"{key} is now at version {_version(answer)}; read it "
+                    "again and retry."
+                )
+            )
+        case 404:
+            return result.Failure(
+                errors.NotFoundError(f"{key} does not exist; check the name.")
+            )
+        case 429 | 503:
+            return result.Failure(_unavailable(answer))
+        case status if 400 <= status < 500:
+            return result.Failure(
+                errors.PlatformRefusedError(
+                    f"The platform rejected {key} with status {status}; "
+                    "nothing was changed, check key and size."
+                )
+            )
+        case status:
+            return result.Failure(_unknown(key, f"status {status}"))
+
+
+def _version(answer: exchange.Answer) -> int:
+    return answer.number("object-version")
+
+
+def _unavailable(answer: exchange.Answer) -> errors.PlatformUnavailableError:
+    when = "later"
+    retry_after_s = answer.number("retry-after")
+    if retry_after_s:
+        when = f"in {retry_after_s} s"
+    return errors.PlatformUnavailableError(
+        f"The platform answered with status {answer.status}; nothing was "
+        f"changed, try again {when}."
+    )
+
+
+def _unknown(key: str, reason: str) -> errors.PlatformOutcomeUnknownError:
+    return errors.PlatformOutcomeUnknownError(
+        f"The write of {key} got no answer ({reason}); read it again to see "
+        "whether it took effect."
+    )
+
+
+def _decode(
+    body: bytes, kind: type[Answered]
+) -> result.Result[Answered, errors.MulberrydeckError]:
+    try:
+        return result.Success(msgspec.json.decode(body, type=kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return result.Failure(
+            errors.PlatformUnavailableError(
+                f"The platform's answer is malformed ({error}); check its URL."
+            )
+        )
+
+
+def _object_path(key: str) -> str:
+    return f"/v1/objects/{urllib.parse.quote(key)}"
