Test the platform client's results on scripted answers

Cause: whether a failed write changed anything was untested. Change: each kind of answer, its loss and its truncation are scripted on a socket, and the number of sent writes is counted. Document encoding is shared by configuration and keyring; the VM list uses the core's record. Conclusion: a write is sent once; an unknown one is resolved by reading back, and sent again only under the same condition.

--- a/mulberrydeck/keys/keyring.py
+++ b/mulberrydeck/keys/keyring.py
@@ -74,13 +74,7 @@
     Raises:
         errors.ConfigurationError: The result is too large for the platform.
     """
-    encoded = msgspec.json.encode(keyring)
-    if len(encoded) > documents.MAX_DOCUMENT_BYTES:
-        raise errors.ConfigurationError(
-            f"The keyring takes {len(encoded)} bytes, more than "
-            f"{documents.MAX_DOCUMENT_BYTES}; withdraw unused keys."
-        )
-    return encoded
+    return documents.to_json(keyring, "keyring")
 
 
 def decode(content: bytes) -> Keyring:
@@ -89,13 +83,7 @@
     Raises:
         errors.ConfigurationError: The content is malformed.
     """
-    try:
-        return _decoder.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.ConfigurationError(
-            f"The stored keyring is malformed ({error}); restore the document "
-            f"`{DOCUMENT_KEY}`."
-        ) from error
+    return documents.from_json(_decoder, content, "keyring")
 
 
 def issue(account: str, now_s: float | None = None) -> IssuedKey:
--- a/mulberrydeck/model/documents.py
+++ b/mulberrydeck/model/documents.py
@@ -77,30 +77,58 @@
 def encode(document: ConfigurationDocument) -> bytes:
     """Returns a document as compact JSON.
 
+    Raises:
+        errors.ConfigurationError: The result is too large for the platform.
+    """
+    return to_json(document, "configuration")
+
+
+def decode(content: bytes) -> ConfigurationDocument:
+    """Returns the document that `encode` wrote.
+
+    Raises:
+        errors.ConfigurationError: The content is malformed.
+    """
+    return from_json(_decoder, content, "configuration")
+
+
+def to_json(document: object, name: str) -> bytes:
+    """Returns a document as compact JSON that fits into one object.
+
+    Args:
+        document: An attrs object.
+        name: What it is, for the message.
+
     Raises:
         errors.ConfigurationError: The result is too large for the platform.
     """
     encoded = msgspec.json.encode(document)
     if len(encoded) > MAX_DOCUMENT_BYTES:
         raise errors.ConfigurationError(
-            f"The configuration takes {len(encoded)} bytes; shorten it below "
-            f"{MAX_DOCUMENT_BYTES}, for instance by larger client blocks."
+            f"The {name} takes {len(encoded)} bytes; shorten it below "
+            f"{MAX_DOCUMENT_BYTES}."
         )
     return encoded
 
 
-def decode(content: bytes) -> ConfigurationDocument:
-    """Returns the document that `encode` wrote.
+def from_json(
+    decoder: msgspec.json.Decoder, content: bytes, name: str
+) -> object:
+    """Returns the document that `to_json` wrote.
+
+    Args:
+        decoder: Decoder of the document's type.
+        content: Encoded document.
+        name: What it is, for the message.
 
     Raises:
         errors.ConfigurationError: The content is malformed.
     """
     try:
-        return _decoder.decode(content)
+        return decoder.decode(content)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise errors.ConfigurationError(
-            f"The stored configuration is malformed ({error}); apply a sound "
-            "one."
+            f"The stored {name} is malformed ({error}); write a sound one."
         ) from error
 
 
--- a/mulberrydeck/platformapi/client.py
+++ b/mulberrydeck/platformapi/client.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from mulberrydeck import errors
+from mulberrydeck.core import events
 from mulberrydeck.platformapi import exchange
 from mulberrydeck.platformapi import records
 
@@ -83,9 +84,9 @@
 
     def vms(
         self,
-    ) -> result.Result[tuple[records.VmEntry, ...], errors.MulberrydeckError]:
+    ) -> result.Result[tuple[events.VmRecord, ...], errors.MulberrydeckError]:
         """Returns the platform's list of VMs, which may lag."""
-        return self._read_json("/v1/vms", tuple[records.VmEntry, ...])
+        return self._read_json("/v1/vms", tuple[events.VmRecord, ...])
 
     def put(
         self, key: str, value: bytes, expected_version: int
--- /dev/null
+++ b/mulberrydeck/platformapi/tests/test_client.py
@@ -0,0 +1,148 @@
+"""Tests of what the client's results tell about a call."""
+
+import gevent.socket
+import pytest
+from returns import result
+
+from mulberrydeck import errors
+from mulberrydeck.platformapi import client
+from mulberrydeck.platformapi import resolve
+from mulberrydeck.platformapi.tests import scripted
+
+TIMEOUT_S = 30.0
+LOST = b""
+DONE_5 = scripted.answer("200 OK", "Object-Version: 5")
+CONFLICT_5 = scripted.answer("409 Conflict", "Object-Version: 5")
+TRUNCATED = DONE_5.replace(b"Length: 0", b"Length: 9")
+BUSY = scripted.answer("503 Busy", "Retry-After: 7")
+
+
+def stored(version: int, content: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n"
+    return f"{head}Object-Version: {version}\r\n\r\n".encode() + content
+
+
+def put(*answers: bytes) -> tuple[result.Result, list[bytes]]:
+    with scripted.serving(*answers) as server:
+        objects = client.ObjectClient(server.url, TIMEOUT_S)
+        return objects.put("config", b"new", 4), server.requests
+
+
+def put_and_resolve(*answers: bytes) -> tuple[result.Result, int]:
+    with scripted.serving(*answers) as server:
+        objects = client.ObjectClient(server.url, TIMEOUT_S)
+        written = resolve.put_and_resolve(objects, "config", b"new", 4)
+        puts = [sent for sent in server.requests if sent.startswith(b"PUT")]
+        assert not server.answers
+        return written, len(puts)
+
+
+def kind_of(failed: result.Result) -> type:
+    return type(failed.failure())
+
+
+def test_put_sends_its_condition_once():
+    written, requests = put(DONE_5)
+    assert written == result.Success(5)
+    assert len(requests) == 1
+    assert b"\r\nIf-Version: 4\r\n" in requests[0]
+    assert requests[0].endswith(b"\r\n\r\nnew")
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind"),
+    [
+        (LOST, errors.PlatformOutcomeUnknownError),
+        (b"HTTP/1.1 200 OK\r\nConte", errors.PlatformOutcomeUnknownError),
+        (b"no HTTP at all\r\n\r\n", errors.PlatformOutcomeUnknownError),
+        (TRUNCATED, errors.PlatformOutcomeUnknownError),
+        (
+            scripted.answer("500 Internal Server Error"),
+            errors.PlatformOutcomeUnknownError,
+        ),
+        (CONFLICT_5, errors.ConflictError),
+        (BUSY, errors.PlatformUnavailableError),
+        (
+            scripted.answer("429 Too Many Requests"),
+            errors.PlatformUnavailableError,
+        ),
+        (scripted.answer("413 Too Large"), errors.PlatformRefusedError),
+    ],
+)
+def test_a_failed_put_is_sent_once_and_told_truthfully(answer, kind):
+    written, requests = put(answer)
+    assert kind_of(written) is kind
+    assert len(requests) == 1
+
+
+def test_a_refused_connection_changes_nothing():
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    written = client.ObjectClient(url, TIMEOUT_S).put("config", b"new", 0)
+    listener.close()
+    assert kind_of(written) is errors.PlatformUnavailableError
+
+
+def test_a_silent_platform_times_out():
+    with gevent.socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+        objects = client.ObjectClient(url, 0.05)
+        written = objects.put("config", b"new", 0)
+        read = objects.get("config")
+    assert kind_of(written) is errors.PlatformOutcomeUnknownError
+    assert kind_of(read) is errors.PlatformUnavailableError
+
+
+def test_calls_come_from_the_given_address():
+    with scripted.serving(DONE_5) as server:
+        sources = []
+        serve = server.serve
+        server.server.set_handle(
+            lambda connection, address: (
+                sources.append(address[0]),
+                serve(connection, address),
+            )
+        )
+        objects = client.ObjectClient(server.url, TIMEOUT_S, "127.0.0.9")
+        objects.put("config", b"new", 4)
+    assert sources == ["127.0.0.9"]
+
+
+def test_oversized_values_are_refused_unsent():
+    objects = client.ObjectClient("http://127.0.0.1:9", TIMEOUT_S)
+    written = objects.put("config", bytes(client.MAX_OBJECT_BYTES + 1), 0)
+    assert kind_of(written) is errors.PlatformRefusedError
+
+
+@pytest.mark.parametrize(
+    ("answers", "outcome", "puts"),
+    [
+        ([LOST, stored(5, b"new")], 5, 1),
+        ([LOST, stored(5, b"other")], errors.ConflictError, 1),
+        ([LOST, stored(4, b"old"), DONE_5], 5, 2),
+        ([LOST, stored(4, b"old"), CONFLICT_5, stored(5, b"new")], 5, 2),
+        (
+            [LOST, stored(3, b"stale"), stored(4, b"old"), LOST]
+            + [stored(5, b"new")],
+            5,
+            2,
+        ),
+        ([CONFLICT_5], errors.ConflictError, 1),
+        ([BUSY], errors.PlatformUnavailableError, 1),
+        (
+            [LOST] + [BUSY] * resolve.RESOLVE_ATTEMPTS,
+            errors.PlatformOutcomeUnknownError,
+            1,
+        ),
+    ],
+)
+def test_lost_answers_are_resolved(answers, outcome, puts):
+    written, sent = put_and_resolve(*answers)
+    assert sent == puts
+    if isinstance(outcome, int):
+        assert written == result.Success(outcome)
+    else:
+        assert kind_of(written) is outcome
