Add status, explain, ask and call to the command line

Cause: operators could not see what is in force on each VM, and nobody could try the callers' path from a shell. Change: `status` and `explain` ask given or all VMs, with `--json`; `ask` and `call` do what a caller does. Document names come from `platformapi.names`. Examples stand in each command's epilog. Ruled out: raw docstrings with a backspace mark, which click does not read; sending a call again through another VM, which could double it.

--- /dev/null
+++ b/mulberrydeck/cli/caller_commands.py
@@ -0,0 +1,136 @@
+"""Commands that do what a caller does, for trying it."""
+
+import pathlib
+
+import click
+import msgspec
+
+from mulberrydeck import errors
+from mulberrydeck.cli import options
+from mulberrydeck.cli import outcomes
+from mulberrydeck.cli import vms
+from mulberrydeck.platformapi import exchange
+
+FILE_SIGN = "@"
+LAST_GOOD_STATUS = 399
+
+
+@click.command(
+    epilog=options.examples(
+        "mulberrydeck ask permits --from north-a --vm 10.0.0.1:8080"
+    )
+)
+@options.vms
+@options.as_json
+@click.option("--from", "place", default="", help="Zone, region or IP address.")
+@click.argument("service", default="")
+def ask(
+    asker: vms.Asker,
+    addresses: tuple[str, ...],
+    as_json: bool,
+    place: str,
+    service: str,
+) -> None:
+    """Ask which entry VMs to use for SERVICE, best first."""
+    answer = asker.look_up(addresses, service, place)
+    if as_json:
+        click.echo(msgspec.json.encode(answer))
+        return
+    for vm in answer.vms:
+        click.echo(f"{vm.address}  {vm.name}  {vm.zone}")
+    click.echo(
+        f"valid for {answer.lifetime_s} s, configuration version "
+        f"{answer.config_version}",
+        err=True,
+    )
+
+
+@click.command(
+    epilog=options.examples(
+        "mulberrydeck call permits /status --vm 10.0.0.1:8080",
+        "mulberrydeck call permits /fees --method POST --run-id fee-4711",
+    )
+)
+@options.vms
+@click.option(
+    "--key",
+    envvar=options.KEY_VARIABLE,
+    show_envvar=True,
+    help="Caller's key; prefer the variable, since others see arguments.",
+)
+@click.option("--method", default="GET", show_default=True)
+@click.option("--data", help="Body, or @FILE to read it from a file.")
+@click.option("--run-id", help="Identifier of a request that runs once.")
+@click.option("--request-id", help="Identifier for logs and traces.")
+@click.option("--deadline", type=float, help="Time allowed, in seconds.")
+@click.option("--from", "place", default="", help="Zone, region or IP address.")
+@click.argument("service")
+@click.argument("path", default="/")
+@click.pass_context
+def call(
+    ctx: click.Context,
+    asker: vms.Asker,
+    addresses: tuple[str, ...],
+    key: str | None,
+    method: str,
+    data: str | None,
+    run_id: str | None,
+    request_id: str | None,
+    deadline: float | None,
+    place: str,
+    service: str,
+    path: str,
+) -> None:
+    """Send a request to SERVICE through the best entry VM.
+
+    The body of the answer goes to standard output, its status to standard
+    error. Exits with 1 if the request was refused or failed.
+    """
+    headers = _headers(key, run_id, request_id, deadline)
+    request = exchange.Request(
+        method, f"/v1/services/{service}{path}", headers, _body(data)
+    )
+    found = asker.look_up(addresses, service, place)
+    if not found.vms:
+        raise errors.TargetError("No entry VM serves now; try again later.")
+    vm = found.vms[0]
+    answer = asker.send(vm.address, request)
+    click.echo(f"{answer.status} from {vm.name} ({vm.address})", err=True)
+    click.get_binary_stream("stdout").write(answer.body)
+    if answer.status > LAST_GOOD_STATUS:
+        ctx.exit(outcomes.ExitCode.FAILED)
+
+
+def _headers(
+    key: str | None,
+    run_id: str | None,
+    request_id: str | None,
+    deadline_s: float | None,
+) -> dict[str, str]:
+    stated = {
+        "Mulberrydeck-Key": key,
+        "Mulberrydeck-Run-Id": run_id,
+        "Mulberrydeck-Request-Id": request_id,
+        "Mulberrydeck-Deadline": deadline_s,
+    }
+    return {
+        name: str(value) for name, value in stated.items() if value is not None
+    }
+
+
+def _body(data: str | None) -> bytes:
+    if data is None:
+        return b""
+    if not data.startswith(FILE_SIGN):
+        return data.encode()
+    path = pathlib.Path(data.removeprefix(FILE_SIGN))
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise click.BadParameter(
+            f"{path}: cannot be read ({error.strerror}); check the path.",
+            param_hint="--data",
+        ) from error
+
+
+commands = (ask, call)
--- a/mulberrydeck/cli/configuration_commands.py
+++ b/mulberrydeck/cli/configuration_commands.py
@@ -18,16 +18,12 @@
 )
 
 
-@click.command()
+@click.command(epilog=options.examples("mulberrydeck check fleet.toml"))
 @file_argument
 def check(file: pathlib.Path) -> None:
-    r"""Check a configuration FILE without applying it.
+    """Check a configuration FILE without applying it.
 
     All problems are printed, each with file, key, value and remedy.
-
-    \b
-    Example:
-      mulberrydeck check fleet.toml
     """
     loaded = loading.load_file(file).configuration
     counts = ", ".join(
@@ -36,7 +32,13 @@
     click.echo(f"{file}: sound ({counts}).")
 
 
-@click.command()
+@click.command(
+    epilog=options.examples(
+        "mulberrydeck get > fleet.toml; edit fleet.toml",
+        "mulberrydeck apply fleet.toml",
+        "mulberrydeck apply --base 17 fleet.toml",
+    )
+)
 @options.platform
 @options.author
 @click.option(
@@ -58,18 +60,12 @@
     base: int | None,
     replace: bool,
 ) -> None:
-    r"""Make the configuration FILE the one in force.
+    """Make the configuration FILE the one in force.
 
     FILE must say which version it was derived from, so that no other
     operator's change is lost: `get` writes that version into the file as
     `based_on_version`, and --base overrides it. The first configuration needs
     neither.
-
-    \b
-    Examples:
-      mulberrydeck get > fleet.toml; edit fleet.toml
-      mulberrydeck apply fleet.toml
-      mulberrydeck apply --base 17 fleet.toml
     """
     loaded = loading.load_file(file)
     stored = store.read(objects, store.CONFIGURATION)
@@ -89,15 +85,10 @@
     click.echo(f"Applied as version {version}.")
 
 
-@click.command()
+@click.command(epilog=options.examples("mulberrydeck get > fleet.toml"))
 @options.platform
 def get(objects: client.ObjectClient) -> None:
-    r"""Print the configuration in force as TOML.
-
-    \b
-    Example:
-      mulberrydeck get > fleet.toml
-    """
+    """Print the configuration in force as TOML."""
     stored = _read_existing(objects)
     note = stored.document.note
     click.echo(f"# Version {stored.version}, by {note.author}")
@@ -107,16 +98,11 @@
     )
 
 
-@click.command()
+@click.command(epilog=options.examples("mulberrydeck diff fleet.toml"))
 @options.platform
 @file_argument
 def diff(file: pathlib.Path, objects: client.ObjectClient) -> None:
-    r"""Show what `apply FILE` would change.
-
-    \b
-    Example:
-      mulberrydeck diff fleet.toml
-    """
+    """Show what `apply FILE` would change."""
     loaded = loading.load_file(file)
     stored = store.read(objects, store.CONFIGURATION)
     summary = differences.compare(
--- a/mulberrydeck/cli/edit_commands.py
+++ b/mulberrydeck/cli/edit_commands.py
@@ -9,7 +9,12 @@
 from mulberrydeck.platformapi import client
 
 
-@click.command()
+@click.command(
+    epilog=options.examples(
+        "mulberrydeck label account acme tier=gold",
+        "mulberrydeck label zone north-a busy-",
+    )
+)
 @options.platform
 @options.author
 @click.argument("kind", type=click.Choice(sorted(editing.LABELLED_TABLES)))
@@ -22,15 +27,10 @@
     name: str,
     labels: tuple[str, ...],
 ) -> None:
-    r"""Set or remove LABELS of the item NAME.
+    """Set or remove LABELS of the item NAME.
 
     Each label is `key=value`, or `key-` to remove it. Labels of different
     operators do not overwrite each other.
-
-    \b
-    Examples:
-      mulberrydeck label account acme tier=gold
-      mulberrydeck label zone north-a busy-
     """
     changes = dict(_parse_label(text) for text in labels)
 
@@ -43,35 +43,27 @@
     _edit(objects, author, summary, change)
 
 
-@click.command()
+@click.command(
+    epilog=options.examples("mulberrydeck drain permits-3 permits-4")
+)
 @options.platform
 @options.author
 @click.argument("targets", nargs=-1, required=True)
 def drain(
     objects: client.ObjectClient, author: str, targets: tuple[str, ...]
 ) -> None:
-    r"""Let TARGETS finish their work and give them no more.
-
-    \b
-    Example:
-      mulberrydeck drain permits-3 permits-4
-    """
+    """Let TARGETS finish their work and give them no more."""
     _set_draining(objects, author, targets, draining=True)
 
 
-@click.command()
+@click.command(epilog=options.examples("mulberrydeck undrain permits-3"))
 @options.platform
 @options.author
 @click.argument("targets", nargs=-1, required=True)
 def undrain(
     objects: client.ObjectClient, author: str, targets: tuple[str, ...]
 ) -> None:
-    r"""Give drained TARGETS new work again.
-
-    \b
-    Example:
-      mulberrydeck undrain permits-3
-    """
+    """Give drained TARGETS new work again."""
     _set_draining(objects, author, targets, draining=False)
 
 
--- a/mulberrydeck/cli/key_commands.py
+++ b/mulberrydeck/cli/key_commands.py
@@ -19,18 +19,14 @@
     """Issue, withdraw and list callers' keys."""
 
 
-@key.command()
+@key.command(epilog=options.examples("mulberrydeck key issue acme"))
 @options.platform
 @options.author
 @click.argument("account")
 def issue(objects: client.ObjectClient, author: str, account: str) -> None:
-    r"""Issue a key for ACCOUNT and show it, this once.
+    """Issue a key for ACCOUNT and show it, this once.
 
     Only a salted hash is stored, so the key cannot be shown again.
-
-    \b
-    Example:
-      mulberrydeck key issue acme
     """
     _check_account(objects, account)
     issued = keyring.issue(account)
@@ -52,20 +48,18 @@
     click.echo("Keep it now; it cannot be shown again.", err=True)
 
 
-@key.command()
+@key.command(
+    epilog=options.examples("mulberrydeck key withdraw 0123456789abcdef")
+)
 @options.platform
 @options.author
 @click.argument("key_ids", nargs=-1, required=True, metavar="KEY_ID...")
 def withdraw(
     objects: client.ObjectClient, author: str, key_ids: tuple[str, ...]
 ) -> None:
-    r"""Withdraw keys; they stop working within seconds.
+    """Withdraw keys; they stop working within seconds.
 
     KEY_ID is the part of the key between the two underscores.
-
-    \b
-    Example:
-      mulberrydeck key withdraw 0123456789abcdef
     """
     summary = f"withdraw {' '.join(key_ids)}"
 
@@ -81,16 +75,13 @@
     click.echo(f"{summary}: in force as version {stored.version}.")
 
 
-@key.command(name="list")
+@key.command(
+    name="list", epilog=options.examples("mulberrydeck key list --account acme")
+)
 @options.platform
 @click.option("--account", help="Only keys of this client account.")
 def list_keys(objects: client.ObjectClient, account: str | None) -> None:
-    r"""List keys by id, account and state; secrets are not stored.
-
-    \b
-    Example:
-      mulberrydeck key list --account acme
-    """
+    """List keys by id, account and state; secrets are not stored."""
     stored = store.read(objects, store.KEYRING)
     for record in stored.document.records:
         if account in (None, record.account):
--- a/mulberrydeck/cli/main.py
+++ b/mulberrydeck/cli/main.py
@@ -3,14 +3,20 @@
 import click
 
 import mulberrydeck
+from mulberrydeck.cli import caller_commands
 from mulberrydeck.cli import configuration_commands
 from mulberrydeck.cli import edit_commands
 from mulberrydeck.cli import key_commands
 from mulberrydeck.cli import outcomes
 from mulberrydeck.cli import serve_command
+from mulberrydeck.cli import status_commands
 
 
-@click.group(cls=outcomes.ReportingGroup)
+@click.group(
+    cls=outcomes.ReportingGroup,
+    epilog="Shell completion for bash (also zsh, fish): "
+    'eval "$(_MULBERRYDECK_COMPLETE=bash_source mulberrydeck)"',
+)
 @click.version_option(mulberrydeck.__version__, prog_name="mulberrydeck")
 def main() -> None:
     """Steer callers' requests to healthy, unloaded targets.
@@ -27,6 +33,8 @@
     configuration_commands,
     edit_commands,
     key_commands,
+    status_commands,
+    caller_commands,
 ):
     for _command in _module.commands:
         main.add_command(_command)
--- a/mulberrydeck/cli/options.py
+++ b/mulberrydeck/cli/options.py
@@ -7,6 +7,7 @@
 
 import click
 
+from mulberrydeck.cli import vms as vm_questions
 from mulberrydeck.platformapi import client
 
 PLATFORM_VARIABLE = "MULBERRYDECK_PLATFORM"
@@ -14,6 +15,18 @@
 VMS_VARIABLE = "MULBERRYDECK_VMS"
 KEY_VARIABLE = "MULBERRYDECK_KEY"
 PLATFORM_TIMEOUT_S = 5.0
+VM_TIMEOUT_S = 30.0
+
+
+def examples(*commands: str) -> str:
+    """Returns the end of a help text that shows examples.
+
+    Args:
+        *commands: Command lines.
+    """
+    word = "Example:" if len(commands) == 1 else "Examples:"
+    # The leading backspace keeps click from joining the lines.
+    return "\b\n" + "\n  ".join((word, *commands))
 
 
 def platform(command: Callable[..., None]) -> Callable[..., None]:
@@ -41,17 +54,88 @@
     def with_client(
         *args: object, platform_url: str, timeout_s: float, **kwargs: object
     ) -> None:
-        try:
-            objects = client.ObjectClient(platform_url, timeout_s)
-        except ValueError as error:
-            raise click.BadParameter(
-                str(error), param_hint="--platform"
-            ) from error
+        objects = _client(platform_url, timeout_s)
         command(*args, objects=objects, **kwargs)
 
     return with_client
 
 
+def optional_platform(command: Callable[..., None]) -> Callable[..., None]:
+    """Adds an optional `--platform`, passed on as `objects`, or None."""
+
+    @click.option(
+        "--platform",
+        "platform_url",
+        envvar=PLATFORM_VARIABLE,
+        metavar="URL",
+        help="Base URL of the platform's object API.",
+        show_envvar=True,
+    )
+    @functools.wraps(command)
+    def with_client(
+        *args: object, platform_url: str | None, **kwargs: object
+    ) -> None:
+        objects = None
+        if platform_url is not None:
+            objects = _client(platform_url, PLATFORM_TIMEOUT_S)
+        command(*args, objects=objects, **kwargs)
+
+    return with_client
+
+
+def vms(command: Callable[..., None]) -> Callable[..., None]:
+    """Adds `--vm` and `--timeout`, passed on as `addresses` and `asker`."""
+
+    @click.option(
+        "--vm",
+        "addresses",
+        envvar=VMS_VARIABLE,
+        required=True,
+        multiple=True,
+        metavar="HOST:PORT",
+        help="Caller address of an entry VM; may be given several times.",
+        show_envvar=True,
+    )
+    @click.option(
+        "--timeout",
+        "timeout_s",
+        type=click.FloatRange(min=0, min_open=True),
+        default=VM_TIMEOUT_S,
+        show_default=True,
+        metavar="SECONDS",
+        help="Time allowed for one question to a VM.",
+    )
+    @functools.wraps(command)
+    def with_asker(*args: object, timeout_s: float, **kwargs: object) -> None:
+        command(*args, asker=vm_questions.Asker(timeout_s), **kwargs)
+
+    return with_asker
+
+
+def all_vms(
+    default: bool,
+) -> Callable[[Callable[..., None]], Callable[..., None]]:
+    """Adds `--all/--given`, passed on as `everywhere`.
+
+    Args:
+        default: Whether all VMs are asked unless stated otherwise.
+    """
+    return click.option(
+        "--all/--given",
+        "everywhere",
+        default=default,
+        show_default=True,
+        help="Ask all VMs that the given ones know, or only the given ones.",
+    )
+
+
+def as_json(command: Callable[..., None]) -> Callable[..., None]:
+    """Adds `--json`, passed on as `as_json`."""
+    return click.option(
+        "--json", "as_json", is_flag=True, help="Print JSON for programs."
+    )(command)
+
+
 def author(command: Callable[..., None]) -> Callable[..., None]:
     """Adds `--author`, which is kept with each change."""
     return click.option(
@@ -64,6 +148,13 @@
     )(command)
 
 
+def _client(platform_url: str, timeout_s: float) -> client.ObjectClient:
+    try:
+        return client.ObjectClient(platform_url, timeout_s)
+    except ValueError as error:
+        raise click.BadParameter(str(error), param_hint="--platform") from error
+
+
 def _login() -> str:
     try:
         return getpass.getuser()
--- a/mulberrydeck/cli/serve_command.py
+++ b/mulberrydeck/cli/serve_command.py
@@ -4,10 +4,11 @@
 
 import click
 
+from mulberrydeck.cli import options
 from mulberrydeck.settings import loading
 
 
-@click.command()
+@click.command(epilog=options.examples("mulberrydeck serve --settings vm.toml"))
 @click.option(
     "--settings",
     "path",
@@ -17,12 +18,7 @@
 )
 @click.pass_context
 def serve(ctx: click.Context, path: pathlib.Path) -> None:
-    r"""Run the process of an entry VM until SIGTERM.
-
-    \b
-    Example:
-      mulberrydeck serve --settings vm.toml
-    """
+    """Run the process of an entry VM until SIGTERM."""
     settings = loading.load(path)
     # Operators' commands need none of the server's libraries.
     from mulberrydeck import compose
--- /dev/null
+++ b/mulberrydeck/cli/status_commands.py
@@ -0,0 +1,104 @@
+"""Commands that show what is in force on the entry VMs."""
+
+import click
+import msgspec
+
+from mulberrydeck.cli import options
+from mulberrydeck.cli import outcomes
+from mulberrydeck.cli import status_text
+from mulberrydeck.cli import vms
+from mulberrydeck.core import gateway
+from mulberrydeck.platformapi import client
+
+
+@click.command(
+    epilog=options.examples(
+        "mulberrydeck status --vm 10.0.0.1:8080",
+        "mulberrydeck status --vm 10.0.0.1:8080 --given --json",
+    )
+)
+@options.vms
+@options.optional_platform
+@options.all_vms(default=True)
+@options.as_json
+@click.pass_context
+def status(
+    ctx: click.Context,
+    asker: vms.Asker,
+    addresses: tuple[str, ...],
+    objects: client.ObjectClient | None,
+    everywhere: bool,
+    as_json: bool,
+) -> None:
+    """Show what is in force on each VM.
+
+    Asks the VMs given by --vm and all that they know. With --platform, VMs
+    that the platform lists but that did not answer are named too. Exits with 1
+    if a VM did not answer.
+    """
+    asked = asker.discover(addresses) if everywhere else addresses
+    answers = asker.get_from_all(asked, "/v1/status", {}, gateway.Status)
+    report = status_text.report_of(answers, _listed_names(objects))
+    if as_json:
+        click.echo(msgspec.json.encode(report))
+    else:
+        for line in status_text.lines(report):
+            click.echo(line)
+    if report.silent or report.missing:
+        ctx.exit(outcomes.ExitCode.FAILED)
+
+
+@click.command(
+    epilog=options.examples(
+        "mulberrydeck explain acme permits --from north-a --vm 10.0.0.1:8080"
+    )
+)
+@options.vms
+@options.all_vms(default=False)
+@options.as_json
+@click.option("--from", "place", default="", help="Zone to decide from.")
+@click.argument("account")
+@click.argument("service")
+@click.pass_context
+def explain(
+    ctx: click.Context,
+    asker: vms.Asker,
+    addresses: tuple[str, ...],
+    everywhere: bool,
+    as_json: bool,
+    place: str,
+    account: str,
+    service: str,
+) -> None:
+    """Explain how requests of ACCOUNT to SERVICE are treated.
+
+    Names each rule that is consulted, the VM and the target that would be used
+    or the rule that refuses. Exits with 1 if a VM refuses or does not answer.
+    """
+    asked = asker.discover(addresses) if everywhere else addresses
+    query = {"account": account, "service": service, "from": place}
+    answers = asker.get_from_all(
+        asked, "/v1/explain", query, gateway.Explanation
+    )
+    if as_json:
+        click.echo(msgspec.json.encode(answers))
+    else:
+        for address, answer in answers.items():
+            for line in status_text.explanation_lines(address, answer):
+                click.echo(line)
+    if not all(_allows(answer) for answer in answers.values()):
+        ctx.exit(outcomes.ExitCode.FAILED)
+
+
+def _allows(answer: gateway.Explanation | vms.Silent) -> bool:
+    return isinstance(answer, gateway.Explanation) and answer.allowed
+
+
+def _listed_names(objects: client.ObjectClient | None) -> tuple[str, ...]:
+    if objects is None:
+        return ()
+    listed = objects.vms().value_or(())
+    return tuple(vm.name for vm in listed if not vm.leaving)
+
+
+commands = (status, explain)
--- /dev/null
+++ b/mulberrydeck/cli/status_text.py
@@ -0,0 +1,135 @@
+"""Text of status reports and explanations."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import attrs
+
+from mulberrydeck.cli import vms
+from mulberrydeck.core import gateway
+
+HEADINGS = ("VM", "ZONE", "STATE", "CONFIG", "KEYS", "PLATFORM", "HOLDER")
+
+
+@attrs.frozen
+class Report:
+    """Status of several VMs.
+
+    Attributes:
+        vms: Status of each VM that answered.
+        silent: VMs that were asked and did not answer.
+        missing: Names of VMs that the platform lists and that did not answer.
+    """
+
+    vms: tuple[gateway.Status, ...]
+    silent: tuple[vms.Silent, ...]
+    missing: tuple[str, ...]
+
+
+def report_of(
+    answers: dict[str, gateway.Status | vms.Silent], listed: Iterable[str]
+) -> Report:
+    """Returns the report of all answers.
+
+    Args:
+        answers: Answers by caller address.
+        listed: Names of VMs that the platform lists.
+    """
+    statuses = [
+        answer
+        for answer in answers.values()
+        if isinstance(answer, gateway.Status)
+    ]
+    statuses.sort(key=lambda status: (status.zone, status.name))
+    silent = [
+        answer for answer in answers.values() if isinstance(answer, vms.Silent)
+    ]
+    heard = {status.name for status in statuses}
+    missing = tuple(sorted(set(listed) - heard))
+    return Report(tuple(statuses), tuple(silent), missing)
+
+
+def lines(report: Report) -> Iterator[str]:
+    """Yields the lines that show a report.
+
+    Args:
+        report: The report.
+    """
+    rows = [HEADINGS] + [_row(status) for status in report.vms]
+    yield from _table(rows)
+    for status in report.vms:
+        yield from _details(status)
+    for silent in report.silent:
+        yield f"No answer: {silent.reason}"
+    if report.missing:
+        names = ", ".join(report.missing)
+        yield f"Listed by the platform, not heard: {names}"
+    versions = {status.config_version for status in report.vms}
+    if len(versions) > 1:
+        yield (
+            "The VMs differ in their configuration; ask again in a few "
+            "seconds, then look at those that lag."
+        )
+
+
+def explanation_lines(
+    address: str, answer: gateway.Explanation | vms.Silent
+) -> Iterator[str]:
+    """Yields the lines that show one VM's explanation.
+
+    Args:
+        address: Caller address of the VM.
+        answer: What it said.
+    """
+    match answer:
+        case vms.Silent(reason=reason):
+            yield f"No answer: {reason}"
+        case gateway.Explanation():
+            verdict = "allowed" if answer.allowed else "refused"
+            yield f"{address}: {verdict}"
+            for step in answer.steps:
+                yield f"  {step}"
+            if answer.vm:
+                yield f"  VM {answer.vm}"
+            if answer.target:
+                yield f"  target {answer.target}"
+
+
+def _row(status: gateway.Status) -> tuple[str, ...]:
+    return (
+        status.name,
+        status.zone,
+        "leaving" if status.leaving else "serving",
+        str(status.config_version),
+        str(status.keys_version),
+        f"{status.platform_age_s:.0f} s ago",
+        status.zone_holder or "-",
+    )
+
+
+def _table(rows: list[tuple[str, ...]]) -> Iterator[str]:
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        cells = [
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ]
+        yield "  ".join(cells).rstrip()
+
+
+def _details(status: gateway.Status) -> Iterator[str]:
+    dead = [peer.name for peer in status.peers if not peer.alive]
+    if dead:
+        yield f"{status.name}: not heard from {', '.join(sorted(dead))}"
+    for target in status.targets:
+        if target.owned or target.state in ("ejected", "draining"):
+            yield (
+                f"{status.name}: target {target.name} of {target.service} is "
+                f"{target.state}, {target.used_slots} of "
+                f"{target.usable_slots} slots used"
+            )
+    for quota in status.quotas:
+        yield (
+            f"{status.name}: quota {quota.resource} owns {quota.own_units}, "
+            f"lent {quota.lent_units}, borrowed {quota.borrowed_units}, "
+            f"{quota.tokens:.1f} tokens"
+        )
--- a/mulberrydeck/cli/store.py
+++ b/mulberrydeck/cli/store.py
@@ -15,6 +15,7 @@
 from mulberrydeck.model import documents
 from mulberrydeck.model import loading
 from mulberrydeck.platformapi import client
+from mulberrydeck.platformapi import names
 from mulberrydeck.platformapi import resolve
 
 EDIT_ATTEMPTS = 10
@@ -50,14 +51,12 @@
 
 
 CONFIGURATION = Kind(
-    documents.DOCUMENT_KEY,
+    names.CONFIG,
     documents.encode,
     documents.decode,
     documents.ConfigurationDocument(None, configuration.Configuration()),
 )
-KEYRING = Kind(
-    keyring.DOCUMENT_KEY, keyring.encode, keyring.decode, keyring.Keyring()
-)
+KEYRING = Kind(names.KEYS, keyring.encode, keyring.decode, keyring.Keyring())
 
 
 def read(
--- a/mulberrydeck/keys/keyring.py
+++ b/mulberrydeck/keys/keyring.py
@@ -10,7 +10,6 @@
 from mulberrydeck.keys import secrets
 from mulberrydeck.model import documents
 
-DOCUMENT_KEY = "keys"
 TOMBSTONE_RETENTION_S = 30 * 86_400.0
 
 
--- a/mulberrydeck/model/documents.py
+++ b/mulberrydeck/model/documents.py
@@ -9,7 +9,6 @@
 from mulberrydeck import errors
 from mulberrydeck.model import configuration
 
-DOCUMENT_KEY = "config"
 MAX_DOCUMENT_BYTES = 1_000_000
 SUMMARY_LINES = 50
 EARLIER_TOKENS = 50
--- a/mulberrydeck/model/loading.py
+++ b/mulberrydeck/model/loading.py
@@ -8,6 +8,7 @@
 from mulberrydeck import errors
 from mulberrydeck.model import checks
 from mulberrydeck.model import configuration
+from mulberrydeck.model import documents
 from mulberrydeck.model import findings
 from mulberrydeck.model import structuring
 
@@ -97,6 +98,18 @@
     return ConfigurationFile(structured, based_on_version)
 
 
+def decode(content: bytes) -> configuration.Configuration:
+    """Returns the configuration of an encoded document.
+
+    Args:
+        content: What `documents.encode` wrote.
+
+    Raises:
+        errors.ConfigurationError: The content is malformed.
+    """
+    return documents.decode(content).configuration
+
+
 def verify(checked: configuration.Configuration, source: str) -> None:
     """Checks values and references of a configuration.
 
--- a/mulberrydeck/platformapi/client.py
+++ b/mulberrydeck/platformapi/client.py
@@ -12,7 +12,6 @@
 from returns import result
 
 from mulberrydeck import errors
-from mulberrydeck.core import events
 from mulberrydeck.platformapi import exchange
 from mulberrydeck.platformapi import records
 
@@ -84,9 +83,9 @@
 
     def vms(
         self,
-    ) -> result.Result[tuple[events.VmRecord, ...], errors.MulberrydeckError]:
+    ) -> result.Result[tuple[records.VmEntry, ...], errors.MulberrydeckError]:
         """Returns the platform's list of VMs, which may lag."""
-        return self._read_json("/v1/vms", tuple[events.VmRecord, ...])
+        return self._read_json("/v1/vms", tuple[records.VmEntry, ...])
 
     def put(
         self, key: str, value: bytes, expected_version: int
--- a/mulberrydeck/platformapi/records.py
+++ b/mulberrydeck/platformapi/records.py
@@ -42,3 +42,20 @@
 
     revision: int
     changes: tuple[ObjectVersion, ...]
+
+
+@attrs.frozen
+class VmEntry:
+    """A VM in the platform's list, which may lag.
+
+    Attributes:
+        name: Unique name.
+        zone: Availability zone.
+        peer_address: Where it receives peer messages, `host:port`.
+        leaving: Whether the platform is taking it away.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    leaving: bool = False
