Measure look-ups and requests against a bare gevent answer

Cause: the goals are ratios and had no measurement. Change: bench.http_path asks a bare WSGI server, look-up and request path in turns, and reads the serving process's processor time.

--- /dev/null
+++ b/bench/http_path.py
@@ -0,0 +1,289 @@
+"""Measures look-ups and requests through one VM against a bare answer.
+
+Run `python -m bench.http_path`. Every figure is a ratio or difference within
+one run: the same load generator asks a bare gevent WSGI server, the VM's
+look-up, the VM's request path and the target itself, in turns.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import time
+
+import attrs
+import click
+import gevent
+import gevent.pywsgi
+import gevent.server
+import gevent.socket
+
+from mulberrydeck.core import effects
+from mulberrydeck.core import gateway as gateways
+from mulberrydeck.frontend import server as servers
+from mulberrydeck.settings import declarations
+
+BODY = b"x" * 128
+CONNECTIONS = 16
+ROUNDS = 5
+ROUND_S = 1.5
+LATENCY_REQUESTS = 1500
+TARGET_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+    b"Content-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+)
+REQUEST = (
+    "GET {path} HTTP/1.1\r\nHost: vm\r\nUser-Agent: bench\r\nAccept: */*\r\n"
+    "Mulberrydeck-Key: mdk_0123456789abcdef\r\n\r\n"
+)
+PATHS = {
+    "bare": "/",
+    "lookup": "/v1/lookup?service=s&from=a",
+    "path": "/v1/services/s/x",
+    "target": "/x",
+}
+
+
+@attrs.define
+class FixedGateway:
+    """Decides at once for one target."""
+
+    target: str
+    answer: gateways.LookupAnswer
+
+    def now_s(self) -> float:
+        """Returns the monotonic time, in seconds."""
+        return time.monotonic()
+
+    def submit(self, event: object) -> None:
+        """Drops the event."""
+
+    def decide(self, event: object) -> gateways.Decision:
+        """Returns the target."""
+        return effects.ForwardToTarget(
+            event.request_id, 1, "t1", self.target, "acme", 30.0, True
+        )
+
+    def allow_bytes(self, link: str, count: int) -> None:
+        """Allows everything."""
+
+    def lookup(self, query: gateways.LookupQuery) -> gateways.LookupAnswer:
+        """Returns a fixed answer."""
+        return self.answer
+
+
+def serve_bare() -> None:
+    """Serves a fixed answer by gevent's WSGI server."""
+
+    def answer(_environ: dict, start_response: object) -> list[bytes]:
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        return [BODY]
+
+    server = _NoDelayServer(
+        ("127.0.0.1", 0), answer, log=None, environ={"SERVER_NAME": "bare"}
+    )
+    server.start()
+    _announce(f"127.0.0.1:{server.server_port}")
+
+
+class _NoDelayServer(gevent.pywsgi.WSGIServer):
+    def handle(self, sock: gevent.socket.socket, address: tuple) -> None:
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
+def serve_target() -> None:
+    """Answers every request with the same bytes."""
+
+    def handle(sock: gevent.socket.socket, _address: tuple) -> None:
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        while sock.recv(65536):
+            sock.sendall(TARGET_ANSWER)
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    _announce(f"127.0.0.1:{server.server_port}")
+
+
+def serve_vm(target: str) -> None:
+    """Runs a caller server whose core always decides for `target`."""
+    settings = declarations.Settings(
+        name="a1",
+        zone="a",
+        caller_address="127.0.0.1:0",
+        relay_address="127.0.0.1:0",
+        peer_address="127.0.0.1:0",
+        platform_url="http://127.0.0.1:1",
+        fleet_secret="bench",
+    )
+    vms = tuple(
+        gateways.EntryVm(f"a{number}", "a", f"127.0.0.1:{number}")
+        for number in range(1, 4)
+    )
+    gateway = FixedGateway(target, gateways.LookupAnswer(vms, 5.0, 1))
+    server = servers.CallerServer(settings, gateway)
+    server.start()
+    _announce(server.address)
+
+
+def _announce(address: str) -> None:
+    sys.stdout.write(address + "\n")
+    sys.stdout.flush()
+    gevent.wait()
+
+
+def rate(address: str, path: str) -> float:
+    """Returns answers per second over all connections."""
+    counts = [0] * CONNECTIONS
+    ends_s = time.monotonic() + ROUND_S
+    request = REQUEST.format(path=path).encode()
+
+    def ask(index: int) -> None:
+        sock = _connect(address)
+        while time.monotonic() < ends_s:
+            _exchange(sock, request)
+            counts[index] += 1
+        sock.close()
+
+    started_s = time.monotonic()
+    gevent.joinall([gevent.spawn(ask, i) for i in range(CONNECTIONS)])
+    return sum(counts) / (time.monotonic() - started_s)
+
+
+def latencies(address: str, path: str) -> list[float]:
+    """Returns sorted latencies of one connection, in milliseconds."""
+    request = REQUEST.format(path=path).encode()
+    sock = _connect(address)
+    taken = []
+    for _ in range(LATENCY_REQUESTS):
+        started_s = time.perf_counter()
+        _exchange(sock, request)
+        taken.append((time.perf_counter() - started_s) * 1000)
+    sock.close()
+    return sorted(taken)
+
+
+def _connect(address: str) -> gevent.socket.socket:
+    host, _, port = address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)))
+    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+    return sock
+
+
+def _exchange(sock: gevent.socket.socket, request: bytes) -> None:
+    sock.sendall(request)
+    data = sock.recv(65536)
+    while b"\r\n\r\n" not in data:
+        data += sock.recv(65536)
+    head, _, body = data.partition(b"\r\n\r\n")
+    if not head.startswith(b"HTTP/1.1 200 "):
+        raise RuntimeError(head.decode())
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
+    left = length - len(body)
+    while left > 0:
+        left -= len(sock.recv(65536))
+
+
+def _start(role: str, *arguments: str) -> tuple[subprocess.Popen, str]:
+    command = [sys.executable, "-m", "bench.http_path", "--role", role]
+    process = subprocess.Popen(
+        [*command, *arguments], stdout=subprocess.PIPE, text=True
+    )
+    return process, process.stdout.readline().strip()
+
+
+def _median(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2]
+
+
+def _processor_s(pid: int) -> float:
+    with open(f"/proc/{pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def measure(
+    addresses: dict[str, str], pids: dict[str, int]
+) -> dict[str, float]:
+    """Returns all figures; rates are taken in turns, round by round.
+
+    Args:
+        addresses: Address to ask by name in `PATHS`.
+        pids: Process that serves it, for its processor time.
+    """
+    rates = {name: [] for name in ("bare", "lookup", "path")}
+    cost_us = {name: [] for name in rates}
+    for _ in range(ROUNDS):
+        for name, taken in rates.items():
+            before_s = _processor_s(pids[name])
+            taken.append(rate(addresses[name], PATHS[name]))
+            used_s = _processor_s(pids[name]) - before_s
+            cost_us[name].append(used_s * 1e6 / (taken[-1] * ROUND_S))
+    direct = latencies(addresses["target"], PATHS["target"])
+    through = latencies(addresses["path"], PATHS["path"])
+    bare = rates["bare"]
+    at_p99 = int(LATENCY_REQUESTS * 0.99)
+    return {
+        "bare_per_s": _median(bare),
+        "lookup_per_s": _median(rates["lookup"]),
+        "path_per_s": _median(rates["path"]),
+        "lookup_ratio": _median_ratio(rates["lookup"], bare),
+        "path_ratio": _median_ratio(rates["path"], bare),
+        "bare_cpu_us": _median(cost_us["bare"]),
+        "lookup_cpu_us": _median(cost_us["lookup"]),
+        "path_cpu_us": _median(cost_us["path"]),
+        "added_p50_ms": _median(through) - _median(direct),
+        "added_p99_ms": through[at_p99] - direct[at_p99],
+    }
+
+
+def _median_ratio(values: list[float], bases: list[float]) -> float:
+    return _median(
+        [value / base for value, base in zip(values, bases, strict=True)]
+    )
+
+
+def run_all() -> dict[str, float]:
+    """Starts the servers, measures and ends them."""
+    target, target_address = _start("target")
+    bare, bare_address = _start("bare")
+    vm, vm_address = _start("vm", "--target", target_address)
+    addresses = {
+        "bare": bare_address,
+        "lookup": vm_address,
+        "path": vm_address,
+        "target": target_address,
+    }
+    try:
+        pids = {"bare": bare.pid, "lookup": vm.pid, "path": vm.pid}
+        return measure(addresses, pids)
+    finally:
+        for process in (target, bare, vm):
+            process.kill()
+            process.wait()
+
+
+@click.command()
+@click.option("--role", default="all")
+@click.option("--target", default="")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def main(role: str, target: str, as_json: bool) -> None:
+    """Prints requests/s, ratios and added latency."""
+    match role:
+        case "bare":
+            serve_bare()
+        case "target":
+            serve_target()
+        case "vm":
+            serve_vm(target)
+        case _:
+            figures = run_all()
+            if as_json:
+                click.echo(json.dumps(figures))
+                return
+            for name, value in figures.items():
+                click.echo(f"{name:14} {value:10.3f}")
+
+
+if __name__ == "__main__":
+    main()
