Add metrics, traces, logs and a stop that cuts off no request

Cause: the HTTP side was blind, and its stop closed kept connections. Ruled out: OpenTelemetry's batch processor and prometheus_client's server, which start threads. Change: one Metrics class rendered on /metrics, SDK spans per hop queued in a bounded deque and flushed by a greenlet, eliot lines with redaction; stop waits for requests, accepts the backlog, then ends idle connections.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -13,6 +13,8 @@
 from mulberrydeck.forward import uploads
 
 RECEIVE_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 256 * 1024
+MIN_WAIT_S = 0.001
 RAN_FIELD = "mulberrydeck-ran"
 
 
@@ -45,6 +47,8 @@
         remaining_s: Time left for the request, in seconds.
         pace: Blocks until so many bytes may be sent; None if not limited.
         is_vm: Whether the next hop is another VM.
+        fresh: Whether to open a new connection, since a kept one that the
+            peer has just closed would leave the outcome unknown.
     """
 
     address: str
@@ -53,6 +57,7 @@
     remaining_s: float
     pace: Callable[[int], None] | None = None
     is_vm: bool = False
+    fresh: bool = False
 
 
 @attrs.frozen
@@ -100,8 +105,7 @@
         self.ends_s = self.started_s + hop.remaining_s
         self.latency_s = 0.0
         self.begun = False
-        pace = None if hop.pace is None else self._pace
-        self.upload = uploads.Upload(pace, pool.now_s)
+        self.upload = uploads.Upload(hop.pace, pool.now_s)
         self.parser = answers.AnswerParser(hop.method)
 
     def run(self, sink: Sink) -> Attempt:
@@ -115,7 +119,7 @@
         """
         try:
             connection = self.pool.acquire(
-                self.hop.address, self._remaining_s()
+                self.hop.address, self._remaining_s(), self.hop.fresh
             )
         except pools.ConnectError as error:
             return self._failed(str(error))
@@ -134,7 +138,7 @@
     def _exchange(self, connection: pools.Connection, sink: Sink) -> Attempt:
         connection.sock.settimeout(self._wait_s())
         try:
-            self.upload.start(connection.sock, self.hop.head, self.body)
+            self._start_upload(connection)
             self._read_head(connection)
             if self._is_not_run():
                 return self._not_run()
@@ -145,9 +149,22 @@
             return self._failed(str(error))
         return self._answered()
 
+    def _start_upload(self, connection: pools.Connection) -> None:
+        if self.hop.pace is None:
+            self.upload.start(connection.sock, self.hop.head, self.body)
+            return
+        late = SilentPeerError("the link was busy until the deadline")
+        with gevent.Timeout(max(0.0, self._remaining_s()), late):
+            self.upload.start(connection.sock, self.hop.head, self.body)
+
     def _read_head(self, connection: pools.Connection) -> None:
+        received = 0
         while not self.parser.head_complete:
-            self.parser.accept(self._receive(connection))
+            data = self._receive(connection)
+            received += len(data)
+            if received > MAX_HEAD_BYTES:
+                raise response.HTTPParseError("the answer head is too large")
+            self.parser.accept(data)
             if self.parser.get_code() == answers.SWITCHING_PROTOCOLS:
                 raise response.HTTPParseError("unexpected upgrade")
         self.latency_s = self.pool.now_s() - self.started_s
@@ -171,27 +188,28 @@
 
     def _receive(self, connection: pools.Connection) -> bytes:
         while True:
-            remaining_s = self._remaining_s()
-            if remaining_s <= 0:
-                raise SilentPeerError("the deadline has passed")
-            wait_s = min(self.pool.idle_timeout_s, remaining_s)
+            wait_s = self._wait_s()
             connection.sock.settimeout(wait_s)
             try:
                 return connection.sock.recv(RECEIVE_BYTES)
             except TimeoutError as error:
+                if self._is_expired():
+                    raise SilentPeerError("the deadline has passed") from error
                 if not self.upload.moved_since(self.pool.now_s() - wait_s):
                     raise SilentPeerError("no answer in time") from error
 
-    def _pace(self, count: int) -> None:
-        late = SilentPeerError("the link was busy until the deadline")
-        with gevent.Timeout(max(0.0, self._remaining_s()), late):
-            self.hop.pace(count)
-
     def _remaining_s(self) -> float:
         return self.ends_s - self.pool.now_s()
 
+    def _is_expired(self) -> bool:
+        return not self.begun and self._remaining_s() <= 0
+
     def _wait_s(self) -> float:
-        return max(0.001, min(self.pool.idle_timeout_s, self._remaining_s()))
+        if self.begun:
+            return self.pool.idle_timeout_s
+        return max(
+            MIN_WAIT_S, min(self.pool.idle_timeout_s, self._remaining_s())
+        )
 
     def _may_reuse(self, attempt: Attempt) -> bool:
         return (
@@ -228,6 +246,6 @@
             outcome,
             latency_s=self.latency_s,
             begun=self.begun,
-            expired=self._remaining_s() <= 0,
+            expired=self._is_expired(),
             reason=reason,
         )
--- a/mulberrydeck/forward/fields.py
+++ b/mulberrydeck/forward/fields.py
@@ -1,12 +1,12 @@
 """Header fields that may pass from one hop to the next."""
 
 from collections.abc import Iterable
-import re
+
+from mulberrydeck.observability import redaction
 
 Field = tuple[str, str]
 
 OWN_PREFIX = "mulberrydeck-"
-KEY_SHAPE = re.compile(r"mdk_[A-Za-z0-9_-]{8,}")
 
 HOP_BY_HOP = frozenset(
     (
@@ -50,7 +50,7 @@
         and "_" not in name
         and not name.startswith(OWN_PREFIX)
         and name not in named
-        and not reveals_key(value, secrets)
+        and not redaction.reveals_key(value, secrets)
     ]
 
 
@@ -70,18 +70,6 @@
     ]
 
 
-def reveals_key(text: str, secrets: tuple[str, ...]) -> bool:
-    """Returns whether a text holds a presented key or the shape of one.
-
-    Args:
-        text: Text that would leave this VM.
-        secrets: Keys that the caller presented.
-    """
-    if "mdk_" in text and KEY_SHAPE.search(text) is not None:
-        return True
-    return any(secret in text for secret in secrets)
-
-
 def encode(fields: Iterable[Field]) -> str:
     """Returns fields as lines of a message head."""
     return "".join([f"{name}: {value}\r\n" for name, value in fields])
--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -23,6 +23,7 @@
         framing: Encoded header field that frames the body, or empty.
         request_id: Identifier that the caller sees.
         run_id: Identifier of a single run, or empty.
+        traceparent: W3C trace context as received, or empty.
     """
 
     method: str
@@ -32,6 +33,7 @@
     framing: str
     request_id: str
     run_id: str
+    traceparent: str = ""
 
 
 def to_target(
@@ -57,6 +59,7 @@
         head=_head(outgoing, outgoing.path, decision.address, own),
         method=outgoing.method,
         remaining_s=decision.remaining_s,
+        fresh=not decision.repeatable,
     )
 
 
@@ -97,6 +100,7 @@
         remaining_s=decision.remaining_s,
         pace=(lambda count: allow_bytes(link, count)) if link else None,
         is_vm=True,
+        fresh=not decision.repeatable,
     )
 
 
--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -72,17 +72,20 @@
         self.now_s = now_s
         self.idle: dict[str, list[Connection]] = {}
 
-    def acquire(self, address: str, timeout_s: float) -> Connection:
+    def acquire(
+        self, address: str, timeout_s: float, fresh: bool = False
+    ) -> Connection:
         """Returns an idle connection, or opens one.
 
         Args:
             address: `host:port` of the peer.
             timeout_s: Upper bound of the time to connect, in seconds.
+            fresh: Whether to open a new connection in any case.
 
         Raises:
             ConnectError: The peer could not be reached.
         """
-        waiting = self.idle.get(address)
+        waiting = None if fresh else self.idle.get(address)
         oldest_s = self.now_s() - self.idle_timeout_s
         while waiting:
             connection = waiting.pop()
--- a/mulberrydeck/forward/uploads.py
+++ b/mulberrydeck/forward/uploads.py
@@ -130,12 +130,12 @@
     def _send(self, data: bytes) -> None:
         if self.pace is not None:
             self.pace(len(data))
-        sent = self.sock.send(data)
-        self.sent_any = True
-        self.moved_s = self.now_s()
-        if sent < len(data):
-            self.sock.sendall(memoryview(data)[sent:])
+        view = memoryview(data)
+        while len(view):
+            sent = self.sock.send(view)
+            self.sent_any = True
             self.moved_s = self.now_s()
+            view = view[sent:]
 
 
 def _chunk(piece: bytes) -> bytes:
--- a/mulberrydeck/frontend/answers.py
+++ b/mulberrydeck/frontend/answers.py
@@ -23,6 +23,7 @@
         begun: Whether `begin` was called.
         sent: Whether any byte went to the peer.
         finished: Whether the answer was sent as whole.
+        status: HTTP status code, or 0 before `begin`.
         closing: Whether the connection closes after this answer.
     """
 
@@ -53,6 +54,7 @@
         self.begun = False
         self.sent = False
         self.finished = False
+        self.status = 0
 
     def begin(
         self, status: int, fields: list[tuple[str, str]], length: int | None
@@ -124,6 +126,7 @@
 
     def _begin(self, status: int, lines: str, length: int | None) -> None:
         self.begun = True
+        self.status = status
         empty = status in parsed.NO_CONTENT_STATUSES
         self.bodyless = empty or self.method == "HEAD"
         framing = ""
--- a/mulberrydeck/frontend/connections.py
+++ b/mulberrydeck/frontend/connections.py
@@ -1,6 +1,5 @@
 """Serves the requests of one accepted connection, one after another."""
 
-from collections.abc import Callable
 import traceback
 from typing import Protocol
 
@@ -20,18 +19,21 @@
     """What a connection needs of its server.
 
     Attributes:
-        application: Answers one request.
+        open: Open connections.
         idle_timeout_s: Time allowed between two pieces, in seconds.
         stopping: Whether answers should close their connections.
         watch: Watch for callers that hang up.
         in_flight: Number of requests in progress.
     """
 
-    application: Callable[[requests.Request], None]
     idle_timeout_s: float
     stopping: bool
     watch: hangups.HangupWatch
     in_flight: int
+    open: "set[ConnectionHandler]"
+
+    def answer(self, request: requests.Request) -> None:
+        """Answers one request."""
 
 
 class ConnectionHandler:
@@ -60,6 +62,7 @@
     def handle(self) -> None:
         """Serves requests until the connection ends."""
         linger = False
+        self.server.open.add(self)
         try:
             while self._serve_next():
                 pass
@@ -71,6 +74,12 @@
             linger = True
         finally:
             self.wire.close(linger)
+            self.server.open.discard(self)
+
+    def end_when_idle(self) -> None:
+        """Ends the connection unless a request is under way on it."""
+        if self.wire.idle and not self.wire.reading_stopped:
+            self.wire.stop_reading()
 
     def _serve_next(self) -> bool:
         data = self.wire.read_head(KEEP_ALIVE_S, self.server.idle_timeout_s)
@@ -81,7 +90,8 @@
         )
         self.server.in_flight += 1
         descriptor = self.wire.sock.fileno()
-        self.server.watch.add(descriptor)
+        if not self.wire.reading_stopped:
+            self.server.watch.add(descriptor)
         try:
             self._answer(request)
         finally:
@@ -91,7 +101,7 @@
 
     def _answer(self, request: requests.Request) -> None:
         try:
-            self.server.application(request)
+            self.server.answer(request)
         except requests.RefusedError as error:
             request.refuse(error.problem)
         except heads.BadRequestError:
--- /dev/null
+++ b/mulberrydeck/frontend/parts.py
@@ -0,0 +1,70 @@
+"""What the HTTP side is wired with."""
+
+import attrs
+
+from mulberrydeck.core import gateway as gateways
+from mulberrydeck.forward import pool as pools
+from mulberrydeck.observability import metrics as metric_sets
+from mulberrydeck.observability import traces
+from mulberrydeck.settings import declarations
+
+
+@attrs.frozen
+class Parts:
+    """Parts that requests need.
+
+    Attributes:
+        settings: Settings of this VM.
+        gateway: Entry to the core.
+        pool: Connections to targets and other VMs.
+        metrics: Metrics of this VM.
+        tracer: Starts trace spans.
+    """
+
+    settings: declarations.Settings
+    gateway: gateways.Gateway
+    pool: pools.ConnectionPool
+    metrics: metric_sets.Metrics
+    tracer: traces.Tracer
+
+    def allow_bytes(self, link: str, count: int) -> None:
+        """Blocks until a link may carry so many bytes, and counts them.
+
+        Args:
+            link: `source/destination` regions.
+            count: Number of bytes.
+        """
+        self.gateway.allow_bytes(link, count)
+        self.metrics.relayed_bytes(link, count)
+
+
+def wire(
+    settings: declarations.Settings,
+    gateway: gateways.Gateway,
+    pool: pools.ConnectionPool | None = None,
+    metrics: metric_sets.Metrics | None = None,
+    tracer: traces.Tracer | None = None,
+) -> Parts:
+    """Returns the parts, making those that are not given.
+
+    Args:
+        settings: Settings of this VM.
+        gateway: Entry to the core.
+        pool: Connections to targets and other VMs.
+        metrics: Metrics of this VM.
+        tracer: Starts trace spans.
+    """
+    if pool is None:
+        pool = pools.ConnectionPool(
+            settings.source_ip,
+            settings.connect_timeout_s,
+            settings.idle_timeout_s,
+            gateway.now_s,
+        )
+    return Parts(
+        settings,
+        gateway,
+        pool,
+        metrics or metric_sets.Metrics(),
+        tracer or traces.Tracer(settings),
+    )
--- a/mulberrydeck/frontend/requests.py
+++ b/mulberrydeck/frontend/requests.py
@@ -9,12 +9,12 @@
 import attrs
 
 from mulberrydeck import errors
-from mulberrydeck.forward import fields as header_fields
 from mulberrydeck.frontend import answers
 from mulberrydeck.frontend import bodies
 from mulberrydeck.frontend import heads
 from mulberrydeck.frontend import problems
 from mulberrydeck.frontend import wire as wires
+from mulberrydeck.observability import redaction
 
 KEY_FIELD = "mulberrydeck-key"
 REQUEST_ID_FIELD = "mulberrydeck-request-id"
@@ -169,7 +169,7 @@
         RefusedError: A key stands there.
     """
     decoded = urllib.parse.unquote_plus(target) if "%" in target else target
-    if header_fields.reveals_key(decoded, secrets_seen):
+    if redaction.reveals_key(decoded, secrets_seen):
         raise RefusedError(problems.MISPLACED_KEY)
 
 
--- a/mulberrydeck/frontend/server.py
+++ b/mulberrydeck/frontend/server.py
@@ -1,72 +1,56 @@
 """Servers towards callers and towards relaying VMs."""
 
-from collections.abc import Callable
-
 import gevent
 import gevent.pywsgi
+import gevent.socket
 
 from mulberrydeck.core import gateway as gateways
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.frontend import arrivals
 from mulberrydeck.frontend import connections
 from mulberrydeck.frontend import hangups
+from mulberrydeck.frontend import parts as part_sets
 from mulberrydeck.frontend import paths
 from mulberrydeck.frontend import problems
 from mulberrydeck.frontend import requests
 from mulberrydeck.frontend import services
 from mulberrydeck.frontend import views
+from mulberrydeck.observability import metrics as metric_sets
+from mulberrydeck.observability import traces
 from mulberrydeck.settings import declarations
 
 STOP_POLL_S = 0.02
-
-
-def make_pool(
-    settings: declarations.Settings, gateway: gateways.Gateway
-) -> pools.ConnectionPool:
-    """Returns the pool that both servers share.
-
-    Args:
-        settings: Settings of this VM.
-        gateway: Entry to the core, for its clock.
-    """
-    return pools.ConnectionPool(
-        settings.source_ip,
-        settings.connect_timeout_s,
-        settings.idle_timeout_s,
-        gateway.now_s,
-    )
+FIRST_REQUEST_S = 0.25
+POOL_SWEEP_INTERVAL_S = 1.0
 
 
 class HttpServer:
     """A listener with its connections.
 
     Attributes:
-        application: Answers one request.
         idle_timeout_s: Time allowed between two pieces, in seconds.
         stopping: Whether answers close their connections.
         in_flight: Number of requests in progress.
         watch: Watch for callers that hang up.
+        open: Open connections.
     """
 
-    def __init__(
-        self,
-        address: str,
-        application: Callable[[requests.Request], None],
-        settings: declarations.Settings,
-    ) -> None:
+    def __init__(self, address: str, role: str, parts: part_sets.Parts) -> None:
         """Prepares a listener.
 
         Args:
             address: `ip:port` to listen on.
-            application: Answers one request.
-            settings: Settings of this VM.
+            role: `caller` or `relay`, for metrics.
+            parts: Parts of this VM.
         """
         host, _, port = address.rpartition(":")
-        self.application = application
-        self.idle_timeout_s = settings.idle_timeout_s
-        self.stop_notice_s = settings.stop_notice_s
+        self.parts = parts
+        self.idle_timeout_s = parts.settings.idle_timeout_s
         self.stopping = False
         self.in_flight = 0
         self.watch = hangups.HangupWatch()
+        self.open: set[connections.ConnectionHandler] = set()
+        parts.metrics.watch_in_flight(role, lambda: self.in_flight)
         # Without SERVER_NAME, pywsgi looks the address up in a thread.
         self.listener = gevent.pywsgi.WSGIServer(
             (host, int(port)),
@@ -91,17 +75,45 @@
         """Ends the service.
 
         Args:
-            graceful: Whether to serve on for the notice time and then until
-                no request is in progress.
+            graceful: Whether to serve on for the notice time, then until no
+                request is in progress, and to serve what was already accepted
+                or received.
         """
         self.stopping = True
         if graceful:
-            gevent.sleep(self.stop_notice_s)
-            while self.in_flight:
-                gevent.sleep(STOP_POLL_S)
+            gevent.sleep(self.parts.settings.stop_notice_s)
+            self._wait_idle()
+            self._accept_rest()
+            self._close_idle()
         self.listener.stop(timeout=0)
         self.watch.stop()
 
+    def answer(self, request: requests.Request) -> None:
+        """Answers one request.
+
+        Raises:
+            requests.RefusedError: It is refused before the core is asked.
+        """
+        raise NotImplementedError
+
+    def _wait_idle(self) -> None:
+        while self.in_flight:
+            gevent.sleep(STOP_POLL_S)
+
+    def _accept_rest(self) -> None:
+        """Accepts connections that closing the listener would reset."""
+        self.listener.stop_accepting()
+        while (accepted := self.listener.do_read()) is not None:
+            self.listener.do_handle(*accepted)
+        self.listener.close()
+        gevent.sleep(FIRST_REQUEST_S)
+
+    def _close_idle(self) -> None:
+        while self.open:
+            for handler in list(self.open):
+                handler.end_when_idle()
+            gevent.sleep(STOP_POLL_S)
+
     def _handler(
         self,
         sock: gevent.socket.socket,
@@ -119,27 +131,51 @@
         settings: declarations.Settings,
         gateway: gateways.Gateway,
         pool: pools.ConnectionPool | None = None,
+        metrics: metric_sets.Metrics | None = None,
+        tracer: traces.Tracer | None = None,
     ) -> None:
-        """Wires the paths of callers.
+        """Wires the paths of callers; what is not given is made.
 
         Args:
             settings: Settings of this VM.
             gateway: Entry to the core.
-            pool: Connections to targets and other VMs; None makes one.
+            pool: Connections to targets and other VMs.
+            metrics: Metrics of this VM.
+            tracer: Starts trace spans.
         """
-        pool = pool or make_pool(settings, gateway)
-        self.views = views.Views(gateway)
-        self.services = services.ServiceRequests(
-            gateway, pool, settings.fleet_secret
-        )
-        super().__init__(settings.caller_address, self._dispatch, settings)
+        parts = part_sets.wire(settings, gateway, pool, metrics, tracer)
+        self.views = views.Views(parts)
+        self.services = services.ServiceRequests(parts, arrivals.from_caller)
+        self.pool_sweeper: gevent.Greenlet | None = None
+        super().__init__(settings.caller_address, "caller", parts)
+
+    def start(self) -> None:
+        """Binds the listener and begins to serve."""
+        super().start()
+        self.pool_sweeper = gevent.spawn(self._sweep_pool)
+
+    def stop(self, graceful: bool = True) -> None:
+        """Ends the service as `HttpServer.stop` does."""
+        super().stop(graceful)
+        if self.pool_sweeper is not None:
+            self.pool_sweeper.kill()
 
-    def _dispatch(self, request: requests.Request) -> None:
+    def answer(self, request: requests.Request) -> None:
+        """Answers one request of a caller.
+
+        Raises:
+            requests.RefusedError: It is refused before the core is asked.
+        """
         if request.path.startswith(paths.SERVICES_PREFIX):
-            self.services.serve_caller(request)
+            self.services.serve(request)
         else:
             self.views.serve(request)
 
+    def _sweep_pool(self) -> None:
+        while True:
+            gevent.sleep(POOL_SWEEP_INTERVAL_S)
+            self.parts.pool.expire()
+
 
 class RelayServer(HttpServer):
     """Serves requests that other VMs relay."""
@@ -149,21 +185,28 @@
         settings: declarations.Settings,
         gateway: gateways.Gateway,
         pool: pools.ConnectionPool | None = None,
+        metrics: metric_sets.Metrics | None = None,
+        tracer: traces.Tracer | None = None,
     ) -> None:
-        """Wires the path of relaying VMs.
+        """Wires the path of relaying VMs; what is not given is made.
 
         Args:
             settings: Settings of this VM.
             gateway: Entry to the core.
-            pool: Connections to targets and other VMs; None makes one.
+            pool: Connections to targets and other VMs.
+            metrics: Metrics of this VM.
+            tracer: Starts trace spans.
         """
-        pool = pool or make_pool(settings, gateway)
-        self.services = services.ServiceRequests(
-            gateway, pool, settings.fleet_secret
-        )
-        super().__init__(settings.relay_address, self._dispatch, settings)
+        parts = part_sets.wire(settings, gateway, pool, metrics, tracer)
+        self.services = services.ServiceRequests(parts, arrivals.from_vm)
+        super().__init__(settings.relay_address, "relay", parts)
+
+    def answer(self, request: requests.Request) -> None:
+        """Answers one relayed request.
 
-    def _dispatch(self, request: requests.Request) -> None:
+        Raises:
+            requests.RefusedError: It is refused before the core is asked.
+        """
         if not request.path.startswith(paths.SERVICES_PREFIX):
             raise requests.RefusedError(problems.NOT_FOUND)
-        self.services.serve_relayed(request)
+        self.services.serve(request)
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -1,32 +1,47 @@
 """Serves requests below `/v1/services/`: decide, forward, retry, answer."""
 
+from collections.abc import Callable
+
 import attrs
+from opentelemetry import trace
 
+from mulberrydeck import errors
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import gateway as gateways
 from mulberrydeck.forward import exchange
 from mulberrydeck.forward import fields as header_fields
 from mulberrydeck.forward import hops
-from mulberrydeck.forward import pool as pools
-from mulberrydeck.forward import relaying
+from mulberrydeck.frontend import arrivals
 from mulberrydeck.frontend import bodies
 from mulberrydeck.frontend import heads
-from mulberrydeck.frontend import paths
+from mulberrydeck.frontend import parts as part_sets
 from mulberrydeck.frontend import problems
 from mulberrydeck.frontend import requests
+from mulberrydeck.observability import traces
+
+Forward = effects.ForwardToTarget | effects.ForwardToVm
+Checker = Callable[[requests.Request, part_sets.Parts], arrivals.Arrival]
 
 
 @attrs.define(eq=False)
 class Progress:
-    """What became of a request so far.
+    """A request and what became of it so far.
 
     Attributes:
+        request: The request.
+        event: What the core was told of its arrival.
         outgoing: The request as it is sent on.
+        span: Trace span of the request, or None.
+        account: Client account, once the core has named it.
         may_have_run: Whether an attempt had an unknown outcome.
     """
 
+    request: requests.Request
+    event: events.RequestArrived
     outgoing: hops.Outgoing
+    span: traces.HopSpan | None = None
+    account: str = ""
     may_have_run: bool = False
 
     @property
@@ -36,161 +51,110 @@
 
 
 class ServiceRequests:
-    """Serves requests from callers or from relaying VMs."""
+    """Serves requests of callers or of relaying VMs."""
 
-    def __init__(
-        self,
-        gateway: gateways.Gateway,
-        pool: pools.ConnectionPool,
-        fleet_secret: str,
-    ) -> None:
+    def __init__(self, parts: part_sets.Parts, check: Checker) -> None:
         """Wires the parts.
 
         Args:
-            gateway: Entry to the core.
-            pool: Connections to targets and other VMs.
-            fleet_secret: Secret that authenticates relayed requests.
+            parts: Parts of this VM.
+            check: Turns a request into an arrival.
         """
-        self.gateway = gateway
-        self.pool = pool
-        self.secret = fleet_secret.encode()
+        self.parts = parts
+        self.gateway = parts.gateway
+        self.check = check
+        self.secret = parts.settings.fleet_secret.encode()
 
-    def serve_caller(self, request: requests.Request) -> None:
-        """Serves a caller's request.
+    def serve(self, request: requests.Request) -> None:
+        """Serves a request to its end.
 
-        Raises:
-            requests.RefusedError: It is refused before the core is asked.
-        """
-        head = request.head
-        secrets_seen = requests.presented_secrets(head)
-        requests.check_target(head.target, secrets_seen)
-        request_id = requests.identifier_of(head, requests.REQUEST_ID_FIELD)
-        request.request_id = request_id or request.handling_id
-        split = paths.split(request.path, request.query)
-        arrived = events.RequestArrived(
-            at_s=self.gateway.now_s(),
-            request_id=request.handling_id,
-            service=split.service,
-            method=head.method,
-            path=split.routed,
-            key=requests.key_of(head),
-            run_id=requests.identifier_of(head, requests.RUN_ID_FIELD),
-            deadline_s=requests.deadline_of(head),
-        )
-        self._serve(request, split, arrived, secrets_seen)
-
-    def serve_relayed(self, request: requests.Request) -> None:
-        """Serves a request that another VM relays.
+        Args:
+            request: A request below `/v1/services/`.
 
         Raises:
             requests.RefusedError: It is refused before the core is asked.
         """
-        head = request.head
-        relay = self._relay_head(head)
-        request.request_id = relay.request_id
-        if relay.answer_link:
-            request.answer.pace = lambda count: self.gateway.allow_bytes(
-                relay.answer_link, count
-            )
-        split = paths.split(request.path, request.query)
-        arrived = events.RequestArrived(
-            at_s=self.gateway.now_s(),
-            request_id=request.handling_id,
-            service=split.service,
-            method=head.method,
-            path=split.routed,
-            run_id=relay.run_id,
-            deadline_s=relay.remaining_s,
-            relayed_account=relay.account,
-        )
-        self._serve(request, split, arrived, ())
-
-    def _relay_head(self, head: heads.RequestHead) -> relaying.RelayHead:
-        value = head.index.get(relaying.FIELD, "")
-        try:
-            return relaying.decode(value, self.secret, head.method, head.target)
-        except relaying.RelayAuthenticationError:
-            raise requests.RefusedError(problems.RELAY_REJECTED) from None
-
-    def _serve(
-        self,
-        request: requests.Request,
-        split: paths.ServicePath,
-        arrived: events.RequestArrived,
-        secrets_seen: tuple[str, ...],
-    ) -> None:
-        outgoing = hops.Outgoing(
-            method=request.head.method,
-            path=split.forwarded,
-            relay_path=request.head.target,
-            lines=header_fields.encode(
-                header_fields.of_request(request.head.fields, secrets_seen)
-            ),
-            framing=_framing(request.head),
-            request_id=request.request_id,
-            run_id=arrived.run_id,
+        arrival = self.check(request, self.parts)
+        progress = Progress(
+            request=request,
+            event=arrival.event,
+            outgoing=_outgoing(request, arrival),
+            span=self._start_span(request, arrival),
         )
         _load_small_body(request)
         try:
-            decision = self.gateway.decide(arrived)
-            self._carry_out(request, Progress(outgoing), decision)
+            decision = self.gateway.decide(arrival.event)
+            self._carry_out(progress, decision)
         finally:
             self.gateway.submit(
-                events.RequestClosed(self.gateway.now_s(), arrived.request_id)
+                events.RequestClosed(
+                    self.gateway.now_s(), arrival.event.request_id
+                )
             )
+            _end_span(progress)
 
     def _carry_out(
-        self,
-        request: requests.Request,
-        progress: Progress,
-        decision: gateways.Decision,
+        self, progress: Progress, decision: gateways.Decision
     ) -> None:
         while not isinstance(decision, effects.Refuse):
+            progress.account = decision.account
             if decision.remaining_s <= 0:
-                request.refuse(problems.deadline_exceeded(progress.ran))
+                self._refuse(progress, problems.deadline_exceeded(progress.ran))
                 return
-            attempt = self._attempt(request, progress, decision)
-            ended = self._ended(request, decision, attempt)
-            if attempt.outcome is events.AttemptOutcome.UNKNOWN:
-                progress.may_have_run = True
+            attempt = self._attempt(progress, decision)
+            ended = self._ended(progress, decision, attempt)
             if attempt.begun or attempt.expired:
                 self.gateway.submit(ended)
-                self._end(request, progress, attempt)
+                self._finish(progress, attempt)
                 return
             decision = self.gateway.decide(ended)
         problem = decision.problem
         if progress.may_have_run:
             problem = attrs.evolve(problem, ran="unknown")
-        request.refuse(problem)
+        progress.account = progress.account or getattr(decision, "account", "")
+        self._refuse(progress, problem)
 
     def _attempt(
-        self,
-        request: requests.Request,
-        progress: Progress,
-        decision: effects.ForwardToTarget | effects.ForwardToVm,
+        self, progress: Progress, decision: Forward
     ) -> exchange.Attempt:
+        span = None
+        traceparent = progress.outgoing.traceparent
+        if progress.span is not None:
+            span = progress.span.child("attempt", trace.SpanKind.CLIENT)
+            traceparent = span.traceparent()
+        hop = self._hop(progress.outgoing, decision, traceparent)
+        attempt = None
+        try:
+            attempt = exchange.Exchange(
+                self.parts.pool, hop, progress.request.body
+            ).run(progress.request.answer)
+        finally:
+            if span is not None:
+                _end_attempt_span(span, decision, attempt)
+        if attempt.outcome is events.AttemptOutcome.UNKNOWN:
+            progress.may_have_run = True
+        return attempt
+
+    def _hop(
+        self, outgoing: hops.Outgoing, decision: Forward, traceparent: str
+    ) -> exchange.Hop:
         match decision:
             case effects.ForwardToTarget():
-                hop = hops.to_target(progress.outgoing, decision, "")
+                return hops.to_target(outgoing, decision, traceparent)
             case effects.ForwardToVm():
-                hop = hops.to_vm(
-                    progress.outgoing,
+                return hops.to_vm(
+                    outgoing,
                     decision,
-                    "",
+                    traceparent,
                     self.secret,
-                    self.gateway.allow_bytes,
+                    self.parts.allow_bytes,
                 )
-        return exchange.Exchange(self.pool, hop, request.body).run(
-            request.answer
-        )
 
     def _ended(
-        self,
-        request: requests.Request,
-        decision: effects.ForwardToTarget | effects.ForwardToVm,
-        attempt: exchange.Attempt,
+        self, progress: Progress, decision: Forward, attempt: exchange.Attempt
     ) -> events.AttemptEnded:
-        replayable = request.body is None or request.body.replayable
+        body = progress.request.body
+        replayable = body is None or body.replayable
         return events.AttemptEnded(
             at_s=self.gateway.now_s(),
             request_id=decision.request_id,
@@ -201,20 +165,46 @@
             replayable=replayable and not attempt.begun and not attempt.expired,
         )
 
-    def _end(
-        self,
-        request: requests.Request,
-        progress: Progress,
-        attempt: exchange.Attempt,
-    ) -> None:
-        if request.answer.finished:
-            return
-        if request.answer.sent:
-            request.wire.abort()
-        elif attempt.expired:
-            request.refuse(problems.deadline_exceeded(progress.ran))
+    def _finish(self, progress: Progress, attempt: exchange.Attempt) -> None:
+        answer = progress.request.answer
+        if answer.finished:
+            self.parts.metrics.answered(
+                progress.event.service,
+                progress.account,
+                self.gateway.now_s() - progress.event.at_s,
+            )
+        elif attempt.begun:
+            self._refuse(progress, problems.ANSWER_BROKEN)
         else:
-            request.refuse(problems.ANSWER_BROKEN)
+            self._refuse(progress, problems.deadline_exceeded(progress.ran))
+
+    def _refuse(self, progress: Progress, problem: errors.Problem) -> None:
+        self.parts.metrics.refused(problem.kind, progress.account)
+        progress.request.refuse(problem)
+
+    def _start_span(
+        self, request: requests.Request, arrival: arrivals.Arrival
+    ) -> traces.HopSpan | None:
+        received = request.head.index.get("traceparent", "")
+        name = f"{arrival.event.method} {arrival.event.service}"
+        return self.parts.tracer.request(name, received)
+
+
+def _outgoing(
+    request: requests.Request, arrival: arrivals.Arrival
+) -> hops.Outgoing:
+    head = request.head
+    passed = header_fields.of_request(head.fields, arrival.secrets)
+    return hops.Outgoing(
+        method=head.method,
+        path=arrival.split.forwarded,
+        relay_path=head.target,
+        lines=header_fields.encode(passed),
+        framing=_framing(head),
+        request_id=request.request_id,
+        run_id=arrival.event.run_id,
+        traceparent=traces.accepted(head.index.get("traceparent", "")),
+    )
 
 
 def _framing(head: heads.RequestHead) -> str:
@@ -232,3 +222,27 @@
     small = body.length <= bodies.MAX_REPLAY_BYTES
     if small and not requests.expects_continue(request.head):
         body.load()
+
+
+def _end_span(progress: Progress) -> None:
+    if progress.span is None:
+        return
+    progress.span.end(
+        request_id=progress.request.request_id,
+        service=progress.event.service,
+        account=progress.account,
+        status=progress.request.answer.status,
+        whole=progress.request.answer.finished,
+    )
+
+
+def _end_attempt_span(
+    span: traces.HopSpan, decision: Forward, attempt: exchange.Attempt | None
+) -> None:
+    outcome = "cancelled" if attempt is None else attempt.outcome.value
+    span.end(
+        address=decision.address,
+        attempt=decision.attempt,
+        outcome=outcome,
+        status=0 if attempt is None else attempt.status,
+    )
--- a/mulberrydeck/frontend/views.py
+++ b/mulberrydeck/frontend/views.py
@@ -6,8 +6,10 @@
 
 from mulberrydeck import errors
 from mulberrydeck.core import gateway as gateways
+from mulberrydeck.frontend import parts as part_sets
 from mulberrydeck.frontend import problems
 from mulberrydeck.frontend import requests
+from mulberrydeck.observability import metrics as metric_sets
 
 LOOKUP_PATH = "/v1/lookup"
 RUNS_PREFIX = "/v1/runs/"
@@ -21,17 +23,19 @@
 class Views:
     """Answers all paths but those below `/v1/services/`."""
 
-    def __init__(self, gateway: gateways.Gateway) -> None:
+    def __init__(self, parts: part_sets.Parts) -> None:
         """Wires the views to the core.
 
         Args:
-            gateway: Entry to the core.
+            parts: Parts of this VM.
         """
-        self.gateway = gateway
+        self.gateway = parts.gateway
+        self.metrics = parts.metrics
         self.by_path = {
             LOOKUP_PATH: self._lookup,
             STATUS_PATH: self._status,
             EXPLAIN_PATH: self._explain,
+            METRICS_PATH: self._metrics,
         }
 
     def serve(self, request: requests.Request) -> None:
@@ -76,6 +80,11 @@
         explanation = self.gateway.explain(query)
         request.answer.send_whole(200, _JSON, _encode(explanation))
 
+    def _metrics(self, request: requests.Request) -> None:
+        self.metrics.set_status(self.gateway.status())
+        fields = [("content-type", metric_sets.CONTENT_TYPE)]
+        request.answer.send_whole(200, fields, self.metrics.render())
+
     def _run(self, request: requests.Request) -> None:
         run_id = request.path[len(RUNS_PREFIX) :]
         key = requests.key_of(request.head)
--- a/mulberrydeck/frontend/wire.py
+++ b/mulberrydeck/frontend/wire.py
@@ -7,6 +7,7 @@
 import gevent
 import gevent.socket
 
+from mulberrydeck.forward import sending
 from mulberrydeck.frontend import heads
 
 RECEIVE_BYTES = 64 * 1024
@@ -25,6 +26,8 @@
         sock: The connection.
         peer_ip: Address of the peer.
         unread: Bytes received and not yet consumed.
+        idle: Whether it waits for the first byte of a request.
+        reading_stopped: Whether only bytes that have arrived are read.
     """
 
     def __init__(self, sock: gevent.socket.socket, peer_ip: str) -> None:
@@ -32,6 +35,8 @@
         self.sock = sock
         self.peer_ip = peer_ip
         self.unread = b""
+        self.idle = False
+        self.reading_stopped = False
 
     def set_timeout(self, seconds: float) -> None:
         """Bounds each following wait, in seconds."""
@@ -58,7 +63,7 @@
             ConnectionLostError: The connection broke or went silent.
         """
         try:
-            self.sock.sendall(data)
+            sending.send_all(self.sock, data)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
@@ -77,7 +82,9 @@
             heads.BadRequestError: The head is too large or malformed.
         """
         self.set_timeout(start_timeout_s)
+        self.idle = True
         data = self.receive()
+        self.idle = False
         if not data:
             return b""
         self.set_timeout(timeout_s)
@@ -93,6 +100,12 @@
         self.unread = data[end + len(heads.END_OF_HEAD) :]
         return data[:end]
 
+    def stop_reading(self) -> None:
+        """Ends a wait for a next request; arrived bytes are still read."""
+        self.reading_stopped = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
+
     def abort(self) -> None:
         """Resets the connection, so that no answer can look whole."""
         reset = struct.pack("ii", 1, 0)
