Add target ownership, slot admission, choice and look-up answers

Cause: requests must reach healthy targets without exceeding their slots, and reports lag, so senders cannot count slots by guessing.

Change: the zone holder grants each target to one VM for a limited time. The owner counts slots, queues fairly between client accounts, polls and judges targets by outcomes. Two messages are added: TargetRelease frees a target early and TargetClaim lets owners keep their targets when the zone holder changes.

Ruled out: releasing without the grant's sequence, since a late duplicate would free a target that its owner has been granted again.

Ownership under lost messages is not tested yet.

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -109,13 +109,45 @@
         epoch: Epoch of the granting zone holder.
         echo_s: Receiver's clock from which the duration counts.
         duration_s: Validity.
-        targets: Names of the targets granted.
+        targets: Names of all targets granted; others are to be released.
+        sequence: Counter of the holder's grants in this epoch.
     """
 
     epoch: int
     echo_s: float
     duration_s: float
     targets: tuple[str, ...]
+    sequence: int = 0
+
+
+@attrs.frozen
+class TargetRelease:
+    """Gives targets back before their grants expire.
+
+    Attributes:
+        epoch: Epoch of the last grant seen.
+        sequence: Sequence of the last grant seen.
+        targets: Names of targets that the sender no longer uses.
+    """
+
+    epoch: int
+    sequence: int
+    targets: tuple[str, ...]
+
+
+@attrs.frozen
+class TargetClaim:
+    """Tells a new zone holder which targets the sender still owns.
+
+    The sender ignores grants of earlier epochs from now on.
+
+    Attributes:
+        epoch: Epoch of the new holder.
+        targets: Names of targets whose grants are still valid.
+    """
+
+    epoch: int
+    targets: tuple[str, ...]
 
 
 @attrs.frozen
@@ -207,4 +239,6 @@
     5: QuotaAsk,
     6: QuotaLoan,
     7: QuotaReturn,
+    8: TargetRelease,
+    9: TargetClaim,
 }
--- /dev/null
+++ b/mulberrydeck/routing/health.py
@@ -0,0 +1,124 @@
+"""Health of targets from the outcomes of requests."""
+
+from mulberrydeck.core import events
+from mulberrydeck.routing import detectors
+from mulberrydeck.routing import ownership
+from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import target_state
+
+SHED_HOLD_S = 1.0
+EJECTION_S = 5.0
+EJECTION_LIMIT_S = 60.0
+PROBATION_SUCCESSES = 3
+LEAST_READY_SHARE = 0.5
+FIRST_SERVER_ERROR = 500
+
+
+def record_outcome(
+    state: state_module.RoutingState,
+    now_s: float,
+    target: target_state.TargetState,
+    outcome: events.AttemptOutcome | None,
+    status: int,
+) -> None:
+    """Judges a target by the outcome of one request.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        target: The target that got the request.
+        outcome: How the attempt ended; None if the caller went away, which
+            says nothing of the target.
+        status: HTTP status of the answer, or 0.
+    """
+    if outcome is None:
+        return
+    if outcome is events.AttemptOutcome.NOT_RUN and status:
+        _shed(target, now_s)
+        return
+    answered = outcome is events.AttemptOutcome.ANSWERED
+    failed = not answered or status >= FIRST_SERVER_ERROR
+    if target.ejected_until_s is not None:
+        _observe_probation(target, now_s, failed)
+        return
+    if detectors.observe(target.detector, failed):
+        if _may_eject(state, now_s, target):
+            _eject(target, now_s)
+        else:
+            target.suspect = True
+    elif not failed:
+        target.failed_polls = 0
+
+
+def _shed(target: target_state.TargetState, now_s: float) -> None:
+    """Uses fewer slots for a while, since the target had too much."""
+    target.shed_slots = max(1, target.used)
+    target.shed_until_s = now_s + SHED_HOLD_S
+
+
+def _eject(target: target_state.TargetState, now_s: float) -> None:
+    target.suspect = False
+    target.probation_successes = 0
+    back_off_s = min(EJECTION_LIMIT_S, EJECTION_S * 2**target.ejections)
+    target.ejections = min(target.ejections + 1, 10)
+    target.ejected_until_s = now_s + back_off_s
+
+
+def _observe_probation(
+    target: target_state.TargetState, now_s: float, failed: bool
+) -> None:
+    if now_s < target.ejected_until_s:
+        return
+    if failed:
+        _eject(target, now_s)
+        return
+    target.probation_successes += 1
+    if target.probation_successes >= PROBATION_SUCCESSES:
+        target.ejected_until_s = None
+        target.ejections = 0
+        target_state.recover(target, now_s)
+
+
+def _may_eject(
+    state: state_module.RoutingState,
+    now_s: float,
+    target: target_state.TargetState,
+) -> bool:
+    """Returns whether the rest of the zone can carry the load."""
+    service = target.target.service
+    warmup_s = state.settings.target_warmup_s
+    total = 0
+    for name in state.by_service[service]:
+        total += state.targets[name].target.slots
+    peers_usable, peers_free = state_module.service_state(
+        state, service
+    ).peer_slots
+    left = peers_usable
+    demand = peers_usable - peers_free
+    for other in state_module.owned_targets(state, now_s, service):
+        demand += other.used
+        if other is not target:
+            left += target_state.usable_slots(other, now_s, warmup_s)
+    demand += state_module.service_state(state, service).queue.size
+    return left >= max(demand, LEAST_READY_SHARE * total)
+
+
+def gained(state: state_module.RoutingState, name: str) -> None:
+    """Resets what only the owner of a target can know."""
+    target = state.targets.get(name)
+    if target is None:
+        return
+    target.awaits_report = True
+    target.failed_polls = 0
+    target.next_poll_s = 0.0
+
+
+def is_owned(state: state_module.RoutingState, now_s: float, name: str) -> bool:
+    """Returns whether this VM owns a target.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        name: Name of the target.
+    """
+    return ownership.owns(state.grants, name, now_s)
--- /dev/null
+++ b/mulberrydeck/routing/reducer.py
@@ -0,0 +1,412 @@
+"""Entry points of the routing part for the core reducer."""
+
+from mulberrydeck.core import effects
+from mulberrydeck.core import events
+from mulberrydeck.core import gateway
+from mulberrydeck.peers import messages
+from mulberrydeck.routing import choice
+from mulberrydeck.routing import health
+from mulberrydeck.routing import ownership
+from mulberrydeck.routing import placement
+from mulberrydeck.routing import slots
+from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import target_state
+
+
+def configure(
+    state: state_module.RoutingState, now_s: float, compiled: object
+) -> None:
+    """Puts a configuration in force.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        compiled: The compiled configuration.
+    """
+    _start(state, now_s)
+    state.compiled = compiled
+    declared = {item.name: item for item in compiled.targets_in(state.zone)}
+    for name, target in declared.items():
+        known = state.targets.get(name)
+        if known is None:
+            state.targets[name] = target_state.TargetState(target, now_s)
+            continue
+        if known.target.draining and not target.draining:
+            target_state.recover(known, now_s)
+        known.target = target
+    for name in list(state.targets):
+        if name not in declared and not state.targets[name].used:
+            del state.targets[name]
+    by_service: dict[str, list[str]] = {}
+    for name, target in declared.items():
+        by_service.setdefault(target.service, []).append(name)
+    state.by_service = {
+        service: tuple(sorted(names)) for service, names in by_service.items()
+    }
+    state.assignment.plan_stale = True
+
+
+def assign(
+    state: state_module.RoutingState,
+    now_s: float,
+    epoch: int,
+    members: tuple[ownership.ZoneMember, ...],
+) -> list[effects.SendMessage]:
+    """Plans and renews the ownership of the zone's targets; holder only.
+
+    Grants go out for each new heartbeat of a VM, and at once for a change. May
+    be called as often as wanted. After a change of epoch, or a pause in which
+    another VM may have taken over, it waits until all earlier grants have
+    expired.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        epoch: Epoch in which this VM is the zone holder.
+        members: Live VMs of the zone that are not leaving, this one included.
+    """
+    _start(state, now_s)
+    if epoch < state.grants.epoch or state.compiled is None:
+        return []
+    settings = state.settings
+    assignment = state.assignment
+    pause_s = now_s - assignment.last_assign_s
+    assignment.last_assign_s = now_s
+    if epoch != assignment.epoch:
+        wait_s = settings.target_lease_s + settings.lease_margin_s
+        ownership.begin_epoch(assignment, now_s, epoch, wait_s)
+        _claim_own(state, now_s, epoch)
+    elif pause_s > settings.zone_takeover_s - settings.heartbeat_interval_s:
+        wait_s = settings.target_lease_s + settings.lease_margin_s
+        ownership.begin_epoch(assignment, now_s, epoch, wait_s)
+    _plan(state, members)
+    due = ownership.grants_due(
+        assignment,
+        now_s,
+        _with_own_clock(state, now_s, members),
+        settings.target_lease_s,
+        settings.lease_margin_s,
+    )
+    sent = []
+    for vm, grant in due:
+        if vm == state.vm_name:
+            receive_grant(state, now_s, vm, grant)
+        else:
+            sent.append(effects.SendMessage(vm, grant))
+    return sent
+
+
+def observe_epoch(
+    state: state_module.RoutingState, now_s: float, holder: str, epoch: int
+) -> list[effects.SendMessage]:
+    """Notes that a VM of this zone is its holder in an epoch.
+
+    Grants of earlier epochs are ignored from now on, and a new holder is told
+    which targets this VM still owns, so that it can renew them at once.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        holder: Name of the holder.
+        epoch: Its epoch.
+    """
+    if epoch <= state.grants.epoch:
+        return []
+    owned = ownership.adopt_epoch(state.grants, now_s, epoch)
+    state.grants.holder = holder
+    if not owned or holder == state.vm_name:
+        return []
+    claim = messages.TargetClaim(epoch, owned)
+    return [effects.SendMessage(holder, claim)]
+
+
+def receive(
+    state: state_module.RoutingState,
+    now_s: float,
+    sender: str,
+    message: messages.TargetGrant
+    | messages.TargetRelease
+    | messages.TargetClaim,
+) -> list[effects.SendMessage]:
+    """Takes in a message about the ownership of targets.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        sender: Name of the sending VM.
+        message: The message.
+    """
+    match message:
+        case messages.TargetGrant():
+            return receive_grant(state, now_s, sender, message)
+        case messages.TargetRelease():
+            ownership.accept_release(state.assignment, sender, message)
+        case messages.TargetClaim():
+            settings = state.settings
+            lease_s = settings.target_lease_s + settings.lease_margin_s
+            ownership.accept_claim(
+                state.assignment, sender, message, now_s + lease_s
+            )
+    return []
+
+
+def receive_grant(
+    state: state_module.RoutingState,
+    now_s: float,
+    sender: str,
+    grant: messages.TargetGrant,
+) -> list[effects.SendMessage]:
+    """Takes in a grant of the zone holder.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        sender: Name of the holder.
+        grant: The grant.
+    """
+    _start(state, now_s)
+    gained = ownership.accept_grant(
+        state.grants, now_s, state.started_s, sender, grant
+    )
+    for name in gained:
+        health.gained(state, name)
+    return _release_idle(state, now_s)
+
+
+def stop(
+    state: state_module.RoutingState, now_s: float
+) -> list[effects.SendMessage]:
+    """Gives all targets back, for a planned stop.
+
+    Targets in use go back when their last request has ended.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+    """
+    ownership.withdraw_all(state.grants)
+    return _release_idle(state, now_s)
+
+
+def tick(
+    state: state_module.RoutingState, now_s: float
+) -> list[effects.PollTarget | effects.Raise | effects.SendMessage]:
+    """Polls owned targets, ends waits and serves queues.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+    """
+    _start(state, now_s)
+    out: list = []
+    for name in state.grants.expires_s:
+        target = state.targets.get(name)
+        if target is None or now_s < target.next_poll_s:
+            continue
+        if not ownership.owns(state.grants, name, now_s):
+            continue
+        target.next_poll_s = now_s + state.settings.target_poll_interval_s
+        out.append(effects.PollTarget(name, target.address))
+    for service, kept in state.services.items():
+        if kept.queue.size:
+            out.extend(slots.dispatch(state, now_s, service))
+    if state.grants.withdrawn:
+        out.extend(_release_idle(state, now_s))
+    return out
+
+
+def polled(
+    state: state_module.RoutingState, now_s: float, event: events.TargetPolled
+) -> list[effects.Raise]:
+    """Takes in the result of a poll and serves the queue.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        event: The result.
+    """
+    target = state.targets.get(event.target)
+    if target is None or not health.is_owned(state, now_s, event.target):
+        return []
+    target_state.apply_report(target, now_s, event.report)
+    return slots.dispatch(state, now_s, target.target.service)
+
+
+def loads(
+    state: state_module.RoutingState, now_s: float
+) -> tuple[messages.ServiceLoad, ...]:
+    """Returns the capacity of this VM per service, for its heartbeats.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+    """
+    found = []
+    for service in state.by_service:
+        free, usable = slots.free_and_usable(state, now_s, service)
+        if usable:
+            found.append(messages.ServiceLoad(service, free, usable))
+    return tuple(found)
+
+
+def acquire(
+    state: state_module.RoutingState,
+    now_s: float,
+    service: str,
+    account: str,
+    request_id: str,
+) -> tuple[slots.Acquired | slots.Queued | slots.Full, list[effects.Raise]]:
+    """Takes a slot of an owned target; see `slots.acquire`."""
+    return slots.acquire(state, now_s, service, account, request_id)
+
+
+def forget(
+    state: state_module.RoutingState, now_s: float, request_id: str
+) -> list[effects.Raise]:
+    """Drops a request that went away.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        request_id: The request, waiting, relayed or with a slot.
+    """
+    if choice.end_relay(state, now_s, request_id, refused=False):
+        return []
+    return slots.forget(state, now_s, request_id)
+
+
+def release(
+    state: state_module.RoutingState,
+    now_s: float,
+    request_id: str,
+    outcome: events.AttemptOutcome | None,
+    status: int,
+    latency_s: float,
+) -> list[effects.Raise]:
+    """Ends the use of a slot or a relayed request.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        request_id: The request.
+        outcome: How the attempt ended, or None if the caller went away.
+        status: HTTP status of the answer, or 0.
+        latency_s: Time from start to answer head, in seconds.
+    """
+    del latency_s  # Slots are held until the whole answer has passed.
+    refused = outcome is events.AttemptOutcome.NOT_RUN
+    if choice.end_relay(state, now_s, request_id, refused):
+        return []
+    return slots.release(state, now_s, request_id, outcome, status)
+
+
+def is_owner_of(
+    state: state_module.RoutingState, now_s: float, service: str
+) -> bool:
+    """Returns whether this VM owns a target of a service.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        service: Name of the service.
+    """
+    return bool(state_module.owned_targets(state, now_s, service))
+
+
+def target_statuses(
+    state: state_module.RoutingState, now_s: float
+) -> tuple[gateway.TargetStatus, ...]:
+    """Returns the targets of the zone as this VM sees them.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+    """
+    warmup_s = state.settings.target_warmup_s
+    return tuple(
+        gateway.TargetStatus(
+            name=name,
+            service=target.target.service,
+            owned=health.is_owned(state, now_s, name),
+            state=target_state.condition(target, now_s, warmup_s),
+            used_slots=target.used,
+            usable_slots=target_state.usable_slots(target, now_s, warmup_s),
+        )
+        for name, target in sorted(state.targets.items())
+    )
+
+
+def _start(state: state_module.RoutingState, now_s: float) -> None:
+    if state.started_s is None:
+        state.started_s = now_s
+
+
+def _claim_own(
+    state: state_module.RoutingState, now_s: float, epoch: int
+) -> None:
+    if epoch <= state.grants.epoch:
+        return
+    owned = ownership.adopt_epoch(state.grants, now_s, epoch)
+    settings = state.settings
+    lease_s = settings.target_lease_s + settings.lease_margin_s
+    ownership.accept_claim(
+        state.assignment,
+        state.vm_name,
+        messages.TargetClaim(epoch, owned),
+        now_s + lease_s,
+    )
+
+
+def _plan(
+    state: state_module.RoutingState,
+    members: tuple[ownership.ZoneMember, ...],
+) -> None:
+    assignment = state.assignment
+    names = tuple(sorted(member.name for member in members))
+    if names == assignment.members and not assignment.plan_stale:
+        return
+    assignment.owner_by_target = placement.plan(
+        state.compiled.targets_in(state.zone),
+        names,
+        assignment.owner_by_target,
+        rebalance=names != assignment.members,
+    )
+    assignment.members = names
+    assignment.plan_stale = False
+
+
+def _with_own_clock(
+    state: state_module.RoutingState,
+    now_s: float,
+    members: tuple[ownership.ZoneMember, ...],
+) -> tuple[ownership.ZoneMember, ...]:
+    """Replaces this VM's own echo by its clock, in heartbeat steps."""
+    interval_s = state.settings.heartbeat_interval_s
+    sent_s = state.assignment.sent_echo_s.get(state.vm_name, -interval_s)
+    own_s = now_s if now_s - sent_s >= interval_s else sent_s
+    return tuple(
+        ownership.ZoneMember(state.vm_name, own_s)
+        if member.name == state.vm_name
+        else member
+        for member in members
+    )
+
+
+def _release_idle(
+    state: state_module.RoutingState, now_s: float
+) -> list[effects.SendMessage]:
+    if not state.grants.withdrawn:
+        return []
+    busy = frozenset(
+        name
+        for name in state.grants.withdrawn
+        if name in state.targets and state.targets[name].used
+    )
+    released = ownership.release_idle(state.grants, now_s, busy)
+    if state.grants.holder != state.vm_name:
+        return released
+    for effect in released:
+        ownership.accept_release(
+            state.assignment, state.vm_name, effect.message
+        )
+    return []
--- /dev/null
+++ b/mulberrydeck/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the routing part."""
--- /dev/null
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -0,0 +1,204 @@
+"""Tests of slot admission, queueing and target health in virtual time."""
+
+import hypothesis
+from hypothesis import strategies
+
+from mulberrydeck.core import effects
+from mulberrydeck.core import events
+from mulberrydeck.routing import queueing
+from mulberrydeck.routing import reducer
+from mulberrydeck.routing import slots
+from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import target_state
+from mulberrydeck.routing.tests import fakes
+
+ANSWERED = events.AttemptOutcome.ANSWERED
+NOT_RUN = events.AttemptOutcome.NOT_RUN
+UNKNOWN = events.AttemptOutcome.UNKNOWN
+
+
+def fill(state, now_s, count, account="a", prefix="r"):
+    for number in range(count):
+        answer, _ = reducer.acquire(
+            state, now_s, "s", account, f"{prefix}{number}"
+        )
+        assert isinstance(answer, slots.Acquired)
+
+
+def test_slots_are_never_exceeded_and_waiters_get_freed_ones():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 3),)))
+    fill(state, 100.0, 3)
+    answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
+    assert isinstance(answer, slots.Queued)
+    raised = reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
+    decided = events.SlotDecided(100.1, "late", "t", "127.0.0.1:80")
+    assert raised == [effects.Raise(decided)]
+    assert state.targets["t"].used == 3
+
+
+def test_wait_ends_with_a_refusal():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 1),)))
+    fill(state, 100.0, 1)
+    reducer.acquire(state, 100.0, "s", "a", "late")
+    assert reducer.tick(state, 100.2)[1:] == []
+    refused = [
+        item
+        for item in reducer.tick(state, 100.3)
+        if isinstance(item, effects.Raise)
+    ]
+    assert refused == [effects.Raise(events.SlotDecided(100.3, "late"))]
+
+
+def test_a_lapsed_grant_admits_nothing():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
+    answer, _ = reducer.acquire(state, 105.0, "s", "a", "r")
+    assert isinstance(answer, slots.Full)
+
+
+def test_a_new_owner_subtracts_what_others_use():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    state.targets["t"].awaits_report = True
+    fakes.poll_all(state, 100.0, used=3)
+    fill(state, 100.0, 1)
+    answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
+    assert isinstance(answer, slots.Queued)
+
+
+def test_slots_ramp_up_from_one():
+    compiled = fakes.FakeCompiled((fakes.target("t", 6),))
+    state = fakes.warm_owner(compiled)
+    state.targets["t"].known_since_s = 100.0
+    usable = [slots.free_and_usable(state, at, "s")[1] for at in (100, 101.5)]
+    assert usable == [1, 3]
+
+
+def test_leaving_targets_get_no_new_work_at_once():
+    compiled = fakes.FakeCompiled((fakes.target("t"),))
+    state = fakes.warm_owner(compiled)
+    fakes.poll_all(state, 100.0, leaving=True)
+    assert isinstance(
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+    )
+    state = fakes.warm_owner(compiled)
+    drained = fakes.FakeCompiled((fakes.target("t", draining=True),))
+    reducer.configure(state, 100.0, drained)
+    assert isinstance(
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+    )
+    state = fakes.warm_owner(compiled)
+    reducer.configure(state, 100.0, fakes.FakeCompiled())
+    assert isinstance(
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+    )
+
+
+def test_a_removed_target_keeps_its_count_until_idle():
+    compiled = fakes.FakeCompiled((fakes.target("t", 2),))
+    state = fakes.warm_owner(compiled)
+    fill(state, 100.0, 2)
+    reducer.configure(state, 100.0, fakes.FakeCompiled())
+    reducer.configure(state, 100.0, compiled)
+    answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
+    assert isinstance(answer, slots.Queued)
+
+
+def test_one_account_cannot_starve_the_others():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 1),)))
+    fill(state, 100.0, 1, "flood")
+    for number in range(30):
+        reducer.acquire(state, 100.0, "s", "flood", f"flood{number}")
+    answer, _ = reducer.acquire(state, 100.0, "s", "small", "small0")
+    assert isinstance(answer, slots.Queued)
+    served = []
+    active = "r0"
+    for _ in range(2):
+        raised = reducer.release(state, 100.01, active, ANSWERED, 200, 0.0)
+        active = raised[0].event.request_id
+        served.append(active)
+    assert "small0" in served
+
+
+def test_full_is_answered_at_once_with_the_time_to_come_back():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 1),)))
+    fill(state, 100.0, 1)
+    answers = [
+        reducer.acquire(state, 100.0, "s", "a", f"q{number}")[0]
+        for number in range(slots.LEAST_QUEUE_LENGTH + 1)
+    ]
+    hold_s = state.services["s"].hold_s
+    expected_s = (1 + slots.LEAST_QUEUE_LENGTH) * hold_s
+    assert answers[-1] == slots.Full(expected_s)
+
+
+def test_shed_answers_lower_the_usable_slots_for_a_while():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    fill(state, 100.0, 3)
+    reducer.release(state, 100.0, "r0", NOT_RUN, 503, 0.0)
+    assert slots.free_and_usable(state, 100.0, "s") == (0, 2)
+    assert slots.free_and_usable(state, 102.0, "s") == (2, 4)
+
+
+def feed(state, name, outcome, status, count, now_s=100.0):
+    for number in range(count):
+        state.targets[name].used += 1
+        use = f"{name}-{number}"
+        state.uses[use] = state_module.Use(name, now_s)
+        reducer.release(state, now_s, use, outcome, status, 0.0)
+
+
+def test_a_failing_target_is_ejected_but_never_too_many():
+    compiled = fakes.FakeCompiled(
+        tuple(fakes.target(name) for name in ("t1", "t2", "t3"))
+    )
+    state = fakes.warm_owner(compiled)
+    feed(state, "t1", UNKNOWN, 0, 20)
+    feed(state, "t2", ANSWERED, 500, 20)
+    conditions = {
+        item.name: item.state for item in reducer.target_statuses(state, 100.0)
+    }
+    assert conditions == {"t1": "ejected", "t2": "ready", "t3": "ready"}
+    assert state.targets["t2"].suspect
+
+
+def test_probation_admits_one_request_and_restores_the_target():
+    compiled = fakes.FakeCompiled((fakes.target("t1"), fakes.target("t2")))
+    state = fakes.warm_owner(compiled)
+    feed(state, "t1", UNKNOWN, 0, 20)
+    target = state.targets["t1"]
+    assert target.ejected_until_s is not None
+    at_s = target.ejected_until_s + 0.1
+    assert target_state.usable_slots(target, at_s, 3.0) == 1
+    feed(state, "t1", ANSWERED, 200, 3, at_s)
+    assert target.ejected_until_s is None
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(("push", "pop", "expire")),
+            strategies.sampled_from("abc"),
+        ),
+        max_size=60,
+    )
+)
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_the_queue_loses_nobody_and_stays_bounded(steps):
+    queue = queueing.FairQueue()
+    inside = set()
+    for number, (action, account) in enumerate(steps):
+        if action == "push":
+            waiter = queueing.Waiter(str(number), account, number + 20)
+            waits, evicted = queueing.push(queue, waiter, 4)
+            if waits:
+                inside.add(str(number))
+            if evicted is not None:
+                inside.remove(evicted.request_id)
+        elif action == "pop":
+            found = queueing.pop(queue)
+            inside -= {found.request_id} if found else set()
+        else:
+            for waiter in queueing.expire(queue, number):
+                inside.remove(waiter.request_id)
+        kept = [item for row in queue.waiters.values() for item in row]
+        assert {item.request_id for item in kept} == inside
+        assert queue.size == len(kept) <= 4
