Wire the whole path: apply, look-up, keyed request, whole answer

Cause: the parts were not connected. Three faults showed up in the first runs of four VMs: peers flapped because the heartbeat's address and the listed address differed; a refusal failed because its Retry-After was infinite while a VM held no units; the compiled configuration's attribute was misnamed. Ruled out: the ZeroMQ transport, which passed messages between two local sockets with the same options. Change: the composition root, shell and gateway; the platform's list goes before a peer's own address; Retry-After is bounded.

--- /dev/null
+++ b/mulberrydeck/compose.py
@@ -0,0 +1,138 @@
+"""Composition root: constructs the parts of one VM and wires them."""
+
+import signal
+import uuid
+
+import gevent
+import gevent.event
+
+from mulberrydeck.core import events
+from mulberrydeck.core import state as core_state
+from mulberrydeck.forward import pool as pools
+from mulberrydeck.frontend import server
+from mulberrydeck.observability import logs
+from mulberrydeck.observability import metrics as metric_sets
+from mulberrydeck.observability import traces
+from mulberrydeck.peers import transport
+from mulberrydeck.platformapi import client
+from mulberrydeck.runs import recorder
+from mulberrydeck.settings import declarations
+from mulberrydeck.shell import core_gateway
+from mulberrydeck.shell import platform_link
+from mulberrydeck.shell import request_port
+from mulberrydeck.shell import runtime as runtime_module
+from mulberrydeck.shell import target_poller
+
+METRICS_INTERVAL_S = 1.0
+EXIT_TIMEOUT_S = 3.0
+
+
+class EntryVm:
+    """All parts of one VM.
+
+    Attributes:
+        settings: Settings of this VM.
+        runtime: Owner of the state.
+        peers: Transport of peer messages.
+        platform: Link to the platform.
+        callers: Server towards callers.
+        relays: Server towards other VMs.
+        metrics: Metrics of this VM.
+        stop_requested: Set when the process must stop gracefully.
+    """
+
+    def __init__(self, settings: declarations.Settings) -> None:
+        self.settings = settings
+        self.stop_requested = gevent.event.Event()
+        self.metrics = metric_sets.Metrics()
+        incarnation = uuid.uuid4().hex
+        state = core_state.create(settings, incarnation)
+        self.runtime = runtime_module.Runtime(state)
+        self.peers = self._make_transport()
+        runtime_module.connect_peers(self.runtime, self.peers)
+        objects = client.ObjectClient(
+            settings.platform_url,
+            settings.platform_timeout_s,
+            settings.source_ip,
+        )
+        self.runs = recorder.RunRecorder(objects, settings.name, incarnation)
+        request_port.connect_runs(self.runtime, self.runs)
+        self.platform = platform_link.PlatformLink(self.runtime, objects)
+        target_poller.TargetPoller(self.runtime, settings.source_ip)
+        self.gateway = core_gateway.CoreGateway(self.runtime, self.runs)
+        self._make_servers()
+
+    def _make_transport(self) -> transport.PeerTransport:
+        def deliver(sender: str, message: object) -> None:
+            now_s = self.runtime.now_s()
+            self.runtime.submit(events.PeerReceived(now_s, sender, message))
+
+        return transport.PeerTransport(
+            self.settings.name,
+            self.settings.peer_address,
+            self.settings.source_ip,
+            self.settings.fleet_secret,
+            deliver,
+            self.metrics,
+        )
+
+    def _make_servers(self) -> None:
+        settings = self.settings
+        pool = pools.ConnectionPool(
+            settings.source_ip,
+            settings.connect_timeout_s,
+            settings.idle_timeout_s,
+            self.runtime.now_s,
+        )
+        tracer = traces.Tracer(settings)
+        self.callers = server.CallerServer(
+            settings, self.gateway, pool, self.metrics, tracer
+        )
+        self.relays = server.RelayServer(
+            settings, self.gateway, pool, self.metrics, tracer
+        )
+
+    def start(self) -> None:
+        """Opens the listeners and joins the fleet."""
+        self.peers.start()
+        self.relays.start()
+        self.callers.start()
+        self.runtime.submit(events.Started(self.runtime.now_s()))
+        gevent.spawn(self.runtime.run_ticks)
+        gevent.spawn(self._report_metrics)
+        self.platform.start()
+
+    def _report_metrics(self) -> None:
+        while True:
+            gevent.sleep(METRICS_INTERVAL_S)
+            self.metrics.set_status(self.gateway.status())
+
+    def stop(self) -> None:
+        """Stops gracefully: no request in progress is cut off."""
+        now_s = self.runtime.now_s
+        self.runtime.submit(events.StopRequested(now_s()))
+        stops = [
+            gevent.spawn(self.callers.stop),
+            gevent.spawn(self.relays.stop),
+        ]
+        gevent.joinall(stops)
+        started_s = now_s()
+        self.runtime.submit(events.StopFinished(now_s()))
+        self.runtime.stopped.wait(EXIT_TIMEOUT_S)
+        self.platform.wait_written(EXIT_TIMEOUT_S)
+        self.metrics.drained(now_s() - started_s)
+        self.platform.stop()
+        self.peers.stop()
+
+
+def run(settings: declarations.Settings) -> int:
+    """Runs an entry VM until SIGTERM or SIGINT; returns the exit code."""
+    logs.start()
+    vm = EntryVm(settings)
+    gevent.signal_handler(signal.SIGTERM, vm.stop_requested.set)
+    gevent.signal_handler(signal.SIGINT, vm.stop_requested.set)
+    vm.start()
+    print(f"ready {settings.name} {vm.callers.address}", flush=True)
+    vm.stop_requested.wait()
+    vm.stop()
+    return 0
--- a/mulberrydeck/core/control.py
+++ b/mulberrydeck/core/control.py
@@ -15,8 +15,8 @@
 from mulberrydeck.model import loading
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import reducer as quota
+from mulberrydeck.routing import ownership
 from mulberrydeck.routing import reducer as routing
-from mulberrydeck.routing import state as routing_state
 
 Effects = list[object]
 
@@ -148,11 +148,14 @@
                 reply.content,
                 now_s - reply.age_s,
             )
-        case messages.TargetGrant() as grant:
-            routing.receive_grant(state.routing, now_s, sender, grant)
-            return []
+        case (
+            messages.TargetGrant()
+            | messages.TargetRelease()
+            | messages.TargetClaim() as message
+        ):
+            return routing.receive(state.routing, now_s, sender, message)
         case message:
-            return quota.receive(state.quota, now_s, sender, message)
+            return list(quota.receive(state.quota, now_s, sender, message))
 
 
 def _heartbeat(
@@ -165,10 +168,18 @@
         state.documents, state.now_s, sender, beat.documents
     )
     same_zone = beat.zone == state.settings.zone
-    if same_zone and zones.fenced_by(state.zone, beat.holder_epoch):
+    if same_zone and beat.holder_epoch:
+        produced += _holder_heard(state, sender, beat.holder_epoch)
+    _set_lenders(state)
+    return produced
+
+
+def _holder_heard(state: core_state.State, sender: str, epoch: int) -> Effects:
+    produced: Effects = []
+    if zones.fenced_by(state.zone, epoch):
         shares.apply(state)
         produced.append(effects.Log("zone", "A peer holds a later epoch."))
-    _set_lenders(state)
+    produced += routing.observe_epoch(state.routing, state.now_s, sender, epoch)
     return produced
 
 
@@ -208,15 +219,15 @@
 
 def _zone_members(
     state: core_state.State,
-) -> tuple[routing_state.ZoneMember, ...]:
+) -> tuple[ownership.ZoneMember, ...]:
     zone_members = []
     if not state.leaving:
-        own = routing_state.ZoneMember(state.settings.name, state.now_s)
+        own = ownership.ZoneMember(state.settings.name, state.now_s)
         zone_members.append(own)
     for peer in state.members.live_peers(state.now_s):
         if peer.zone == state.settings.zone and not peer.leaving:
             sent_s = peer.heartbeat.sent_s
-            zone_members.append(routing_state.ZoneMember(peer.name, sent_s))
+            zone_members.append(ownership.ZoneMember(peer.name, sent_s))
     return tuple(zone_members)
 
 
@@ -267,7 +278,18 @@
     if state.leaving:
         return []
     state.leaving = True
-    return _heartbeats(state)
+    produced = _heartbeats(state)
+    if _has_zone_peer(state):
+        produced += routing.stop(state.routing, state.now_s)
+    return produced
+
+
+def _has_zone_peer(state: core_state.State) -> bool:
+    """Returns whether another VM can take over this VM's targets."""
+    return any(
+        peer.zone == state.settings.zone and not peer.leaving
+        for peer in state.members.live_peers(state.now_s)
+    )
 
 
 def stop_finished(
--- a/mulberrydeck/core/members.py
+++ b/mulberrydeck/core/members.py
@@ -147,10 +147,13 @@
 def receive_heartbeat(
     state: MembersState, now_s: float, sender: str, beat: messages.Heartbeat
 ) -> list[object]:
-    """Records a heartbeat; an old one of the same process is dropped."""
+    """Records a heartbeat; an old one of the same process is dropped.
+
+    The platform's list goes before what a peer says of its own address.
+    """
     produced: list[object] = []
     peer = state.peers.get(sender)
-    if peer is None or peer.peer_address != beat.peer_address:
+    if peer is None or not peer.listed:
         produced += _add(state, sender, beat.peer_address, beat.zone)
         peer = state.peers.get(sender)
     if peer is None:
--- a/mulberrydeck/core/reports.py
+++ b/mulberrydeck/core/reports.py
@@ -9,33 +9,42 @@
 from mulberrydeck.routing import reducer as routing
 
 
-def entry_vms(state: core_state.State) -> tuple[gateway.EntryVm, ...]:
-    """Returns the VMs that callers may use now."""
+def entry_directory(state: core_state.State) -> lookup.Directory:
+    """Returns the VMs that callers may use now, this one included."""
     settings = state.settings
-    found = []
-    if not state.leaving:
-        address = settings.advertised_caller_address or settings.caller_address
-        found.append(gateway.EntryVm(settings.name, settings.zone, address))
-    for peer in state.members.live_peers(state.now_s):
-        if not peer.leaving:
-            address = peer.heartbeat.caller_address
-            found.append(gateway.EntryVm(peer.name, peer.zone, address))
-    return tuple(found)
+    own = lookup.EntryMember(
+        settings.name,
+        settings.zone,
+        settings.advertised_caller_address or settings.caller_address,
+        state.leaving,
+    )
+    peers = [
+        lookup.EntryMember(
+            peer.name, peer.zone, peer.heartbeat.caller_address, peer.leaving
+        )
+        for peer in state.members.live_peers(state.now_s)
+    ]
+    return lookup.directory((own, *peers))
 
 
 def answer_lookup(
-    state: core_state.State, query: gateway.LookupQuery
+    state: core_state.State,
+    directory: lookup.Directory,
+    query: gateway.LookupQuery,
 ) -> gateway.LookupAnswer:
-    """Answers which entry VMs a caller should use."""
+    """Answers which entry VMs a caller should use.
+
+    Args:
+        state: State of this VM.
+        directory: Entry VMs, from `entry_directory`.
+        query: The caller's question.
+    """
+    lifetime_s = state.settings.lookup_lifetime_s
     if state.configuration is None:
-        lifetime_s = state.settings.lookup_lifetime_s
-        return gateway.LookupAnswer(entry_vms(state), lifetime_s, 0)
-    return lookup.answer(
-        state.configuration,
-        entry_vms(state),
-        query,
-        state.settings.lookup_lifetime_s,
-    )
+        entries = directory.by_zone.get(state.settings.zone, ())
+        vms = tuple(entry for entry, _ in entries)
+        return gateway.LookupAnswer(vms, lifetime_s, 0)
+    return lookup.answer(state.configuration, directory, query, lifetime_s)
 
 
 def status(state: core_state.State) -> gateway.Status:
@@ -118,11 +127,8 @@
 
 def _chosen_vm(state: core_state.State, service: str) -> str:
     picked = choice.preview(
-        state.routing, state.now_s, service, requests.peer_loads(state)
+        state.routing, state.now_s, service, requests.peer_loads(state), ()
     )
-    match picked:
-        case choice.Local():
-            return state.settings.name
-        case choice.Remote(vm):
-            return vm
-    return ""
+    if picked is None:
+        return ""
+    return picked.vm or state.settings.name
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -15,7 +15,7 @@
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import reducer as routing
-from mulberrydeck.routing import state as routing_state
+from mulberrydeck.routing import slots
 
 MAX_ATTEMPTS = 4
 NO_CHOICE_RETRY_S = 0.5
@@ -113,11 +113,11 @@
     )
     match verdict:
         case quota_state.Admitted():
-            return produced + _choose(state, request)
+            return [*produced, *_choose(state, request)]
         case quota_state.Denied(retry_after_s):
             problem = problems.rate_limited(request.account, retry_after_s)
-            return produced + _refuse(state, request, problem)
-    return produced
+            return [*produced, *_refuse(state, request, problem)]
+    return list(produced)
 
 
 def quota_decided(
@@ -161,7 +161,9 @@
 def peer_loads(state: core_state.State) -> tuple[choice.PeerLoad, ...]:
     """Returns the capacity that live peers report."""
     return tuple(
-        choice.PeerLoad(peer.name, peer.zone, peer.heartbeat.loads)
+        choice.PeerLoad(
+            peer.name, peer.zone, peer.heartbeat.loads, peer.heard_s
+        )
         for peer in state.members.live_peers(state.now_s)
         if not peer.leaving
     )
@@ -173,6 +175,10 @@
     heartbeat = state.members.peers[vm].heartbeat
     request.attempts += 1
     request.excluded.add(vm)
+    request.relayed_to = vm
+    choice.record_relay(
+        state.routing, state.now_s, request.service, vm, request.request_id
+    )
     forward = effects.ForwardToVm(
         request_id=request.request_id,
         attempt=request.attempts,
@@ -202,12 +208,12 @@
         request.request_id,
     )
     match result:
-        case routing_state.Acquired(target, address):
+        case slots.Acquired(target, address):
             return produced + _use_slot(state, request, target, address)
-        case routing_state.Queued():
+        case slots.Queued():
             request.queued = True
             return produced
-        case routing_state.Full(retry_after_s):
+        case slots.Full(retry_after_s):
             return produced + _no_slot(state, request, retry_after_s)
     return produced
 
@@ -316,7 +322,7 @@
     request: core_state.Request,
     event: events.AttemptEnded,
 ) -> Effects:
-    if not request.target:
+    if not request.target and not request.relayed_to:
         return []
     produced = _release_slot(state, request, event)
     if not request.claimed:
@@ -344,6 +350,7 @@
     event: events.AttemptEnded,
 ) -> Effects:
     request.target = ""
+    request.relayed_to = ""
     return routing.release(
         state.routing,
         state.now_s,
@@ -417,7 +424,7 @@
         produced += routing.forget(
             state.routing, state.now_s, request.request_id
         )
-    if request.target:
+    if request.target or request.relayed_to:
         ended = events.AttemptEnded(
             event.at_s,
             request.request_id,
--- a/mulberrydeck/core/shares.py
+++ b/mulberrydeck/core/shares.py
@@ -35,7 +35,7 @@
     state: core_state.State, active: compiled.CompiledConfiguration
 ) -> tuple[quota_state.Bound, ...]:
     bounds = []
-    for account in active.configuration.accounts:
+    for account in active.source.accounts:
         rule = active.limit_of(account.name)
         if rule is not None:
             resource = f"account/{account.name}"
@@ -44,7 +44,7 @@
             )
             bounds.append(bound)
     region = active.region_of(state.settings.zone)
-    for link in active.configuration.links:
+    for link in active.source.links:
         if link.source == region:
             resource = f"link/{link.source}/{link.destination}"
             cap = link.cap_bytes_per_s
--- a/mulberrydeck/core/state.py
+++ b/mulberrydeck/core/state.py
@@ -33,6 +33,7 @@
         excluded: VMs that must not be tried again.
         target: Target whose slot it holds, or empty.
         target_address: Address of that target.
+        relayed_to: VM that the attempt in progress went to, or empty.
         claimed: Whether this VM holds the claim of its single run.
         queued: Whether it waits for a slot.
     """
@@ -48,6 +49,7 @@
     excluded: set[str] = attrs.field(factory=set)
     target: str = ""
     target_address: str = ""
+    relayed_to: str = ""
     claimed: bool = False
     queued: bool = False
 
--- a/mulberrydeck/core/tests/test_members.py
+++ b/mulberrydeck/core/tests/test_members.py
@@ -1,5 +1,7 @@
 """Tests of membership."""
 
+import attrs
+
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import members
@@ -66,3 +68,12 @@
     members.vms_listed(state, listed(0.0, "a", "b"))
     members.receive_heartbeat(state, 9.0, "b", beat(1, echo_s=8.9))
     assert members.redial_silent(state, 9.0) == []
+
+
+def test_listed_address_goes_before_the_heartbeat_s():
+    state = make_state()
+    members.vms_listed(state, listed(0.0, "a", "b"))
+    other = attrs.evolve(beat(1), peer_address="elsewhere:1")
+    assert members.receive_heartbeat(state, 1.0, "b", other) == []
+    assert members.vms_listed(state, listed(2.0, "a", "b")) == []
+    assert state.is_alive("b", 2.0)
--- a/mulberrydeck/peers/transport.py
+++ b/mulberrydeck/peers/transport.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Callable
 
-import attrs
 import gevent
 import zmq
 import zmq.green
 
 from mulberrydeck import errors
+from mulberrydeck.observability import metrics as metric_sets
 from mulberrydeck.peers import codec
 from mulberrydeck.peers import envelope
 
@@ -24,33 +24,8 @@
 HANDSHAKE_MS = 2000
 
 
-@attrs.define
-class Counters:
-    """Traffic since the process started.
-
-    Attributes:
-        sent_messages: Messages handed to ZeroMQ.
-        sent_bytes: Their size, in bytes.
-        received_messages: Messages received.
-        received_bytes: Their size, in bytes.
-        dropped_messages: Messages to peers that could not be reached.
-        malformed_messages: Messages that failed authentication or decoding.
-    """
-
-    sent_messages: int = 0
-    sent_bytes: int = 0
-    received_messages: int = 0
-    received_bytes: int = 0
-    dropped_messages: int = 0
-    malformed_messages: int = 0
-
-
 class PeerTransport:
-    """Sends and receives peer messages.
-
-    Attributes:
-        counters: Traffic counters.
-    """
+    """Sends and receives peer messages."""
 
     def __init__(
         self,
@@ -59,6 +34,7 @@
         source_ip: str,
         secret: str,
         deliver: Callable[[str, object], None],
+        metrics: metric_sets.Metrics,
     ) -> None:
         """Prepares the transport without opening sockets.
 
@@ -68,13 +44,14 @@
             source_ip: Local IP of outgoing connections, or empty.
             secret: Secret shared by all VMs.
             deliver: Called with sender and message.
+            metrics: Counts messages and bytes.
         """
         self.vm_name = vm_name
         self.listen_address = listen_address
         self.source_ip = source_ip
         self.secret = secret.encode()
         self.deliver = deliver
-        self.counters = Counters()
+        self.metrics = metrics
         self._context = zmq.green.Context()
         self._pull = None
         self._push_by_peer: dict[str, zmq.green.Socket] = {}
@@ -118,7 +95,6 @@
         """Sends a message, or drops and counts it."""
         push = self._push_by_peer.get(name)
         if push is None:
-            self.counters.dropped_messages += 1
             return
         payload = codec.encode(message)
         sealed = envelope.seal(
@@ -127,10 +103,8 @@
         try:
             push.send(sealed, flags=zmq.NOBLOCK)
         except zmq.Again:
-            self.counters.dropped_messages += 1
             return
-        self.counters.sent_messages += 1
-        self.counters.sent_bytes += len(sealed)
+        self.metrics.peer_message("out", len(sealed))
 
     def _configure(self, socket: zmq.green.Socket) -> None:
         socket.setsockopt(zmq.LINGER, 0)
@@ -145,12 +119,11 @@
             self._receive(self._pull.recv())
 
     def _receive(self, data: bytes) -> None:
-        self.counters.received_messages += 1
-        self.counters.received_bytes += len(data)
+        self.metrics.peer_message("in", len(data))
         try:
             opened = envelope.open_sealed(self.secret, data)
             message = codec.decode(opened.payload)
         except errors.MessageError:
-            self.counters.malformed_messages += 1
+            self.metrics.peer_malformed()
             return
         self.deliver(opened.sender, message)
--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -12,6 +12,7 @@
 
 MAX_QUEUE_LENGTH = 1000
 MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 10.0
 
 
 @attrs.frozen
@@ -114,7 +115,7 @@
         default=float("inf"),
     )
     soonest_s = min(own_s, maturing_s, max(asking_s, refill_s))
-    return max(MIN_RETRY_AFTER_S, soonest_s)
+    return min(max(MIN_RETRY_AFTER_S, soonest_s), MAX_RETRY_AFTER_S)
 
 
 def release(quota: state.QuotaState) -> list[Decision]:
--- a/mulberrydeck/settings/declarations.py
+++ b/mulberrydeck/settings/declarations.py
@@ -135,6 +135,9 @@
         "s",
         default=2.0,
     )
+    platform_timeout_s: float = setting(
+        "Time allowed for one call of the platform.", "s", default=2.0
+    )
     otlp_url: str = setting(
         "OTLP/HTTP endpoint for traces; empty writes JSON lines to "
         "`trace_path`.",
--- a/mulberrydeck/shell/core_gateway.py
+++ b/mulberrydeck/shell/core_gateway.py
@@ -7,10 +7,12 @@
 from mulberrydeck.core import reports
 from mulberrydeck.core import requests
 from mulberrydeck.quota import reducer as quota
+from mulberrydeck.routing import lookup
 from mulberrydeck.runs import recorder
 from mulberrydeck.shell import runtime as runtime_module
 
 MAX_PACING_WAIT_S = 0.25
+DIRECTORY_LIFETIME_S = 0.1
 
 
 class CoreGateway:
@@ -29,6 +31,8 @@
         self.now_s = runtime.now_s
         self.submit = runtime.submit
         self.decide = runtime.decide
+        self._directory: lookup.Directory | None = None
+        self._directory_until_s = 0.0
 
     def allow_bytes(self, link: str, count: int) -> None:
         """Blocks the greenlet until the link may carry `count` bytes."""
@@ -42,7 +46,11 @@
 
     def lookup(self, query: gateway.LookupQuery) -> gateway.LookupAnswer:
         """Answers which entry VMs to use."""
-        return reports.answer_lookup(self.runtime.state, query)
+        state = self.runtime.state
+        if self.now_s() >= self._directory_until_s:
+            self._directory = reports.entry_directory(state)
+            self._directory_until_s = self.now_s() + DIRECTORY_LIFETIME_S
+        return reports.answer_lookup(state, self._directory, query)
 
     def status(self) -> gateway.Status:
         """Returns what is in force on this VM."""
--- a/mulberrydeck/shell/platform_link.py
+++ b/mulberrydeck/shell/platform_link.py
@@ -7,7 +7,7 @@
 import random
 
 import gevent
-import gevent.event
+import gevent.pool
 import msgspec
 from returns import result
 
@@ -44,6 +44,7 @@
         self.objects = objects
         self.revision: int | None = None
         self.zone_key = names.zone_lease(runtime.state.settings.zone)
+        self._writes = gevent.pool.Group()
         self._greenlets: list[gevent.Greenlet] = []
         runtime.handlers[effects.ClaimZone] = self._spawn_claim
 
@@ -162,7 +163,11 @@
                 self.runtime.submit(events.VmsListed(now_s, listed))
 
     def _spawn_claim(self, effect: effects.ClaimZone) -> None:
-        gevent.spawn(self.claim_zone, effect)
+        self._writes.spawn(self.claim_zone, effect)
+
+    def wait_written(self, timeout_s: float) -> None:
+        """Waits for writes in progress, at most `timeout_s` seconds."""
+        self._writes.join(timeout_s)
 
     def claim_zone(self, effect: effects.ClaimZone) -> None:
         """Writes the zone's lease and reads back what is in force."""
--- a/standins/layout.py
+++ b/standins/layout.py
@@ -115,6 +115,7 @@
             "relay_address": own.relay,
             "peer_address": own.peer,
             "advertised_caller_address": self.advertised("caller", own.caller),
+            "advertised_peer_address": self.advertised("peer", own.peer),
             "advertised_relay_address": self.advertised("relay", own.relay),
             "platform_url": f"http://{platform}",
             "source_ip": self.vm_ip(name),
