Prove account limits with real processes under kills, cuts and pauses

Cause: requests admitted by a VM reach targets later, after a slot wait, a claim or a pause, and could bunch beyond the burst that targets log. Ruled out: holding tokens of requests in flight against the bucket's depth, which throttles accounts whose share on a VM is small. Change: an admission has a lifetime; a request that waited longer is admitted anew before it is sent, and the burst at admission is smaller by what the rate gives in that lifetime. A retry after an unknown outcome takes a token of its own. Links that lack quota are reported in heartbeats.

--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -8,6 +8,7 @@
 from mulberrydeck import errors
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.core import members
 from mulberrydeck.core import problems
 from mulberrydeck.core import state as core_state
 from mulberrydeck.model import configuration
@@ -98,28 +99,35 @@
         run_id=event.run_id if not route.repeatable else "",
         relayed_attempt=event.relayed_attempt,
         deadline_at_s=event.at_s + allowed_s,
+        admitted_at_s=event.at_s,
     )
     state.requests[event.request_id] = request
     return request
 
 
 def _limit(state: core_state.State, request: core_state.Request) -> Effects:
-    limited = request.account and state.configuration.limit_of(request.account)
-    if not limited:
-        return _choose(state, request)
+    """Takes a token of the account's limit and goes on, or refuses."""
+    if not _is_limited(state, request):
+        return _proceed(state, request)
     resource = f"account/{request.account}"
     verdict, produced = quota.admit(
         state.quota, state.now_s, resource, request.request_id
     )
     match verdict:
         case quota_state.Admitted():
-            return [*produced, *_choose(state, request)]
+            return [*produced, *_proceed(state, request)]
         case quota_state.Denied(retry_after_s):
             problem = problems.rate_limited(request.account, retry_after_s)
             return [*produced, *_refuse(state, request, problem)]
     return list(produced)
 
 
+def _is_limited(state: core_state.State, request: core_state.Request) -> bool:
+    if not request.account:
+        return False
+    return state.configuration.limit_of(request.account) is not None
+
+
 def quota_decided(
     state: core_state.State, event: events.QuotaDecided
 ) -> Effects:
@@ -128,11 +136,19 @@
     if request is None:
         return []
     if event.admitted:
-        return _choose(state, request)
+        return _proceed(state, request)
     problem = problems.rate_limited(request.account, event.retry_after_s)
     return _refuse(state, request, problem)
 
 
+def _proceed(state: core_state.State, request: core_state.Request) -> Effects:
+    """Goes on with a request that has just been admitted."""
+    request.admitted_at_s = state.now_s
+    if request.target:
+        return _send(state, request)
+    return _choose(state, request)
+
+
 def _choose(
     state: core_state.State,
     request: core_state.Request,
@@ -160,15 +176,38 @@
 
 def peer_loads(state: core_state.State) -> tuple[choice.PeerLoad, ...]:
     """Returns the capacity that live peers report."""
+    live = [
+        peer
+        for peer in state.members.live_peers(state.now_s)
+        if not peer.leaving
+    ]
+    full = _full_links(state, live)
     return tuple(
         choice.PeerLoad(
-            peer.name, peer.zone, peer.heartbeat.loads, peer.heard_s
+            peer.name,
+            peer.zone,
+            peer.heartbeat.loads,
+            peer.heard_s,
+            bool(full) and _is_link_full(state, peer.zone, full),
         )
-        for peer in state.members.live_peers(state.now_s)
-        if not peer.leaving
+        for peer in live
     )
 
 
+def _full_links(state: core_state.State, live: list[members.Peer]) -> set[str]:
+    full = set(quota.short_links(state.quota))
+    for peer in live:
+        full.update(peer.heartbeat.full_links)
+    return full
+
+
+def _is_link_full(state: core_state.State, zone: str, full: set[str]) -> bool:
+    """Returns whether the link to a zone's region is full in a direction."""
+    here = state.configuration.region_of(state.settings.zone)
+    there = state.configuration.region_of(zone)
+    return f"{here}/{there}" in full or f"{there}/{here}" in full
+
+
 def _relay(
     state: core_state.State, request: core_state.Request, vm: str
 ) -> Effects:
@@ -273,7 +312,7 @@
             problem = problems.claim_finished(event.status)
         case _:
             problem = problems.claim_unavailable()
-    return _give_back_slot(state, request) + _refuse(state, request, problem)
+    return _refuse(state, request, problem)
 
 
 def _release_claim(event: events.ClaimAnswered) -> effects.RecordRun:
@@ -284,11 +323,18 @@
 
 
 def _send(state: core_state.State, request: core_state.Request) -> Effects:
+    """Sends a request to the target whose slot it holds.
+
+    An admission that has become old, because of a wait or a pause of the
+    process, would let requests bunch beyond the account's burst.
+    """
     remaining_s = request.deadline_at_s - state.now_s
     if remaining_s <= 0:
-        problem = problems.deadline_exceeded("no")
-        given_back = _give_back_slot(state, request)
-        return given_back + _refuse(state, request, problem)
+        return _refuse(state, request, problems.deadline_exceeded("no"))
+    admitted_for_s = state.now_s - request.admitted_at_s
+    lifetime_s = state.settings.admission_lifetime_s
+    if admitted_for_s > lifetime_s and _is_limited(state, request):
+        return _limit(state, request)
     request.attempts += 1
     forward = effects.ForwardToTarget(
         request_id=request.request_id,
@@ -312,9 +358,12 @@
     produced = _settle_target(state, request, event)
     if event.outcome is events.AttemptOutcome.ANSWERED:
         return produced
-    if _may_retry(state, request, event):
-        return produced + _choose(state, request)
-    return produced + _refuse(state, request, _final_problem(state, event))
+    if not _may_retry(state, request, event):
+        problem = _final_problem(state, event)
+        return produced + _refuse(state, request, problem)
+    if event.outcome is events.AttemptOutcome.UNKNOWN:
+        return produced + _limit(state, request)
+    return produced + _choose(state, request)
 
 
 def _settle_target(
@@ -410,7 +459,8 @@
     request: core_state.Request,
     problem: errors.Problem,
 ) -> Effects:
-    return [effects.Refuse(request.request_id, problem)]
+    given_back = _give_back_slot(state, request)
+    return [*given_back, effects.Refuse(request.request_id, problem)]
 
 
 def closed(state: core_state.State, event: events.RequestClosed) -> Effects:
--- a/mulberrydeck/core/shares.py
+++ b/mulberrydeck/core/shares.py
@@ -9,6 +9,7 @@
 from mulberrydeck.core import state as core_state
 from mulberrydeck.core import zones
 from mulberrydeck.model import compiled
+from mulberrydeck.model import configuration
 from mulberrydeck.quota import division
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.quota import state as quota_state
@@ -39,9 +40,8 @@
         rule = active.limit_of(account.name)
         if rule is not None:
             resource = f"account/{account.name}"
-            bound = quota_state.Bound(
-                resource, UNITS, rule.rate_per_s, rule.burst
-            )
+            burst = _admitted_burst(state, rule)
+            bound = quota_state.Bound(resource, UNITS, rule.rate_per_s, burst)
             bounds.append(bound)
     region = active.region_of(state.settings.zone)
     for link in active.source.links:
@@ -54,6 +54,19 @@
     return tuple(bounds)
 
 
+def _admitted_burst(
+    state: core_state.State, rule: configuration.LimitRule
+) -> float:
+    """Returns the burst at admission that keeps the burst at targets.
+
+    Requests reach targets up to the lifetime of an admission later, so they
+    may bunch by what the rate gives in that time.
+    """
+    lifetime_s = state.settings.admission_lifetime_s
+    bunched = rule.rate_per_s * lifetime_s
+    return max(1.0, rule.burst - bunched)
+
+
 def _own_units(state: core_state.State, bound: quota_state.Bound) -> int:
     wanted = _units(state, bound, _current_division(state))
     finished = _units(state, bound, state.zone.lease.division)
--- a/mulberrydeck/core/state.py
+++ b/mulberrydeck/core/state.py
@@ -29,6 +29,8 @@
         run_id: Identifier of a single run, or empty.
         relayed_attempt: Attempt of the relaying VM; 0 if a caller sent it.
         deadline_at_s: When its time is over.
+        admitted_at_s: When it was last admitted under the account's limit;
+            for a relayed request, when it came.
         attempts: Attempts made.
         excluded: VMs that must not be tried again.
         target: Target whose slot it holds, or empty.
@@ -45,6 +47,7 @@
     run_id: str
     relayed_attempt: int
     deadline_at_s: float
+    admitted_at_s: float
     attempts: int = 0
     excluded: set[str] = attrs.field(factory=set)
     target: str = ""
--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -57,7 +57,7 @@
         documents: Versions that the sender has applied.
         holder_epoch: Epoch of the zone lease that the sender holds, or 0.
         loads: Capacity per service.
-        owned_targets: Targets that only the sender may use now.
+        full_links: Links, as `from/to` regions, on which it lacks quota.
     """
 
     incarnation: str
@@ -72,7 +72,7 @@
     documents: tuple[DocumentVersion, ...]
     holder_epoch: int
     loads: tuple[ServiceLoad, ...]
-    owned_targets: tuple[str, ...] = ()
+    full_links: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -165,6 +165,15 @@
     return tuple(borrowing.send_returns(returns))
 
 
+def short_links(quota: state.QuotaState) -> tuple[str, ...]:
+    """Returns links, as `from/to`, that lacked tokens since the last tick."""
+    return tuple(
+        name.removeprefix("link/")
+        for name in quota.active
+        if name.startswith("link/") and quota.resources[name].shortfall > 0
+    )
+
+
 def balances(quota: state.QuotaState) -> tuple[state.Balance, ...]:
     """Returns units and tokens per resource as of its last use."""
     return tuple(
--- a/mulberrydeck/routing/tests/fakes.py
+++ b/mulberrydeck/routing/tests/fakes.py
@@ -17,6 +17,7 @@
     peer_address="",
     platform_url="",
     fleet_secret="x",
+    slot_wait_s=0.25,
 )
 
 
--- a/mulberrydeck/settings/declarations.py
+++ b/mulberrydeck/settings/declarations.py
@@ -92,8 +92,14 @@
         "s",
         default=0.2,
     )
+    admission_lifetime_s: float = setting(
+        "A request admitted under its account's limit must be sent to a target "
+        "within this time, or it is admitted anew.",
+        "s",
+        default=0.15,
+    )
     slot_wait_s: float = setting(
-        "Longest time that a request waits for a free slot.", "s", default=0.25
+        "Longest time that a request waits for a free slot.", "s", default=0.1
     )
     zone_takeover_s: float = setting(
         "A zone lease is taken over when its holder has been missing from the "
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,162 @@
+"""Steps of the limits of client accounts."""
+
+import gevent
+import pytest_bdd
+from pytest_bdd import parsers
+
+from standins import http_client
+from standins import traffic
+from standins import verdicts
+
+pytest_bdd.scenarios("features/limits.feature")
+
+SEED = 20
+SETTLING_S = 2.0
+CUT_S = 6.0
+PAUSE_S = 7.0
+PATH = "/status?work_ms=2"
+
+
+class Sending:
+    """Requests of one account that arrive at a steady rate.
+
+    Attributes:
+        scene: The scenario's fleet and keys.
+        account: Name of the client account.
+        load: Arrivals and their records.
+        duration_s: How long requests arrive, in seconds.
+    """
+
+    def __init__(self, scene, account, factor, vms, duration_s):
+        self.scene = scene
+        self.account = account
+        self.duration_s = duration_s
+        self.limit = limit_of(scene, account)
+        self.callers = [
+            FixedCallers(scene.fleet.client(name).address, name) for name in vms
+        ]
+        self.load = traffic.Load(self.callers, SEED)
+        stream = traffic.Stream(
+            account,
+            account,
+            scene.key(account),
+            "permits",
+            PATH,
+            factor * self.limit["rate_per_s"],
+        )
+        self.load.start(stream, duration_s)
+
+    def records(self):
+        """Returns all records once the last request has ended."""
+        return self.load.finish()
+
+    def run_times(self):
+        """Returns when the account's requests came to targets."""
+        runs = verdicts.ran(self.scene.fleet.surroundings.runs())
+        return [run.start_s for run in runs if run.account == self.account]
+
+
+class FixedCallers(traffic.Callers):
+    """Callers that use one VM, whatever a look-up would say."""
+
+    def __init__(self, address, name):
+        super().__init__([address], "", hash_seed(name), timeout_s=8.0)
+
+    def addresses(self, service):
+        return self.entrances
+
+    def send(self, record):
+        headers = {"Mulberrydeck-Key": record.stream.key}
+        record.tries = 1
+        answer = self.exchange(self.entrances[0], record.stream, headers)
+        if isinstance(answer, http_client.Answer):
+            traffic.settle(record, answer)
+        else:
+            record.kind = "unanswered"
+
+
+def hash_seed(name):
+    return sum(name.encode())
+
+
+def limit_of(scene, account):
+    """Returns the rule of a large or other account of the deployment."""
+    document = scene.fleet.layout.deployment.document
+    found = {item["name"]: item for item in document["accounts"]}
+    size = found[account].get("labels", {}).get("size", "")
+    name = "large" if size == "large" else "rest"
+    return {rule["name"]: rule for rule in document["limits"]}[name]
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "{account} sends {factor:g} times its rate through {which} for "
+        "{duration_s:d} seconds"
+    ),
+    target_fixture="sending",
+)
+def when_sends(scene, account, factor, which, duration_s):
+    vms = sorted(scene.fleet.vms)
+    if which == "one VM":
+        vms = vms[-1:]
+    return Sending(scene, account, factor, vms, duration_s)
+
+
+@pytest_bdd.when("a VM is killed and replaced meanwhile")
+def when_replaced(scene):
+    gevent.sleep(SETTLING_S)
+    scene.fleet.replace_vm("east-a-vm1")
+
+
+@pytest_bdd.when("a zone is cut off and healed meanwhile")
+def when_cut(scene):
+    gevent.sleep(SETTLING_S)
+    scene.fleet.surroundings.isolate("west-a")
+    gevent.sleep(CUT_S)
+    scene.fleet.surroundings.heal()
+
+
+@pytest_bdd.when("a VM is paused for longer than its leases meanwhile")
+def when_paused(scene):
+    gevent.sleep(SETTLING_S)
+    scene.fleet.pause_vm("east-a-vm2")
+    gevent.sleep(PAUSE_S)
+    scene.fleet.resume_vm("east-a-vm2")
+
+
+@pytest_bdd.then(
+    parsers.parse("{account} never got more than its rate and burst")
+)
+def then_bounded(sending, account):
+    sending.records()
+    limit = sending.limit
+    over = verdicts.excess(
+        sending.run_times(), limit["rate_per_s"], limit["burst"]
+    )
+    assert over <= 0, f"{account}: {over:.1f} requests too many"
+
+
+@pytest_bdd.then(
+    parsers.parse("{account} got at least {percent:d} percent of its rate")
+)
+def then_used(sending, account, percent):
+    due = sending.limit["rate_per_s"] * sending.duration_s
+    assert len(sending.run_times()) >= due * percent / 100, account
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        "fewer than {percent:g} percent of its requests were refused after "
+        "the start"
+    )
+)
+def then_admitted(sending, percent):
+    records = sending.records()
+    begin_s = min(record.due_s for record in records) + SETTLING_S
+    late = [record for record in records if record.due_s >= begin_s]
+    refused = [r for r in late if r.kind == "rate-limited"]
+    assert len(refused) * 100 < percent * len(late), (
+        f"{len(refused)} of {len(late)}"
+    )
+    unserved = [record.kind for record in late if record.status != 200]
+    assert len(unserved) == len(refused), unserved
