--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,193 @@
+"""Runs the Kilele deployment on loopback and judges what happened.
+
+Real processes: 10 entry VMs, 36 targets and the platform, with the fault proxy
+adding the latencies between zones. Callers of 8 client accounts send traffic,
+one of them several times its rate, while a target is drained and a key is
+withdrawn. Exits with 1 if a promise was broken.
+"""
+
+import collections.abc
+import http
+import pathlib
+import sys
+import tempfile
+import time
+
+import attrs
+import click
+import gevent
+import tomlkit
+
+from bench import demo_report
+from mulberrydeck.model import compiled
+from mulberrydeck.model import configuration
+from mulberrydeck.model import loading
+from standins import addresses
+from standins import deployments
+from standins import fleet
+from standins import traffic
+from standins import waiting
+
+SEED = 20_260_101
+DRAIN_AFTER_S = 4.0
+WITHDRAW_AFTER_S = 8.0
+TRAFFIC_S = 16.0
+DRAINED_TARGET = "permits-coast-a-1"
+WITHDRAWN_ACCOUNT = "rongai-porters"
+GREEDY_ACCOUNT = "barafu-treks"
+
+
+def call(
+    account: str, service: str, path: str, rate_per_s: float, **details: object
+) -> traffic.Stream:
+    """Returns a stream whose key is still to be issued.
+
+    Args:
+        account: Client account.
+        service: Service.
+        path: Path within the service.
+        rate_per_s: Average rate of arrivals.
+        **details: Other fields of the stream.
+    """
+    name = f"{account}{path.replace('/', '-')}"
+    return traffic.Stream(
+        name, account, "", service, path, rate_per_s, **details
+    )
+
+
+ONCE = {"method": "POST", "single_run": True, "body_bytes": 300}
+UPLOAD = {"method": "PUT", "body_bytes": 400_000}
+STREAMS = (
+    call("summit-trails", "permits", "/status/17", 40),
+    call("summit-trails", "permits", "/fees", 5, **ONCE),
+    call("kibo-guides", "permits", "/status/18", 30),
+    call("kibo-guides", "permits", "/permits/issue", 5, **ONCE),
+    call("kibo-guides", "documents", "/uploads/3", 2, **UPLOAD),
+    call(GREEDY_ACCOUNT, "permits", "/status/19", 150),
+    call("mawenzi-walks", "permits", "/status/20", 10),
+    call("lemosho-lodges", "documents", "/scans/5", 4, answer_bytes=200_000),
+    call(WITHDRAWN_ACCOUNT, "permits", "/status/21", 10),
+    call("machame-desk", "permits", "/status/22", 12),
+    call("park-rangers", "rosters", "/gates/2", 20, answer_bytes=20_000),
+)
+
+
+def prepare(running: fleet.Fleet) -> dict[str, str]:
+    """Applies configuration and keys; returns the key of each account."""
+    running.apply()
+    accounts = running.layout.deployment.document["accounts"]
+    names = [account["name"] for account in accounts]
+    keys = {name: running.issue_key(name) for name in names}
+    running.wait_serving()
+    waiting.until(
+        lambda: all(is_served(running, stream, keys) for stream in STREAMS),
+        "a request of each account is served",
+    )
+    return keys
+
+
+def is_served(
+    running: fleet.Fleet, stream: traffic.Stream, keys: dict[str, str]
+) -> bool:
+    """Returns whether a request of a stream's account is served now."""
+    client = running.client(running.listed[0], keys[stream.account])
+    answer = client.request("GET", f"/v1/services/{stream.service}/ready")
+    client.close()
+    return answer.status == http.HTTPStatus.OK
+
+
+def callers_of(running: fleet.Fleet) -> list[traffic.Callers]:
+    """Returns a group of callers for each client block."""
+    placed = running.layout
+    entrances = [
+        placed.advertised("caller", placed.vm_addresses(name).caller)
+        for name in running.listed
+    ]
+    return [
+        traffic.Callers(entrances, placed.caller_ip(zone, block), SEED)
+        for zone in placed.zone_numbers
+        for block in range(addresses.CALLER_BLOCKS)
+    ]
+
+
+def run_traffic(
+    running: fleet.Fleet, keys: dict[str, str]
+) -> demo_report.Happenings:
+    """Sends all traffic, with a drain and a withdrawal in the middle."""
+    load = traffic.Load(callers_of(running), SEED)
+    for stream in STREAMS:
+        key = keys[stream.account]
+        load.start(attrs.evolve(stream, key=key), TRAFFIC_S)
+    start_s = time.monotonic()
+    gevent.sleep(DRAIN_AFTER_S)
+    running.must("drain", DRAINED_TARGET)
+    drained_s = time.monotonic()
+    gevent.sleep(max(0.0, start_s + WITHDRAW_AFTER_S - drained_s))
+    running.must("key", "withdraw", key_id(keys[WITHDRAWN_ACCOUNT]))
+    withdrawn_s = time.monotonic()
+    records = load.finish()
+    return demo_report.Happenings(
+        records=records,
+        runs=running.surroundings.runs(),
+        keys=keys,
+        limits=limits_of(running, keys),
+        drained=demo_report.Moment(DRAINED_TARGET, drained_s),
+        withdrawn=demo_report.Moment(WITHDRAWN_ACCOUNT, withdrawn_s),
+    )
+
+
+def limits_of(
+    running: fleet.Fleet, accounts: collections.abc.Iterable[str]
+) -> dict[str, configuration.LimitRule]:
+    """Returns the limit of each client account."""
+    text = tomlkit.dumps(running.layout.deployment.document)
+    known = loading.loads(text, running.layout.deployment.name)
+    indexed = compiled.compile_configuration(known, 1)
+    return {account: indexed.limit_of(account) for account in accounts}
+
+
+def key_id(secret: str) -> str:
+    """Returns the public identifier inside a key."""
+    return secret.split("_")[1]
+
+
+def demonstrate(
+    directory: pathlib.Path, program: tuple[str, ...]
+) -> demo_report.Happenings:
+    """Runs the whole demonstration.
+
+    Args:
+        directory: Settings files and logs.
+        program: Command that runs mulberrydeck.
+    """
+    options = fleet.Options(program=program)
+    with fleet.Fleet(deployments.kilele(), directory, options) as running:
+        click.echo("Starting 10 VMs, 36 targets, platform and fault proxy.")
+        running.start()
+        keys = prepare(running)
+        running.surroundings.set_latencies()
+        click.echo(f"Sending traffic for {TRAFFIC_S:.0f} s.")
+        return run_traffic(running, keys)
+
+
+@click.command()
+@click.option("--program", help="Executable to use in place of the sources.")
+def main(program: str | None) -> None:
+    """Run the Kilele deployment on loopback and judge what happened."""
+    start_s = time.monotonic()
+    command = (program,) if program else fleet.Options().program
+    with tempfile.TemporaryDirectory(prefix="mulberrydeck-demo-") as directory:
+        try:
+            happened = demonstrate(pathlib.Path(directory), command)
+        except (fleet.CommandError, waiting.ConditionError) as error:
+            raise click.ClickException(str(error)) from error
+    click.echo(demo_report.traffic_table(happened))
+    click.echo(demo_report.wrongful_refusals(happened))
+    promises = demo_report.judge(happened)
+    click.echo(demo_report.promise_table(promises))
+    click.echo(f"Took {time.monotonic() - start_s:.0f} s.")
+    sys.exit(0 if all(promise.is_kept for promise in promises) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/demo_report.py
@@ -0,0 +1,191 @@
+"""Tables and verdicts of the demonstration."""
+
+import collections
+
+import attrs
+from hdrh import histogram
+
+from mulberrydeck.model import configuration
+from standins import traffic
+from standins import verdicts
+from standins.target import behaviour
+
+DRAIN_BOUND_S = 3.0
+WITHDRAWAL_BOUND_S = 4.0
+LOWEST_LATENCY_US = 1
+HIGHEST_LATENCY_US = 60_000_000
+DIGITS = 3
+RATE_LIMITED = "rate-limited"
+ROW = "{:<15} {:>6} {:>7} {:>8} {:>6} {:>8} {:>8}  {}"
+PROMISE_ROW = "{:<58} {:>6}  {}"
+
+
+@attrs.frozen
+class Moment:
+    """Something that an operator did.
+
+    Attributes:
+        name: What it was done to.
+        time_s: Monotonic time at which the command had succeeded, in seconds.
+    """
+
+    name: str
+    time_s: float
+
+
+@attrs.frozen
+class Happenings:
+    """Everything that was seen during the demonstration.
+
+    Attributes:
+        records: What callers saw.
+        runs: What targets saw.
+        keys: Key of each client account.
+        limits: Limit of each client account.
+        drained: The drain of a target.
+        withdrawn: The withdrawal of an account's key.
+    """
+
+    records: list[traffic.Record]
+    runs: list[behaviour.Run]
+    keys: dict[str, str]
+    limits: dict[str, configuration.LimitRule]
+    drained: Moment
+    withdrawn: Moment
+
+
+@attrs.frozen
+class Promise:
+    """A promise and how often it was broken.
+
+    Attributes:
+        text: What was promised.
+        broken: Cases against it.
+    """
+
+    text: str
+    broken: int
+
+    @property
+    def is_kept(self) -> bool:
+        """Returns whether there is no case against it."""
+        return self.broken == 0
+
+
+def traffic_table(happened: Happenings) -> str:
+    """Returns a table of what became of each account's requests."""
+    by_account = collections.defaultdict(list)
+    for record in happened.records:
+        by_account[record.stream.account].append(record)
+    head = ("account", "sent", "served", "refused", "lost", "p50 ms", "p99 ms")
+    lines = [ROW.format(*head, "refused because")]
+    for account in sorted(by_account):
+        lines.append(account_row(account, by_account[account]))
+    lines.append(account_row("all", happened.records))
+    return "\n".join(lines)
+
+
+def account_row(name: str, records: list[traffic.Record]) -> str:
+    """Returns one row of the traffic table."""
+    served = [record for record in records if not record.kind]
+    lost = [record for record in records if is_lost(record)]
+    kinds = collections.Counter(
+        record.kind for record in records if record.kind
+    )
+    latencies = histogram.HdrHistogram(
+        LOWEST_LATENCY_US, HIGHEST_LATENCY_US, DIGITS
+    )
+    for record in served:
+        latencies.record_value(int(record.latency_s * 1e6))
+    reasons = ", ".join(f"{kind} {n}" for kind, n in sorted(kinds.items()))
+    return ROW.format(
+        name,
+        len(records),
+        len(served),
+        len(records) - len(served) - len(lost),
+        len(lost),
+        f"{latencies.get_value_at_percentile(50) / 1e3:.1f}",
+        f"{latencies.get_value_at_percentile(99) / 1e3:.1f}",
+        reasons or "-",
+    )
+
+
+def wrongful_refusals(happened: Happenings) -> str:
+    """Returns a sentence on refusals of accounts that kept to their rate."""
+    offered = collections.Counter()
+    for stream in {record.stream for record in happened.records}:
+        offered[stream.account] += stream.rate_per_s
+    within = [
+        record
+        for record in happened.records
+        if offered[record.stream.account]
+        <= happened.limits[record.stream.account].rate_per_s
+    ]
+    refused = [one for one in within if one.kind == RATE_LIMITED]
+    percent = 100 * len(refused) / max(1, len(within))
+    return (
+        f"Refused although within the rate: {len(refused)} of {len(within)} "
+        f"({percent:.2f}%)."
+    )
+
+
+def is_lost(record: traffic.Record) -> bool:
+    """Returns whether a caller can't know what became of its request."""
+    return bool(record.kind) and not record.not_run
+
+
+def judge(happened: Happenings) -> list[Promise]:
+    """Returns every promise with the number of cases against it."""
+    runs = happened.runs
+    refused = {one.request_id for one in happened.records if one.not_run}
+    late_work = verdicts.work_after(
+        runs,
+        happened.drained.name,
+        happened.drained.time_s + DRAIN_BOUND_S,
+    )
+    lost = [one for one in happened.records if is_lost(one)]
+    foreign = [one for one in happened.records if one.is_foreign]
+    false = verdicts.false_refusals(runs, refused)
+    leaks = verdicts.leaks(runs, list(happened.keys.values()))
+    found = (
+        ("No request is lost", lost),
+        ("Fees and permits run at most once", verdicts.repeats(runs)),
+        ("A refusal that says not run is true", false),
+        ("Each answer is whole and belongs to its request", foreign),
+        ("No target sees a key", leaks),
+        ("No account gets more than rate and burst", over_limit(happened)),
+        ("A drained target gets no new work after 3 s", late_work),
+        ("A withdrawn key stops working within 4 s", late_runs(happened)),
+    )
+    return [Promise(text, len(cases)) for text, cases in found]
+
+
+def promise_table(promises: list[Promise]) -> str:
+    """Returns a table of all promises."""
+    lines = ["", PROMISE_ROW.format("promise", "broken", "")]
+    for promise in promises:
+        verdict = "kept" if promise.is_kept else "BROKEN"
+        lines.append(PROMISE_ROW.format(promise.text, promise.broken, verdict))
+    return "\n".join(lines)
+
+
+def over_limit(happened: Happenings) -> list[str]:
+    """Returns the accounts that got more than their rate and burst."""
+    times = collections.defaultdict(list)
+    for run in verdicts.ran(happened.runs):
+        times[run.account].append(run.start_s)
+    return [
+        account
+        for account, limit in happened.limits.items()
+        if verdicts.excess(times[account], limit.rate_per_s, limit.burst) > 0
+    ]
+
+
+def late_runs(happened: Happenings) -> list[behaviour.Run]:
+    """Returns the runs of an account well after its key was withdrawn."""
+    bound_s = happened.withdrawn.time_s + WITHDRAWAL_BOUND_S
+    return [
+        run
+        for run in verdicts.ran(happened.runs)
+        if run.account == happened.withdrawn.name and run.start_s > bound_s
+    ]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -25,6 +25,7 @@
 from standins import http_client
 from standins import layout
 from standins import processes
+from standins import readiness
 from standins import surroundings
 from standins import waiting
 from standins.target import behaviour
@@ -283,6 +284,23 @@
         address = self.layout.vm_addresses(vm).caller
         return http_client.fetch(address, "/v1/status")
 
+    def statuses(self) -> list[dict[str, object]]:
+        """Returns the status of every running VM."""
+        return [
+            self.status(name)
+            for name, process in self.vms.items()
+            if process.is_running()
+        ]
+
+    def wait_serving(self, timeout_s: float = waiting.WAIT_TIMEOUT_S) -> None:
+        """Waits until VMs agree and every target is ready."""
+        targets = [one["name"] for one in self.layout.deployment.targets]
+        waiting.until(
+            lambda: readiness.is_serving(self.statuses(), targets),
+            "all targets are ready",
+            timeout_s,
+        )
+
     def wait_all(
         self,
         condition: collections.abc.Callable[[dict[str, object]], object],
--- /dev/null
+++ b/standins/readiness.py
@@ -0,0 +1,36 @@
+"""Tells from VMs' statuses whether a deployment is in full service."""
+
+import collections.abc
+
+Status = dict[str, object]
+
+
+def is_serving(
+    statuses: list[Status], targets: collections.abc.Collection[str]
+) -> bool:
+    """Returns whether VMs agree and every target is ready for one of them.
+
+    Args:
+        statuses: Statuses of all running VMs.
+        targets: Names of all targets.
+    """
+    return agree(statuses) and ready_targets(statuses) >= set(targets)
+
+
+def agree(statuses: list[Status]) -> bool:
+    """Returns whether all VMs apply the same configuration and keyring."""
+    versions = {
+        (status["config_version"], status["keys_version"])
+        for status in statuses
+    }
+    return len(versions) == 1 and all(versions.pop())
+
+
+def ready_targets(statuses: list[Status]) -> set[str]:
+    """Returns the names of targets that a VM owns and finds ready."""
+    return {
+        target["name"]
+        for status in statuses
+        for target in status["targets"]
+        if target["owned"] and target["state"] == "ready"
+    }
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import json
 import random
 import time
 import urllib.parse
@@ -15,6 +16,7 @@
 import gevent.pool
 
 from standins import http_client
+from standins.target import answers
 
 TRIES = 3
 PROBLEM_TYPE = "application/problem+json"
@@ -30,11 +32,13 @@
         account: Client account.
         key: Its key.
         service: Service that is called.
-        path: Path and query within the service.
+        path: Path within the service.
         rate_per_s: Average rate of arrivals.
         method: HTTP method.
         single_run: Whether the request may run at most once.
         body_bytes: Length of the body that is sent.
+        work_ms: Time that the target works, in milliseconds.
+        answer_bytes: Length of the answer; 0 asks for a receipt.
     """
 
     name: str
@@ -46,6 +50,15 @@
     method: str = "GET"
     single_run: bool = False
     body_bytes: int = 0
+    work_ms: float = 5.0
+    answer_bytes: int = 0
+
+    def url(self) -> str:
+        """Returns path and query for an entry VM."""
+        url = f"/v1/services/{self.service}{self.path}?work_ms={self.work_ms}"
+        if self.answer_bytes:
+            url += f"&bytes={self.answer_bytes}"
+        return url
 
 
 @attrs.define
@@ -61,7 +74,7 @@
         status: HTTP status of the last answer; 0 if there was none.
         kind: Kind of refusal; `unanswered`; empty when it was served.
         not_run: Whether the answer says that it did not run.
-        body: Whole answer, for checks.
+        is_foreign: Whether the answer belongs to another request.
     """
 
     stream: Stream
@@ -72,7 +85,7 @@
     status: int = 0
     kind: str = ""
     not_run: bool = False
-    body: bytes = b""
+    is_foreign: bool = False
 
     @property
     def latency_s(self) -> float:
@@ -163,8 +176,7 @@
             else http_client.Client(address, self.source_ip, self.timeout_s)
         )
         body = b"x" * stream.body_bytes if stream.body_bytes else None
-        path = f"/v1/services/{stream.service}{stream.path}"
-        answer = client.request(stream.method, path, body, headers)
+        answer = client.request(stream.method, stream.url(), body, headers)
         if client.connection is not None:
             idle.append(client)
         return answer
@@ -181,12 +193,26 @@
     """Writes an answer into a request's record."""
     record.end_s = time.monotonic()
     record.status = answer.status
-    record.body = answer.body
     record.not_run = answer.headers.get("mulberrydeck-ran") == "no"
     if answer.headers.get("content-type") == PROBLEM_TYPE:
         record.kind = answer.json()["kind"]
-    elif answer.status >= 500:
+    elif answer.status >= 400:
         record.kind = f"status-{answer.status}"
+    else:
+        record.is_foreign = not fits(record, answer.body)
+
+
+def fits(record: Record, body: bytes) -> bool:
+    """Returns whether an answer belongs to its request, and is whole."""
+    stream = record.stream
+    if stream.answer_bytes:
+        return body == answers.body(record.request_id, stream.answer_bytes)
+    receipt = json.loads(body)
+    return (
+        receipt["request_id"] == record.request_id
+        and receipt["account"] == stream.account
+        and receipt["received_bytes"] == stream.body_bytes
+    )
 
 
 class Load:
