Prove operators' races and lost answers with real commands

Cause: nothing showed that racing operators lose no change and that a lost answer leads to exactly one. Change: features run `mulberrydeck` as processes against a platform whose writes can be held, dropped or overtaken; further tests run the commands in the test's process. `call` writes its body without the deprecated click stream.

--- a/mulberrydeck/cli/caller_commands.py
+++ b/mulberrydeck/cli/caller_commands.py
@@ -96,7 +96,7 @@
     vm = found.vms[0]
     answer = asker.send(vm.address, request)
     click.echo(f"{answer.status} from {vm.name} ({vm.address})", err=True)
-    click.get_binary_stream("stdout").write(answer.body)
+    click.echo(answer.body, nl=False)
     if answer.status > LAST_GOOD_STATUS:
         ctx.exit(outcomes.ExitCode.FAILED)
 
--- /dev/null
+++ b/mulberrydeck/cli/tests/test_commands.py
@@ -0,0 +1,227 @@
+"""Tests of the command line against a platform and VMs in this process."""
+
+import contextlib
+
+import click.testing
+import msgspec
+import pytest
+
+from mulberrydeck.cli import main as cli
+from mulberrydeck.core import gateway
+from mulberrydeck.model.tests import samples
+from standins import serving
+from standins.platform import app
+
+
+@pytest.fixture
+def platform():
+    served = app.Platform()
+    server = serving.start("127.0.0.1:0", served)
+    served.url = f"http://{serving.address_of(server)}"
+    yield served
+    server.stop()
+
+
+@pytest.fixture
+def run(platform, tmp_path):
+    runner = click.testing.CliRunner()
+
+    def run_command(*arguments: str) -> click.testing.Result:
+        environment = {
+            "MULBERRYDECK_PLATFORM": platform.url,
+            "MULBERRYDECK_AUTHOR": "ann",
+        }
+        return runner.invoke(cli.main, arguments, env=environment)
+
+    return run_command
+
+
+@pytest.fixture
+def fleet(run, tmp_path):
+    path = tmp_path / "fleet.toml"
+    path.write_text(samples.FLEET_TOML)
+    applied = run("apply", str(path))
+    assert applied.exit_code == 0, applied.output
+    return path
+
+
+def test_check_counts_and_refuses(run, tmp_path):
+    path = tmp_path / "fleet.toml"
+    path.write_text(samples.FLEET_TOML)
+    assert "3 targets" in run("check", str(path)).stdout
+    path.write_text(samples.FLEET_TOML.replace("slots = 3", "slots = 0"))
+    refused = run("check", str(path))
+    assert refused.exit_code == 2
+    assert "targets[0].slots = 0: must be above 0; raise it" in refused.stderr
+
+
+def test_bad_files_are_not_applied(run, fleet, platform):
+    revision = platform.store.revision
+    fleet.write_text("colour = 'red'")
+    refused = run("apply", "--replace", str(fleet))
+    assert refused.exit_code == 2
+    assert "colour: is an unknown key" in refused.stderr
+    assert platform.store.revision == revision
+
+
+def test_what_get_prints_can_be_edited_and_applied(run, fleet):
+    text = run("get").stdout
+    fleet.write_text(text)
+    assert "unchanged" in run("apply", str(fleet)).stdout
+    fleet.write_text(text.replace("burst = 20", "burst = 30"))
+    shown = run("diff", str(fleet)).stdout
+    assert "limits gold: burst 20 -> 30" in shown
+    assert "Applied as version 2" in run("apply", str(fleet)).stdout
+    assert run("apply", str(fleet)).exit_code == 0
+
+
+def test_apply_needs_to_know_the_base(run, fleet):
+    fleet.write_text(samples.FLEET_TOML.replace("burst = 20", "burst = 30"))
+    refused = run("apply", str(fleet))
+    assert refused.exit_code == 2
+    assert "--base 1" in refused.stderr
+    assert run("apply", "--base", "1", str(fleet)).exit_code == 0
+    fleet.write_text(samples.FLEET_TOML)
+    overtaken = run("apply", "--base", "1", str(fleet))
+    assert overtaken.exit_code == 1
+    assert "ann came first with version 2" in overtaken.stderr
+    assert run("apply", "--replace", str(fleet)).exit_code == 0
+
+
+def test_drains_and_labels_show_in_get(run, fleet):
+    assert run("drain", "permits-1", "permits-2").exit_code == 0
+    assert run("get").stdout.count("draining = true") == 2
+    again = run("drain", "permits-1")
+    assert "in force as version 2" in again.stdout
+    assert run("undrain", "permits-1", "permits-2").exit_code == 0
+    assert run("label", "account", "acme", "tier-", "x=y").exit_code == 0
+    assert 'x = "y"' in run("get").stdout
+
+
+@pytest.mark.parametrize(
+    ("arguments", "remedy"),
+    [
+        (("drain", "permits-9"), "mulberrydeck get"),
+        (("label", "account", "acme", "tier"), "write `key=value`"),
+        (("label", "account", "acme", "tier=a b"), "use letters"),
+        (("label", "colour", "acme", "x=y"), "'account'"),
+        (("key", "issue", "nobody"), "[[accounts]]"),
+        (("key", "withdraw", "0123"), "key list"),
+        (("get", "--platform", "ftp://x"), "http://host:port"),
+        (("serve", "--settings", "absent.toml"), "check the path"),
+    ],
+)
+def test_bad_input_names_the_remedy(run, fleet, arguments, remedy):
+    refused = run(*arguments)
+    assert refused.exit_code == 2
+    assert remedy in refused.stderr
+
+
+def test_without_configuration_get_fails(run):
+    failed = run("get")
+    assert failed.exit_code == 1
+    assert "apply FILE" in failed.stderr
+
+
+def test_keys_are_listed_until_withdrawn(run, fleet):
+    secret = run("key", "issue", "acme").stdout.strip()
+    key_id = secret.split("_")[1]
+    assert f"{key_id}  acme" in run("key", "list").stdout
+    assert run("key", "list", "--account", "beta").stdout == ""
+    assert run("key", "withdraw", key_id).exit_code == 0
+    assert "withdrawn" in run("key", "list").stdout
+    assert run("key", "withdraw", key_id).exit_code == 0
+
+
+def vm_status(name: str, version: int) -> gateway.Status:
+    peer = gateway.PeerStatus("b1", "north-b", False, False, version)
+    target = gateway.TargetStatus("permits-1", "permits", True, "ready", 1, 3)
+    quota = gateway.QuotaStatus("account/acme", 5, 1, 0, 2.5)
+    return gateway.Status(
+        name,
+        "north-a",
+        False,
+        version,
+        4,
+        float("inf"),
+        "a1",
+        (peer,),
+        (quota,),
+        (target,),
+    )
+
+
+@contextlib.contextmanager
+def entry_vm(name: str, version: int, seen: list):
+    """Serves what a VM answers to operators and callers."""
+
+    def serve(environ, start_response):
+        seen.append(environ)
+        address = serving.address_of(server)
+        match environ["PATH_INFO"]:
+            case "/v1/status":
+                body = msgspec.to_builtins(vm_status(name, version))
+            case "/v1/lookup":
+                vm = gateway.EntryVm(name, "north-a", address)
+                body = msgspec.to_builtins(
+                    gateway.LookupAnswer((vm,), 5.0, version)
+                )
+            case "/v1/explain":
+                steps = ("No access rule matches.",)
+                body = msgspec.to_builtins(
+                    gateway.Explanation(False, steps, "", "")
+                )
+            case "/v1/services/permits/fees":
+                return serving.answer(start_response, "201 Made", b"paid")
+            case _:
+                return serving.answer(start_response, "403 Refused", b"{}")
+        return serving.answer_json(start_response, body)
+
+    server = serving.start("127.0.0.1:0", serve)
+    yield serving.address_of(server)
+    server.stop()
+
+
+def test_status_shows_all_vms_and_who_is_missing(run, platform):
+    listed = platform.vms
+    listed.replace((app.vms.ListedVm("b1", "north-b", "127.0.0.1:1"),))
+    with entry_vm("a1", 7, []) as one, entry_vm("a2", 8, []) as two:
+        shown = run("status", "--vm", one, "--vm", two)
+        machine = run("status", "--vm", one, "--json")
+    assert shown.exit_code == 1
+    assert "a1  north-a  serving  7       4     inf s ago" in shown.stdout
+    assert "not heard: b1" in shown.stdout
+    assert "differ in their configuration" in shown.stdout
+    assert "1 of 3 slots used" in shown.stdout
+    report = msgspec.json.decode(machine.stdout)
+    assert report["vms"][0]["config_version"] == 7
+    assert report["missing"] == ["b1"]
+
+
+def test_silent_vms_are_named(run):
+    shown = run("status", "--vm", "127.0.0.1:1", "--given")
+    assert shown.exit_code == 1
+    assert "127.0.0.1:1 cannot be reached" in shown.stdout
+
+
+def test_explain_names_the_rule_that_refuses(run):
+    with entry_vm("a1", 7, []) as vm:
+        shown = run("explain", "acme", "permits", "--vm", vm)
+    assert shown.exit_code == 1
+    assert "refused\n  No access rule matches." in shown.stdout
+
+
+def test_ask_and_call_act_as_a_caller(run, monkeypatch):
+    monkeypatch.setenv("MULBERRYDECK_KEY", "mdk_1_2")
+    seen = []
+    with entry_vm("a1", 7, seen) as vm:
+        asked = run("ask", "permits", "--from", "north-a", "--vm", vm)
+        sent = ("--method", "POST", "--data", "x", "--run-id", "fee-1")
+        called = run("call", "permits", "/fees", *sent, "--vm", vm)
+        refused = run("call", "permits", "/other", "--vm", vm)
+    assert asked.stdout == f"{vm}  a1  north-a\n"
+    assert (called.exit_code, called.stdout) == (0, "paid")
+    assert refused.exit_code == 1
+    posted = seen[2]
+    assert posted["HTTP_MULBERRYDECK_KEY"] == "mdk_1_2"
+    assert posted["HTTP_MULBERRYDECK_RUN_ID"] == "fee-1"
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,229 @@
+"""Operators' commands under races, lost answers and outages."""
+
+import pytest
+import pytest_bdd
+
+from mulberrydeck.keys import keyring
+from mulberrydeck.model import documents
+from mulberrydeck.model import editing
+from mulberrydeck.model.tests import samples
+from mulberrydeck.platformapi import names
+from standins import processes
+from tests import operator_desk
+
+pytest_bdd.scenarios("features/operators.feature")
+
+TARGET = "permits-1"
+DRAIN = ("drain", TARGET)
+
+
+@pytest.fixture
+def desk(tmp_path):
+    with processes.ProcessGroup(tmp_path) as group:
+        opened = operator_desk.Desk(group, tmp_path)
+        yield opened
+        opened.close()
+
+
+@pytest.fixture
+def revisions(desk):
+    """Revision of the platform before the commands under test."""
+    return []
+
+
+def is_draining(desk) -> bool:
+    targets = desk.platform.configuration().configuration.targets
+    return next(item for item in targets if item.name == TARGET).draining
+
+
+@pytest_bdd.given("ann has applied the first configuration")
+def first_configuration(desk, revisions):
+    path = desk.write("first.toml", samples.FLEET_TOML)
+    applied = desk.run("ann", "apply", path)
+    assert applied.code == 0, applied.errors
+    revisions.append(desk.platform.store.revision)
+
+
+@pytest_bdd.given("bob has drained a target")
+def bob_drained(desk):
+    assert desk.run("bob", *DRAIN).code == 0
+
+
+@pytest_bdd.given("the platform loses the answer to the next write")
+def loses_answer(desk):
+    desk.platform.faults.lost_answers = 1
+
+
+@pytest_bdd.given("bob's change follows before ann can read back")
+def bob_follows(desk):
+    def write_on_top(revision: int) -> None:
+        desk.platform.after_write = lambda revision: None
+        current = desk.platform.configuration()
+        changed = editing.set_labels(
+            current.configuration, "account", "beta", {"x": "y"}
+        )
+        note = documents.new_note("bob", (), current.note)
+        document = documents.ConfigurationDocument(note, changed)
+        desk.platform.store.write(
+            names.CONFIG, documents.encode(document), revision
+        )
+
+    desk.platform.after_write = write_on_top
+
+
+@pytest_bdd.given("the platform holds the next write until another comes")
+def holds_write(desk):
+    desk.platform.overtaken = True
+    desk.timeout_s = operator_desk.IMPATIENT_TIMEOUT_S
+
+
+@pytest_bdd.given("the platform loses the next answer and then goes down")
+def loses_answer_and_stops(desk):
+    def go_down(revision: int) -> None:
+        desk.platform.faults.outage = "refuse"
+
+    desk.platform.faults.lost_answers = 1
+    desk.platform.after_write = go_down
+
+
+@pytest_bdd.given("the platform is down")
+def platform_down(desk):
+    desk.platform.faults.outage = "refuse"
+
+
+@pytest_bdd.when(
+    "ann and bob apply different files in the same moment",
+    target_fixture="raced",
+)
+def apply_race(desk, revisions):
+    base = f"based_on_version = {revisions[0]}\n"
+    commands = []
+    for author, slots in (("ann", 4), ("bob", 5)):
+        text = samples.FLEET_TOML.replace("slots = 3", f"slots = {slots}")
+        path = desk.write(f"{author}.toml", base + text)
+        commands.append((author, "apply", path))
+    return dict(zip(("ann", "bob"), desk.race(*commands), strict=True))
+
+
+@pytest_bdd.when(
+    "ann drains a target while bob labels an account", target_fixture="raced"
+)
+def edit_race(desk):
+    finished = desk.race(
+        ("ann", *DRAIN), ("bob", "label", "account", "beta", "x=y")
+    )
+    return dict(zip(("ann", "bob"), finished, strict=True))
+
+
+@pytest_bdd.when("ann drains a target", target_fixture="finished")
+def ann_drains(desk):
+    return desk.run("ann", *DRAIN)
+
+
+@pytest_bdd.when("ann issues a key", target_fixture="finished")
+def ann_issues(desk):
+    return desk.run("ann", "key", "issue", "acme")
+
+
+@pytest_bdd.when(
+    "ann applies a file derived from the first version",
+    target_fixture="finished",
+)
+def ann_applies_old(desk, revisions):
+    text = f"based_on_version = {revisions[0]}\n{samples.FLEET_TOML}"
+    text = text.replace("burst = 20", "burst = 30")
+    return desk.run("ann", "apply", desk.write("old.toml", text))
+
+
+@pytest_bdd.then("one of them wins and the other is told who won")
+def one_wins(raced):
+    winner = next(name for name in raced if raced[name].code == 0)
+    loser = ({"ann", "bob"} - {winner}).pop()
+    assert raced[loser].code == 1
+    assert f"{winner} came first" in raced[loser].errors
+    assert "nothing of yours was changed" in raced[loser].errors
+
+
+@pytest_bdd.then("only the winner's change is in force")
+def only_winner(desk, raced, revisions):
+    stored = desk.platform.configuration()
+    slots = {target.slots for target in stored.configuration.targets}
+    assert slots == ({4} if raced["ann"].code == 0 else {5})
+    assert desk.platform.store.revision == revisions[0] + 1
+
+
+@pytest_bdd.then("both commands are done")
+def both_done(raced):
+    assert [one.code for one in raced.values()] == [0, 0]
+
+
+@pytest_bdd.then("both edits are in force")
+def both_in_force(desk, revisions):
+    assert is_draining(desk)
+    accounts = desk.platform.configuration().configuration.accounts
+    assert {"x": "y"} in [account.labels for account in accounts]
+    assert desk.platform.store.revision == revisions[0] + 2
+
+
+@pytest_bdd.then("the command is done")
+def done(finished):
+    assert finished.code == 0, finished.errors
+
+
+@pytest_bdd.then("the command is refused with exit code 1")
+def refused(finished):
+    assert finished.code == 1, finished.errors
+
+
+@pytest_bdd.then("it says that bob came first and how to merge")
+def says_bob(finished):
+    assert "bob came first" in finished.errors
+    assert "mulberrydeck get" in finished.errors
+
+
+@pytest_bdd.then("it says that the outcome is unknown")
+def says_unknown(finished):
+    assert "read it again to see whether it took effect" in finished.errors
+
+
+@pytest_bdd.then("it says that nothing was changed")
+def says_nothing_changed(finished):
+    assert "nothing was changed" in finished.errors
+
+
+@pytest_bdd.then("the target is still draining")
+def still_draining(desk):
+    assert is_draining(desk)
+
+
+@pytest_bdd.then("the same command is done once the platform is back")
+def done_later(desk):
+    desk.platform.faults.outage = "off"
+    assert desk.run("ann", *DRAIN).code == 0
+    assert is_draining(desk)
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.re(
+        r"(exactly )?(?P<count>no|one|two) changes? (was|were) made"
+    )
+)
+def changes_made(desk, revisions, count):
+    desk.platform.wait_for_writes(0)
+    assert not desk.platform.overtaken
+    expected = {"no": 0, "one": 1, "two": 2}[count]
+    assert desk.platform.store.revision == revisions[0] + expected
+
+
+@pytest_bdd.then("the key is shown once and its secret is stored nowhere")
+def key_shown_once(desk, finished):
+    shown = finished.output.strip()
+    content = desk.platform.store.get(names.KEYS).value
+    ring = keyring.decode(content)
+    assert keyring.KeyIndex(ring).account_of(shown) == "acme"
+    secret = shown.rpartition("_")[2]
+    assert secret.encode() not in content
+    assert secret not in finished.errors
+    listed = desk.run("ann", "key", "list")
+    assert ring.records[0].key_id in listed.output
+    assert secret not in listed.output
