Ask the platform for the current version and name stale reads

Cause: under reads from the past, an edit was refused with the name of an operator whose change was the older one. Change: the client asks for a version by a write that never applies; the command line says that the platform still shows an older version.

--- a/mulberrydeck/cli/store.py
+++ b/mulberrydeck/cli/store.py
@@ -111,7 +111,8 @@
         case result.Success(version):
             return version
         case result.Failure(errors.ConflictError()):
-            raise errors.ConflictError(_conflict_text(objects, kind))
+            text = _conflict_text(objects, kind, expected_version)
+            raise errors.ConflictError(text)
         case result.Failure(error):
             raise error
 
@@ -200,8 +201,17 @@
     )
 
 
-def _conflict_text(objects: client.ObjectClient, kind: Kind[Document]) -> str:
+def _conflict_text(
+    objects: client.ObjectClient, kind: Kind[Document], expected_version: int
+) -> str:
     winner = f"another writer changed `{kind.key}` first"
     with contextlib.suppress(errors.MulberrydeckError):
-        winner = describe(read(objects, kind))
+        stored = read(objects, kind)
+        if stored.version <= expected_version:
+            return (
+                f"{winner}, and the platform still shows the older version "
+                f"{stored.version}; nothing of yours was changed. Try again in "
+                "some seconds."
+            )
+        winner = describe(stored)
     return f"{winner}; nothing of yours was changed. Read it again and retry."
--- a/mulberrydeck/platformapi/client.py
+++ b/mulberrydeck/platformapi/client.py
@@ -16,7 +16,9 @@
 from mulberrydeck.platformapi import records
 
 ABSENT = 0
+NEVER_VERSION = 2**62
 MAX_OBJECT_BYTES = 1_000_000
+CONFLICT_STATUSES = (409, 412)
 
 Answered = TypeVar("Answered")
 
@@ -109,7 +111,7 @@
                 )
             )
         answer = self._write("PUT", key, value, expected_version)
-        return answer.map(_version)
+        return answer.bind(lambda whole: _judge_write(key, whole)).map(_version)
 
     def delete(
         self, key: str, expected_version: int
@@ -124,7 +126,26 @@
             None; fails like `put` and with `NotFoundError`.
         """
         answer = self._write("DELETE", key, b"", expected_version)
-        return answer.map(lambda _: None)
+        return answer.bind(lambda whole: _judge_write(key, whole)).map(
+            lambda _: None
+        )
+
+    def current_version(
+        self, key: str
+    ) -> result.Result[int, errors.MulberrydeckError]:
+        """Asks for an object's version where writes are decided.
+
+        Reads may be answered from the past. A write under a version that no
+        object has is always refused, with the version that is current.
+
+        Args:
+            key: Key of the object.
+
+        Returns:
+            The version, 0 if the object is absent; fails like `get`.
+        """
+        answer = self._write("PUT", key, b"", NEVER_VERSION)
+        return answer.bind(_refused_at)
 
     def _read_json(
         self, path: str, kind: type[Answered], wait_s: float = 0.0
@@ -171,7 +192,7 @@
             )
         except exchange.NoAnswerError as error:
             return result.Failure(_unknown(key, str(error)))
-        return _judge_write(key, answer)
+        return result.Success(answer)
 
 
 def _judge_write(
@@ -180,7 +201,7 @@
     if 200 <= answer.status < 300:
         return result.Success(answer)
     match answer.status:
-        case 409 | 412:
+        case status if status in CONFLICT_STATUSES:
             return result.Failure(
                 errors.ConflictError(
                     f"{key} is now at version {_version(answer)}; read it "
@@ -208,6 +229,14 @@
     return answer.number("object-version")
 
 
+def _refused_at(
+    answer: exchange.Answer,
+) -> result.Result[int, errors.MulberrydeckError]:
+    if answer.status in CONFLICT_STATUSES:
+        return result.Success(_version(answer))
+    return result.Failure(_unavailable(answer))
+
+
 def _unavailable(answer: exchange.Answer) -> errors.PlatformUnavailableError:
     when = "later"
     retry_after_s = answer.number("retry-after")
--- a/mulberrydeck/platformapi/tests/test_client.py
+++ b/mulberrydeck/platformapi/tests/test_client.py
@@ -84,6 +84,15 @@
     assert kind_of(written) is errors.PlatformUnavailableError
 
 
+def test_the_current_version_is_asked_by_a_write_that_never_applies():
+    with scripted.serving(CONFLICT_5, BUSY) as server:
+        objects = client.ObjectClient(server.url, TIMEOUT_S)
+        assert objects.current_version("config") == result.Success(5)
+        busy = objects.current_version("config")
+    assert b"If-Version: 4611686018427387904\r\n" in server.requests[0]
+    assert kind_of(busy) is errors.PlatformUnavailableError
+
+
 def test_a_silent_platform_times_out():
     with gevent.socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -55,6 +55,14 @@
     And it says that nothing was changed
     And no change was made
 
+  Scenario: The platform answers reads from the past
+    Given bob has drained a target
+    And the platform answers reads from the past
+    When ann labels an account
+    Then the command is refused with exit code 1
+    And it says that the platform shows an older version
+    And the target is still draining
+
   Scenario: A key's answer is lost
     Given the platform loses the answer to the next write
     When ann issues a key
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -86,6 +86,11 @@
     desk.platform.after_write = go_down
 
 
+@pytest_bdd.given("the platform answers reads from the past")
+def answers_from_the_past(desk, revisions):
+    desk.platform.faults.stale_revision = revisions[0]
+
+
 @pytest_bdd.given("the platform is down")
 def platform_down(desk):
     desk.platform.faults.outage = "refuse"
@@ -120,6 +125,11 @@
     return desk.run("ann", *DRAIN)
 
 
+@pytest_bdd.when("ann labels an account", target_fixture="finished")
+def ann_labels(desk):
+    return desk.run("ann", "label", "account", "beta", "x=y")
+
+
 @pytest_bdd.when("ann issues a key", target_fixture="finished")
 def ann_issues(desk):
     return desk.run("ann", "key", "issue", "acme")
@@ -186,6 +196,11 @@
     assert "read it again to see whether it took effect" in finished.errors
 
 
+@pytest_bdd.then("it says that the platform shows an older version")
+def says_older(finished):
+    assert "still shows the older version" in finished.errors
+
+
 @pytest_bdd.then("it says that nothing was changed")
 def says_nothing_changed(finished):
     assert "nothing was changed" in finished.errors
