Keep a restarted VM from taking a configuration of the past

Cause: a process that has just started holds no version, so it applied whatever the platform's lagging reads showed. In the new feature a VM that had version 8 in force showed version 4 after a restart, until a peer told it otherwise; a withdrawn key would have worked again. Ruled out: waiting for peers first, which does not help when the whole zone restarts; reading twice, which lags twice. Change: on its first read a process asks for the current version by a write that never applies, and takes no older document from the platform. Features run real VMs under past answers, restarts, outages, cuts, a pause, racing operators and a lost answer, and sample every VM's version.

--- a/mulberrydeck/shell/platform_link.py
+++ b/mulberrydeck/shell/platform_link.py
@@ -35,6 +35,7 @@
         runtime: Receives what was read.
         objects: Client of the platform.
         revision: Revision up to which control objects were read, or None.
+        oldest_by_object: Oldest version of each document that is taken.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.runtime = runtime
         self.objects = objects
         self.revision: int | None = None
+        self.oldest_by_object: dict[str, int] = {}
         self.zone_key = names.zone_lease(runtime.state.settings.zone)
         self._writes = gevent.pool.Group()
         self._greenlets: list[gevent.Greenlet] = []
@@ -117,9 +119,14 @@
             self.runtime.submit(event)
 
     def _read_document(self, key: str) -> bool:
+        if not self._learn_oldest(key):
+            return False
         asked_s = self.runtime.now_s()
         match self.objects.get(key):
             case result.Success(stored):
+                if stored.version < self.oldest_by_object[key]:
+                    logs.write("documents", f"Reads of {key} lag; ignored.")
+                    return True
                 event = events.DocumentRead(
                     asked_s,
                     names.document_by_object[key],
@@ -131,6 +138,18 @@
             case answer:
                 return _is_absent(answer)
 
+    def _learn_oldest(self, key: str) -> bool:
+        """Asks once which version of a document is current.
+
+        A process that has just started holds no version yet by which it could
+        tell an answer from the past.
+        """
+        if key not in self.oldest_by_object:
+            match self.objects.current_version(key):
+                case result.Success(version):
+                    self.oldest_by_object[key] = version
+        return key in self.oldest_by_object
+
     def _read_zone(self) -> bool:
         match self.objects.get(self.zone_key):
             case result.Success(stored):
--- /dev/null
+++ b/tests/features/configuration.feature
@@ -0,0 +1,71 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario: Every VM takes on an accepted change
+    Given the Kilele deployment runs
+    When an operator drains a target
+    Then the change is in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: The platform answers from the past
+    Given the small deployment runs with a second version in force
+    When the platform answers from before the second version
+    And every VM has read from the platform again
+    Then the second version is in force on every VM
+    When the platform answers from the present
+    And an operator drains a target
+    Then the change is in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: A VM restarts while the platform answers from the past
+    Given the small deployment runs with a second version in force
+    When the platform answers from before the second version
+    And a VM is killed and starts again
+    Then the second version is in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: A VM restarts during an outage of the platform
+    Given the small deployment runs with a second version in force
+    When the platform is down
+    And a VM is killed and starts again
+    Then the second version is in force on every VM
+    When the platform is back
+    And an operator drains a target
+    Then the change is in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: A zone is cut off from the platform only
+    Given the small deployment runs
+    When a zone cannot reach the platform
+    And an operator drains a target
+    Then the change is in force on every VM
+
+  Scenario: A zone is cut off from everything during a change
+    Given the small deployment runs with a second version in force
+    When a zone is cut off from everything
+    And an operator drains a target
+    Then the change is in force on every VM elsewhere
+    And the cut-off zone goes on with the second version
+    When the cut ends
+    Then the change is in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: A VM is paused during a change
+    Given the small deployment runs with a second version in force
+    When a VM is paused
+    And an operator drains a target
+    Then the change is in force on every VM elsewhere
+    When the paused VM goes on
+    Then the change is in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: Operators race each other
+    Given the small deployment runs
+    When several operators change labels in the same moment
+    Then all their labels are in force on every VM
+    And no VM has shown an older version after a newer one
+
+  Scenario: The answer to a change is lost
+    Given the small deployment runs
+    When the platform loses the answer to an operator's change
+    Then exactly one change was made
+    And the change is in force on every VM
