Show each VM once in the status and keep it short

Cause: on a running fleet `status` listed a VM twice when it was given by another address than the look-up names, and printed every quota of every VM; with `--given` it called VMs missing that were not asked. Change: VMs are told apart by name, quotas and ready targets need `--details`, and the platform's list counts only when all are asked.

--- a/mulberrydeck/cli/status_commands.py
+++ b/mulberrydeck/cli/status_commands.py
@@ -21,6 +21,9 @@
 @options.optional_platform
 @options.all_vms(default=True)
 @options.as_json
+@click.option(
+    "--details", is_flag=True, help="Show all targets and quotas of each VM."
+)
 @click.pass_context
 def status(
     ctx: click.Context,
@@ -29,6 +32,7 @@
     objects: client.ObjectClient | None,
     everywhere: bool,
     as_json: bool,
+    details: bool,
 ) -> None:
     """Show what is in force on each VM.
 
@@ -38,11 +42,12 @@
     """
     asked = asker.discover(addresses) if everywhere else addresses
     answers = asker.get_from_all(asked, "/v1/status", {}, gateway.Status)
-    report = status_text.report_of(answers, _listed_names(objects))
+    listed = _listed_names(objects) if everywhere else ()
+    report = status_text.report_of(answers, listed)
     if as_json:
         click.echo(msgspec.json.encode(report))
     else:
-        for line in status_text.lines(report):
+        for line in status_text.lines(report, details):
             click.echo(line)
     if report.silent or report.missing:
         ctx.exit(outcomes.ExitCode.FAILED)
--- a/mulberrydeck/cli/status_text.py
+++ b/mulberrydeck/cli/status_text.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import math
 
 import attrs
 
@@ -9,6 +10,7 @@
 from mulberrydeck.core import gateway
 
 HEADINGS = ("VM", "ZONE", "STATE", "CONFIG", "KEYS", "PLATFORM", "HOLDER")
+READY = "ready"
 
 
 @attrs.frozen
@@ -49,16 +51,19 @@
     return Report(tuple(statuses), tuple(silent), missing)
 
 
-def lines(report: Report) -> Iterator[str]:
+def lines(report: Report, details: bool) -> Iterator[str]:
     """Yields the lines that show a report.
 
     Args:
         report: The report.
+        details: Whether all targets and quotas are shown.
     """
     rows = [HEADINGS] + [_row(status) for status in report.vms]
     yield from _table(rows)
     for status in report.vms:
-        yield from _details(status)
+        yield from _notable(status)
+        if details:
+            yield from _details(status)
     for silent in report.silent:
         yield f"No answer: {silent.reason}"
     if report.missing:
@@ -102,7 +107,7 @@
         "leaving" if status.leaving else "serving",
         str(status.config_version),
         str(status.keys_version),
-        f"{status.platform_age_s:.0f} s ago",
+        _age_text(status.platform_age_s),
         status.zone_holder or "-",
     )
 
@@ -116,20 +121,34 @@
         yield "  ".join(cells).rstrip()
 
 
+def _age_text(age_s: float) -> str:
+    return "never" if math.isinf(age_s) else f"{age_s:.0f} s ago"
+
+
+def _notable(status: gateway.Status) -> Iterator[str]:
+    silent = [peer.name for peer in status.peers if not peer.alive]
+    if silent:
+        yield f"{status.name}: not heard from {', '.join(sorted(silent))}"
+    for target in status.targets:
+        if target.owned and target.state != READY:
+            yield _target_text(status, target)
+
+
 def _details(status: gateway.Status) -> Iterator[str]:
-    dead = [peer.name for peer in status.peers if not peer.alive]
-    if dead:
-        yield f"{status.name}: not heard from {', '.join(sorted(dead))}"
     for target in status.targets:
-        if target.owned or target.state in ("ejected", "draining"):
-            yield (
-                f"{status.name}: target {target.name} of {target.service} is "
-                f"{target.state}, {target.used_slots} of "
-                f"{target.usable_slots} slots used"
-            )
+        if target.owned and target.state == READY:
+            yield _target_text(status, target)
     for quota in status.quotas:
         yield (
             f"{status.name}: quota {quota.resource} owns {quota.own_units}, "
             f"lent {quota.lent_units}, borrowed {quota.borrowed_units}, "
             f"{quota.tokens:.1f} tokens"
         )
+
+
+def _target_text(status: gateway.Status, target: gateway.TargetStatus) -> str:
+    return (
+        f"{status.name}: target {target.name} of {target.service} is "
+        f"{target.state}, {target.used_slots} of {target.usable_slots} slots "
+        "used"
+    )
--- a/mulberrydeck/cli/vms.py
+++ b/mulberrydeck/cli/vms.py
@@ -120,7 +120,7 @@
                 return address, Silent(address, str(error))
 
         pool = gevent.pool.Pool(CONCURRENT_QUESTIONS)
-        return dict(pool.map(ask, sorted(set(addresses))))
+        return dict(pool.map(ask, dict.fromkeys(addresses)))
 
     def look_up(
         self, addresses: Iterable[str], service: str, place: str
@@ -146,26 +146,27 @@
                 reasons.append(str(error))
         raise errors.TargetError(" ".join(reasons))
 
-    def discover(self, addresses: tuple[str, ...]) -> set[str]:
-        """Returns the caller addresses of all VMs that the given ones know.
+    def discover(self, addresses: tuple[str, ...]) -> tuple[str, ...]:
+        """Returns one caller address of each VM that the given ones know.
 
         A look-up answer names VMs near one place only, so each zone is asked
-        for.
+        for. Given addresses come first and are kept as they are.
 
         Args:
             addresses: Caller addresses to start from.
         """
-        statuses = self.get_from_all(
-            addresses, "/v1/status", {}, gateway.Status
-        )
-        zones = set()
-        for status in statuses.values():
-            match status:
-                case gateway.Status():
-                    zones.add(status.zone)
-                    zones.update(peer.zone for peer in status.peers)
-        found = set(addresses)
+        answers = self.get_from_all(addresses, "/v1/status", {}, gateway.Status)
+        statuses = [
+            answer
+            for answer in answers.values()
+            if isinstance(answer, gateway.Status)
+        ]
+        zones = {status.zone for status in statuses}
+        zones |= {peer.zone for status in statuses for peer in status.peers}
+        given = {status.name for status in statuses}
+        found: dict[str, str] = {}
         for zone in sorted(zones):
             answer = self.look_up(addresses, "", zone)
-            found.update(vm.address for vm in answer.vms)
-        return found
+            found |= {vm.name: vm.address for vm in answer.vms}
+        others = [found[name] for name in sorted(found) if name not in given]
+        return (*addresses, *others)
