--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -4,7 +4,7 @@
 
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import slots
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 
 RELAY_MEMORY_S = 2.0
 
@@ -65,7 +65,7 @@
 
 
 def choose(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     peers: tuple[PeerLoad, ...],
@@ -83,23 +83,19 @@
         peers: Live peers with what they reported.
         excluded: Names of VMs that must not get it, such as those tried.
     """
-    chosen = preview(state, now_s, service, peers, excluded)
-    if chosen is None:
-        return None
-    kept = state_module.service_state(state, service)
-    ramp.record(kept.zone_ramps, chosen.zone, now_s)
-    if not chosen.vm:
-        return Local()
-    return Remote(chosen.vm)
+    chosen = _select(state, now_s, service, peers, excluded)
+    if chosen is not None:
+        kept = routing_state.service_state(state, service)
+        ramp.record(kept.zone_ramps, chosen.zone, now_s)
+    return _decision(chosen)
 
 
 def preview(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     peers: tuple[PeerLoad, ...],
-    excluded: frozenset[str] | tuple[str, ...],
-) -> Candidate | None:
+) -> Local | Remote | None:
     """Returns what `choose` would pick, without counting it as traffic.
 
     Args:
@@ -107,8 +103,25 @@
         now_s: Monotonic time, in seconds.
         service: Name of the service.
         peers: Live peers with what they reported.
-        excluded: Names of VMs that must not get it.
     """
+    return _decision(_select(state, now_s, service, peers, frozenset()))
+
+
+def _decision(chosen: Candidate | None) -> Local | Remote | None:
+    if chosen is None:
+        return None
+    if not chosen.vm:
+        return Local()
+    return Remote(chosen.vm)
+
+
+def _select(
+    state: routing_state.RoutingState,
+    now_s: float,
+    service: str,
+    peers: tuple[PeerLoad, ...],
+    excluded: frozenset[str] | tuple[str, ...],
+) -> Candidate | None:
     by_zone = _candidates(state, now_s, service, peers, excluded)
     _note_own_zone(state, service, by_zone.get(state.zone, ()))
     steps = state.compiled.spill_order(service, state.zone)
@@ -120,7 +133,7 @@
 
 
 def record_relay(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     vm: str,
@@ -135,13 +148,13 @@
         vm: Name of the VM.
         request_id: The request.
     """
-    state.relays[request_id] = state_module.Relay(service, vm, now_s)
+    state.relays[request_id] = routing_state.Relay(service, vm, now_s)
     in_flight = state.relays_by_vm.setdefault((service, vm), {})
     in_flight[request_id] = now_s
 
 
 def end_relay(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     request_id: str,
     refused: bool,
@@ -168,7 +181,7 @@
 
 
 def _candidates(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     peers: tuple[PeerLoad, ...],
@@ -191,7 +204,7 @@
 
 
 def _peer_candidate(
-    state: state_module.RoutingState, peer: PeerLoad, load: object
+    state: routing_state.RoutingState, peer: PeerLoad, load: object
 ) -> Candidate:
     key = (load.service, peer.vm)
     in_flight = state.relays_by_vm.get(key, {})
@@ -203,14 +216,14 @@
 
 
 def _note_own_zone(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     service: str,
     candidates: list[Candidate] | tuple,
 ) -> None:
     others = [candidate for candidate in candidates if candidate.vm]
     usable = sum(candidate.total for candidate in others)
     free = sum(candidate.free for candidate in others)
-    state_module.service_state(state, service).peer_slots = (usable, free)
+    routing_state.service_state(state, service).peer_slots = (usable, free)
 
 
 def _is_open(candidate: Candidate) -> bool:
@@ -226,7 +239,7 @@
 
 
 def _first_step(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     steps: tuple,
@@ -239,7 +252,7 @@
     probability, unless it is the only one.
     """
     passed_over = None
-    ramps = state_module.service_state(state, service).zone_ramps
+    ramps = routing_state.service_state(state, service).zone_ramps
     for step in steps:
         options = []
         for zone, weight in step.zones:
@@ -258,7 +271,7 @@
 
 
 def _draw_zone(
-    state: state_module.RoutingState, options: list
+    state: routing_state.RoutingState, options: list
 ) -> tuple[str, list[Candidate]]:
     """Draws a zone by its weight and its capacity."""
     if len(options) == 1:
@@ -272,7 +285,7 @@
 
 
 def _draw_vm(
-    state: state_module.RoutingState, fit: list[Candidate]
+    state: routing_state.RoutingState, fit: list[Candidate]
 ) -> Candidate:
     """Prefers this VM, else takes the freer of two random ones."""
     for candidate in fit:
--- a/mulberrydeck/routing/health.py
+++ b/mulberrydeck/routing/health.py
@@ -3,7 +3,7 @@
 from mulberrydeck.core import events
 from mulberrydeck.routing import detectors
 from mulberrydeck.routing import ownership
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 
 SHED_HOLD_S = 1.0
@@ -15,7 +15,7 @@
 
 
 def record_outcome(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     target: target_state.TargetState,
     outcome: events.AttemptOutcome | None,
@@ -80,7 +80,7 @@
 
 
 def _may_eject(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     target: target_state.TargetState,
 ) -> bool:
@@ -90,20 +90,20 @@
     total = 0
     for name in state.by_service[service]:
         total += state.targets[name].target.slots
-    peers_usable, peers_free = state_module.service_state(
+    peers_usable, peers_free = routing_state.service_state(
         state, service
     ).peer_slots
     left = peers_usable
     demand = peers_usable - peers_free
-    for other in state_module.owned_targets(state, now_s, service):
+    for other in ownership.owned_targets(state, now_s, service):
         demand += other.used
         if other is not target:
             left += target_state.usable_slots(other, now_s, warmup_s)
-    demand += state_module.service_state(state, service).queue.size
+    demand += routing_state.service_state(state, service).queue.size
     return left >= max(demand, LEAST_READY_SHARE * total)
 
 
-def gained(state: state_module.RoutingState, name: str) -> None:
+def gained(state: routing_state.RoutingState, name: str) -> None:
     """Resets what only the owner of a target can know."""
     target = state.targets.get(name)
     if target is None:
@@ -111,14 +111,3 @@
     target.awaits_report = True
     target.failed_polls = 0
     target.next_poll_s = 0.0
-
-
-def is_owned(state: state_module.RoutingState, now_s: float, name: str) -> bool:
-    """Returns whether this VM owns a target.
-
-    Args:
-        state: State of the routing part.
-        now_s: Monotonic time, in seconds.
-        name: Name of the target.
-    """
-    return ownership.owns(state.grants, name, now_s)
--- a/mulberrydeck/routing/lookup.py
+++ b/mulberrydeck/routing/lookup.py
@@ -1,16 +1,18 @@
 """Answers to callers that ask which entry VMs to use."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+import heapq
 import math
-import zlib
 
 import attrs
 
 from mulberrydeck.core import gateway
+from mulberrydeck.routing import hashing
 
 DEFAULT_LIFETIME_S = 5.0
 ANSWER_SIZE = 8
 VMS_PER_ZONE = 3
-HASH_RANGE = 2**32
 
 
 @attrs.frozen
@@ -32,15 +34,32 @@
     weight: float = 1.0
 
 
+@attrs.frozen
+class Entry:
+    """An entry VM that callers may use.
+
+    Attributes:
+        vm: What the answer says of it.
+        weight: Relative share of callers.
+        digest: Hash of its name.
+    """
+
+    vm: gateway.EntryVm
+    weight: float
+    digest: int
+
+
 @attrs.frozen
 class Directory:
     """Entry VMs that callers may use, by zone.
 
     Attributes:
-        by_zone: Entry VMs of each zone with their weights.
+        by_zone: Entry VMs of each zone.
+        zone_digests: Hash of the name of each zone that has entry VMs.
     """
 
-    by_zone: dict[str, tuple[tuple[gateway.EntryVm, float], ...]]
+    by_zone: dict[str, tuple[Entry, ...]]
+    zone_digests: dict[str, int]
 
 
 def directory(members: tuple[EntryMember, ...]) -> Directory:
@@ -49,13 +68,17 @@
     Args:
         members: Live VMs, this one included.
     """
-    by_zone: dict[str, list[tuple[gateway.EntryVm, float]]] = {}
+    by_zone: dict[str, list[Entry]] = {}
     for member in members:
         if member.leaving:
             continue
-        entry = gateway.EntryVm(member.name, member.zone, member.address)
-        by_zone.setdefault(member.zone, []).append((entry, member.weight))
-    return Directory({zone: tuple(found) for zone, found in by_zone.items()})
+        vm = gateway.EntryVm(member.name, member.zone, member.address)
+        entry = Entry(vm, member.weight, hashing.digest(member.name))
+        by_zone.setdefault(member.zone, []).append(entry)
+    return Directory(
+        {zone: tuple(found) for zone, found in by_zone.items()},
+        {zone: hashing.digest(zone) for zone in by_zone},
+    )
 
 
 def answer(
@@ -66,9 +89,11 @@
 ) -> gateway.LookupAnswer:
     """Returns the entry VMs that a caller should use, best first.
 
-    The nearest zones come first. Within a zone the order follows weighted
-    rendezvous hashing of the caller's block, so that a block keeps its VM while
-    others come and go, and keeps its new one once it has moved.
+    The nearest zones come first. Among zones that are equally near, and within
+    a zone, the order follows weighted rendezvous hashing of the caller's block,
+    so that a block keeps its VM while others come and go, keeps its new one
+    once it has moved, and the blocks of a lost VM or region spread over all
+    others.
 
     Args:
         compiled: Configuration in force.
@@ -77,11 +102,11 @@
         lifetime_s: How long the answer may be kept, in seconds.
     """
     place = query.place or query.caller_ip
-    block = caller_block(query.caller_ip)
+    block = hashing.digest(caller_block(query.caller_ip))
     found: list[gateway.EntryVm] = []
-    for zone in compiled.zones_near(place):
-        entries = members.by_zone.get(zone, ())
-        found.extend(_ordered(entries, block)[:VMS_PER_ZONE])
+    for tier in _tiers(compiled, members, place, block):
+        for zone in tier:
+            found.extend(_ordered(members.by_zone[zone], block))
         if len(found) >= ANSWER_SIZE:
             break
     return gateway.LookupAnswer(
@@ -98,17 +123,40 @@
     return address.rpartition(".")[0]
 
 
-def _ordered(
-    entries: tuple[tuple[gateway.EntryVm, float], ...], block: str
-) -> list[gateway.EntryVm]:
+def _tiers(
+    compiled: object, members: Directory, place: str, block: int
+) -> Iterator[list[str]]:
+    """Yields zones with entry VMs, nearest first."""
+
+    def spread(zones: Iterable[str]) -> list[str]:
+        digests = members.zone_digests
+        return sorted(
+            zones, key=lambda zone: hashing.combine(digests[zone], block)
+        )
+
+    if not compiled.knows_place(place):
+        yield spread(members.by_zone)
+        return
+    nearest = compiled.zones_near(place)
+    region = compiled.region_of(nearest[0])
+    near = [
+        zone
+        for zone in nearest
+        if zone in members.by_zone and compiled.region_of(zone) == region
+    ]
+    yield spread(near) if place == region else near
+    yield spread(set(members.by_zone).difference(near))
+
+
+def _ordered(entries: tuple[Entry, ...], block: int) -> list[gateway.EntryVm]:
     if len(entries) == 1:
-        return [entries[0][0]]
-    ranked = sorted(
-        entries, key=lambda item: _rank(item[0].name, block, item[1])
+        return [entries[0].vm]
+    ranked = heapq.nsmallest(
+        VMS_PER_ZONE, entries, key=lambda entry: _rank(entry, block)
     )
-    return [entry for entry, _ in ranked]
+    return [entry.vm for entry in ranked]
 
 
-def _rank(name: str, block: str, weight: float) -> float:
-    drawn = (zlib.crc32(f"{block}|{name}".encode()) + 1) / (HASH_RANGE + 1)
-    return -math.log(drawn) / weight
+def _rank(entry: Entry, block: int) -> float:
+    drawn = hashing.combine(entry.digest, block) + 1
+    return -math.log(drawn / (hashing.HASH_RANGE + 1)) / entry.weight
--- a/mulberrydeck/routing/ownership.py
+++ b/mulberrydeck/routing/ownership.py
@@ -7,96 +7,13 @@
 
 import math
 
-import attrs
-
 from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
+from mulberrydeck.routing import state as routing_state
+from mulberrydeck.routing import target_state
 
 
-@attrs.frozen
-class ZoneMember:
-    """A live VM of the holder's zone.
-
-    Attributes:
-        name: Name of the VM.
-        echo_s: `sent_s` of its last heartbeat seen by the holder, in seconds
-            on that VM's clock.
-    """
-
-    name: str
-    echo_s: float
-
-
-@attrs.define
-class Promise:
-    """A target that one VM may hold a valid grant for.
-
-    Attributes:
-        owner: Name of the VM.
-        until_s: When its grant has surely expired, in seconds.
-        sequence: Sequence of the last grant that named the target.
-    """
-
-    owner: str
-    until_s: float
-    sequence: int
-
-
-@attrs.define
-class Assignment:
-    """The zone holder's side.
-
-    Attributes:
-        epoch: Epoch in which this VM is the holder; 0 before the first.
-        quiet_until_s: Nothing is granted before this time, in seconds, since
-            grants of an earlier holder may still be valid.
-        last_assign_s: When targets were last assigned, in seconds.
-        sequence: Sequence of the last grant sent.
-        members: Names of the live VMs, sorted.
-        owner_by_target: Planned owner of each target.
-        promises: Grants that may be valid, by target.
-        sent_echo_s: `echo_s` of the last grant, by VM.
-        sent_targets: Targets of the last grant, by VM.
-        plan_stale: Whether targets have changed since the last plan.
-    """
-
-    epoch: int = 0
-    quiet_until_s: float = math.inf
-    last_assign_s: float = -math.inf
-    sequence: int = 0
-    members: tuple[str, ...] = ()
-    owner_by_target: dict[str, str] = attrs.field(factory=dict)
-    promises: dict[str, Promise] = attrs.field(factory=dict)
-    sent_echo_s: dict[str, float] = attrs.field(factory=dict)
-    sent_targets: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
-    plan_stale: bool = True
-
-
-@attrs.define
-class Grants:
-    """The owner's side.
-
-    Attributes:
-        epoch: Highest epoch seen.
-        sequence: Highest grant sequence seen in that epoch.
-        holder: VM that sent the last grant.
-        expires_s: When each target's grant expires, in seconds.
-        withdrawn: Targets that the holder wants back, with the time at which
-            their grants expire, in seconds.
-        released: Withdrawn targets that were released since the last grant.
-        stopping: Whether this VM gives back all that it is granted.
-    """
-
-    epoch: int = 0
-    sequence: int = 0
-    holder: str = ""
-    expires_s: dict[str, float] = attrs.field(factory=dict)
-    withdrawn: dict[str, float] = attrs.field(factory=dict)
-    released: set[str] = attrs.field(factory=set)
-    stopping: bool = False
-
-
-def owns(grants: Grants, target: str, now_s: float) -> bool:
+def owns(grants: routing_state.Grants, target: str, now_s: float) -> bool:
     """Returns whether this VM may send new work to a target.
 
     Args:
@@ -107,8 +24,28 @@
     return grants.expires_s.get(target, -math.inf) > now_s
 
 
+def owned_targets(
+    state: routing_state.RoutingState, now_s: float, service: str
+) -> list[target_state.TargetState]:
+    """Returns the targets of a service that this VM may send work to.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        service: Name of the service.
+    """
+    return [
+        state.targets[name]
+        for name in state.by_service.get(service, ())
+        if owns(state.grants, name, now_s)
+    ]
+
+
 def begin_epoch(
-    assignment: Assignment, now_s: float, epoch: int, wait_s: float
+    assignment: routing_state.Assignment,
+    now_s: float,
+    epoch: int,
+    wait_s: float,
 ) -> None:
     """Forgets all promises and waits until those of others have expired.
 
@@ -127,9 +64,9 @@
 
 
 def grants_due(
-    assignment: Assignment,
+    assignment: routing_state.Assignment,
     now_s: float,
-    members: tuple[ZoneMember, ...],
+    members: tuple[routing_state.ZoneMember, ...],
     duration_s: float,
     margin_s: float,
 ) -> list[tuple[str, messages.TargetGrant]]:
@@ -160,7 +97,7 @@
         assignment.sent_targets[member.name] = names
         until_s = now_s + duration_s + margin_s
         for name in names:
-            assignment.promises[name] = Promise(
+            assignment.promises[name] = routing_state.Promise(
                 member.name, until_s, assignment.sequence
             )
         grant = messages.TargetGrant(
@@ -175,7 +112,7 @@
 
 
 def accept_grant(
-    grants: Grants,
+    grants: routing_state.Grants,
     now_s: float,
     started_s: float,
     sender: str,
@@ -217,7 +154,9 @@
     return gained
 
 
-def adopt_epoch(grants: Grants, now_s: float, epoch: int) -> tuple[str, ...]:
+def adopt_epoch(
+    grants: routing_state.Grants, now_s: float, epoch: int
+) -> tuple[str, ...]:
     """Ignores grants of earlier epochs and returns the targets still owned.
 
     Args:
@@ -231,7 +170,7 @@
 
 
 def accept_claim(
-    assignment: Assignment,
+    assignment: routing_state.Assignment,
     sender: str,
     claim: messages.TargetClaim,
     until_s: float,
@@ -253,12 +192,14 @@
     for name in claim.targets:
         if name in assignment.promises:
             continue
-        assignment.promises[name] = Promise(sender, until_s, 0)
+        assignment.promises[name] = routing_state.Promise(sender, until_s, 0)
         assignment.owner_by_target[name] = sender
 
 
 def accept_release(
-    assignment: Assignment, sender: str, release: messages.TargetRelease
+    assignment: routing_state.Assignment,
+    sender: str,
+    release: messages.TargetRelease,
 ) -> None:
     """Frees targets that their owner has released.
 
@@ -281,7 +222,7 @@
 
 
 def release_idle(
-    grants: Grants, now_s: float, busy: frozenset[str]
+    grants: routing_state.Grants, now_s: float, busy: frozenset[str]
 ) -> list[effects.SendMessage]:
     """Returns the release of withdrawn targets that this VM no longer uses.
 
@@ -308,14 +249,16 @@
     return [effects.SendMessage(grants.holder, release)]
 
 
-def withdraw_all(grants: Grants) -> None:
+def withdraw_all(grants: routing_state.Grants) -> None:
     """Stops the use of all targets for good, for a planned stop."""
     grants.stopping = True
     grants.withdrawn.update(grants.expires_s)
     grants.expires_s.clear()
 
 
-def _grantable(assignment: Assignment, now_s: float) -> dict[str, list[str]]:
+def _grantable(
+    assignment: routing_state.Assignment, now_s: float
+) -> dict[str, list[str]]:
     grantable: dict[str, list[str]] = {}
     for target, owner in assignment.owner_by_target.items():
         if _may_grant(assignment, now_s, target, owner):
@@ -324,7 +267,7 @@
 
 
 def _may_grant(
-    assignment: Assignment, now_s: float, target: str, owner: str
+    assignment: routing_state.Assignment, now_s: float, target: str, owner: str
 ) -> bool:
     promise = assignment.promises.get(target)
     if promise is not None and promise.owner == owner:
@@ -335,7 +278,9 @@
 
 
 def _is_due(
-    assignment: Assignment, member: ZoneMember, names: tuple[str, ...]
+    assignment: routing_state.Assignment,
+    member: routing_state.ZoneMember,
+    names: tuple[str, ...],
 ) -> bool:
     if assignment.sent_targets.get(member.name, ()) != names:
         return True
--- a/mulberrydeck/routing/placement.py
+++ b/mulberrydeck/routing/placement.py
@@ -1,8 +1,7 @@
 """Plan of which VM owns which target: bounded-load rendezvous hashing."""
 
-import zlib
-
 from mulberrydeck.model import configuration
+from mulberrydeck.routing import hashing
 
 
 def plan(
@@ -95,4 +94,4 @@
 
 
 def _score(target: str, vm: str) -> int:
-    return zlib.crc32(f"{target}|{vm}".encode())
+    return hashing.combine(hashing.digest(target), hashing.digest(vm))
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -6,15 +6,15 @@
 from mulberrydeck.peers import messages
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import health
+from mulberrydeck.routing import holder
 from mulberrydeck.routing import ownership
-from mulberrydeck.routing import placement
 from mulberrydeck.routing import slots
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 
 
 def configure(
-    state: state_module.RoutingState, now_s: float, compiled: object
+    state: routing_state.RoutingState, now_s: float, compiled: object
 ) -> None:
     """Puts a configuration in force.
 
@@ -47,10 +47,10 @@
 
 
 def assign(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     epoch: int,
-    members: tuple[ownership.ZoneMember, ...],
+    members: tuple[routing_state.ZoneMember, ...],
 ) -> list[effects.SendMessage]:
     """Plans and renews the ownership of the zone's targets; holder only.
 
@@ -66,29 +66,8 @@
         members: Live VMs of the zone that are not leaving, this one included.
     """
     _start(state, now_s)
-    if epoch < state.grants.epoch or state.compiled is None:
-        return []
-    settings = state.settings
-    assignment = state.assignment
-    pause_s = now_s - assignment.last_assign_s
-    assignment.last_assign_s = now_s
-    if epoch != assignment.epoch:
-        wait_s = settings.target_lease_s + settings.lease_margin_s
-        ownership.begin_epoch(assignment, now_s, epoch, wait_s)
-        _claim_own(state, now_s, epoch)
-    elif pause_s > settings.zone_takeover_s - settings.heartbeat_interval_s:
-        wait_s = settings.target_lease_s + settings.lease_margin_s
-        ownership.begin_epoch(assignment, now_s, epoch, wait_s)
-    _plan(state, members)
-    due = ownership.grants_due(
-        assignment,
-        now_s,
-        _with_own_clock(state, now_s, members),
-        settings.target_lease_s,
-        settings.lease_margin_s,
-    )
     sent = []
-    for vm, grant in due:
+    for vm, grant in holder.plan_grants(state, now_s, epoch, members):
         if vm == state.vm_name:
             receive_grant(state, now_s, vm, grant)
         else:
@@ -97,7 +76,10 @@
 
 
 def observe_epoch(
-    state: state_module.RoutingState, now_s: float, holder: str, epoch: int
+    state: routing_state.RoutingState,
+    now_s: float,
+    holder_name: str,
+    epoch: int,
 ) -> list[effects.SendMessage]:
     """Notes that a VM of this zone is its holder in an epoch.
 
@@ -107,21 +89,21 @@
     Args:
         state: State of the routing part.
         now_s: Monotonic time, in seconds.
-        holder: Name of the holder.
+        holder_name: Name of the holder.
         epoch: Its epoch.
     """
     if epoch <= state.grants.epoch:
         return []
     owned = ownership.adopt_epoch(state.grants, now_s, epoch)
-    state.grants.holder = holder
-    if not owned or holder == state.vm_name:
+    state.grants.holder = holder_name
+    if not owned or holder_name == state.vm_name:
         return []
     claim = messages.TargetClaim(epoch, owned)
-    return [effects.SendMessage(holder, claim)]
+    return [effects.SendMessage(holder_name, claim)]
 
 
 def receive(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     sender: str,
     message: messages.TargetGrant
@@ -151,7 +133,7 @@
 
 
 def receive_grant(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     sender: str,
     grant: messages.TargetGrant,
@@ -174,7 +156,7 @@
 
 
 def stop(
-    state: state_module.RoutingState, now_s: float
+    state: routing_state.RoutingState, now_s: float
 ) -> list[effects.SendMessage]:
     """Gives all targets back, for a planned stop.
 
@@ -189,7 +171,7 @@
 
 
 def tick(
-    state: state_module.RoutingState, now_s: float
+    state: routing_state.RoutingState, now_s: float
 ) -> list[effects.PollTarget | effects.Raise | effects.SendMessage]:
     """Polls owned targets, ends waits and serves queues.
 
@@ -216,7 +198,7 @@
 
 
 def polled(
-    state: state_module.RoutingState, now_s: float, event: events.TargetPolled
+    state: routing_state.RoutingState, now_s: float, event: events.TargetPolled
 ) -> list[effects.Raise]:
     """Takes in the result of a poll and serves the queue.
 
@@ -226,14 +208,14 @@
         event: The result.
     """
     target = state.targets.get(event.target)
-    if target is None or not health.is_owned(state, now_s, event.target):
+    if target is None or not ownership.owns(state.grants, event.target, now_s):
         return []
     target_state.apply_report(target, now_s, event.report)
     return slots.dispatch(state, now_s, target.target.service)
 
 
 def loads(
-    state: state_module.RoutingState, now_s: float
+    state: routing_state.RoutingState, now_s: float
 ) -> tuple[messages.ServiceLoad, ...]:
     """Returns the capacity of this VM per service, for its heartbeats.
 
@@ -250,18 +232,21 @@
 
 
 def acquire(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     account: str,
     request_id: str,
-) -> tuple[slots.Acquired | slots.Queued | slots.Full, list[effects.Raise]]:
+) -> tuple[
+    routing_state.Acquired | routing_state.Queued | routing_state.Full,
+    list[effects.Raise],
+]:
     """Takes a slot of an owned target; see `slots.acquire`."""
     return slots.acquire(state, now_s, service, account, request_id)
 
 
 def forget(
-    state: state_module.RoutingState, now_s: float, request_id: str
+    state: routing_state.RoutingState, now_s: float, request_id: str
 ) -> list[effects.Raise]:
     """Drops a request that went away.
 
@@ -276,7 +261,7 @@
 
 
 def release(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     request_id: str,
     outcome: events.AttemptOutcome | None,
@@ -301,7 +286,7 @@
 
 
 def is_owner_of(
-    state: state_module.RoutingState, now_s: float, service: str
+    state: routing_state.RoutingState, now_s: float, service: str
 ) -> bool:
     """Returns whether this VM owns a target of a service.
 
@@ -310,11 +295,11 @@
         now_s: Monotonic time, in seconds.
         service: Name of the service.
     """
-    return bool(state_module.owned_targets(state, now_s, service))
+    return bool(ownership.owned_targets(state, now_s, service))
 
 
 def target_statuses(
-    state: state_module.RoutingState, now_s: float
+    state: routing_state.RoutingState, now_s: float
 ) -> tuple[gateway.TargetStatus, ...]:
     """Returns the targets of the zone as this VM sees them.
 
@@ -327,7 +312,7 @@
         gateway.TargetStatus(
             name=name,
             service=target.target.service,
-            owned=health.is_owned(state, now_s, name),
+            owned=ownership.owns(state.grants, name, now_s),
             state=target_state.condition(target, now_s, warmup_s),
             used_slots=target.used,
             usable_slots=target_state.usable_slots(target, now_s, warmup_s),
@@ -336,64 +321,13 @@
     )
 
 
-def _start(state: state_module.RoutingState, now_s: float) -> None:
+def _start(state: routing_state.RoutingState, now_s: float) -> None:
     if state.started_s is None:
         state.started_s = now_s
 
 
-def _claim_own(
-    state: state_module.RoutingState, now_s: float, epoch: int
-) -> None:
-    if epoch <= state.grants.epoch:
-        return
-    owned = ownership.adopt_epoch(state.grants, now_s, epoch)
-    settings = state.settings
-    lease_s = settings.target_lease_s + settings.lease_margin_s
-    ownership.accept_claim(
-        state.assignment,
-        state.vm_name,
-        messages.TargetClaim(epoch, owned),
-        now_s + lease_s,
-    )
-
-
-def _plan(
-    state: state_module.RoutingState,
-    members: tuple[ownership.ZoneMember, ...],
-) -> None:
-    assignment = state.assignment
-    names = tuple(sorted(member.name for member in members))
-    if names == assignment.members and not assignment.plan_stale:
-        return
-    assignment.owner_by_target = placement.plan(
-        state.compiled.targets_in(state.zone),
-        names,
-        assignment.owner_by_target,
-        rebalance=names != assignment.members,
-    )
-    assignment.members = names
-    assignment.plan_stale = False
-
-
-def _with_own_clock(
-    state: state_module.RoutingState,
-    now_s: float,
-    members: tuple[ownership.ZoneMember, ...],
-) -> tuple[ownership.ZoneMember, ...]:
-    """Replaces this VM's own echo by its clock, in heartbeat steps."""
-    interval_s = state.settings.heartbeat_interval_s
-    sent_s = state.assignment.sent_echo_s.get(state.vm_name, -interval_s)
-    own_s = now_s if now_s - sent_s >= interval_s else sent_s
-    return tuple(
-        ownership.ZoneMember(state.vm_name, own_s)
-        if member.name == state.vm_name
-        else member
-        for member in members
-    )
-
-
 def _release_idle(
-    state: state_module.RoutingState, now_s: float
+    state: routing_state.RoutingState, now_s: float
 ) -> list[effects.SendMessage]:
     if not state.grants.withdrawn:
         return []
--- a/mulberrydeck/routing/slots.py
+++ b/mulberrydeck/routing/slots.py
@@ -1,12 +1,11 @@
 """Admission of requests to the slots of owned targets."""
 
-import attrs
-
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.routing import health
+from mulberrydeck.routing import ownership
 from mulberrydeck.routing import queueing
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 
 QUEUE_LENGTH_PER_SLOT = 4
@@ -16,42 +15,16 @@
 HOLD_TIME_SMOOTHING = 0.1
 
 
-@attrs.frozen
-class Acquired:
-    """The request has a slot.
-
-    Attributes:
-        target: Name of the target.
-        address: Its address, `host:port`.
-    """
-
-    target: str
-    address: str
-
-
-@attrs.frozen
-class Queued:
-    """The request waits; `SlotDecided` will be raised for it."""
-
-
-@attrs.frozen
-class Full:
-    """There is no slot and no place to wait.
-
-    Attributes:
-        retry_after_s: When a slot is likely to be free, in seconds.
-    """
-
-    retry_after_s: float
-
-
 def acquire(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     account: str,
     request_id: str,
-) -> tuple[Acquired | Queued | Full, list[effects.Raise]]:
+) -> tuple[
+    routing_state.Acquired | routing_state.Queued | routing_state.Full,
+    list[effects.Raise],
+]:
     """Takes a slot of an owned target, or waits for one.
 
     Args:
@@ -64,12 +37,14 @@
     usable = _usable_slots(state, now_s, service)
     if not usable:
         _account(state, account).refused += 1
-        return Full(NO_OWNER_RETRY_AFTER_S), []
+        return routing_state.Full(NO_OWNER_RETRY_AFTER_S), []
     raised = dispatch(state, now_s, service)
     target = _least_loaded(state, now_s, service)
     if target is not None:
         _take(state, now_s, target, account, request_id)
-        return Acquired(target.target.name, target.address), raised
+        return routing_state.Acquired(
+            target.target.name, target.address
+        ), raised
     answer, refused = _enqueue(
         state, now_s, service, account, request_id, usable
     )
@@ -77,7 +52,7 @@
 
 
 def dispatch(
-    state: state_module.RoutingState, now_s: float, service: str
+    state: routing_state.RoutingState, now_s: float, service: str
 ) -> list[effects.Raise]:
     """Gives free slots to waiting requests, one client account after another.
 
@@ -86,7 +61,7 @@
         now_s: Monotonic time, in seconds.
         service: Name of the service.
     """
-    queue = state_module.service_state(state, service).queue
+    queue = routing_state.service_state(state, service).queue
     raised = _expire(state, now_s, queue)
     while queue.size:
         target = _least_loaded(state, now_s, service)
@@ -103,7 +78,7 @@
 
 
 def release(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     request_id: str,
     outcome: events.AttemptOutcome | None,
@@ -127,7 +102,7 @@
     target.used -= 1
     service = target.target.service
     if outcome is events.AttemptOutcome.ANSWERED:
-        kept = state_module.service_state(state, service)
+        kept = routing_state.service_state(state, service)
         held_s = now_s - use.since_s
         kept.hold_s += HOLD_TIME_SMOOTHING * (held_s - kept.hold_s)
     health.record_outcome(state, now_s, target, outcome, status)
@@ -135,7 +110,7 @@
 
 
 def forget(
-    state: state_module.RoutingState, now_s: float, request_id: str
+    state: routing_state.RoutingState, now_s: float, request_id: str
 ) -> list[effects.Raise]:
     """Drops a request that went away, whether it waits or has a slot.
 
@@ -148,13 +123,13 @@
     if waiting is None:
         return release(state, now_s, request_id, None, 0)
     service, account = waiting
-    queue = state_module.service_state(state, service).queue
+    queue = routing_state.service_state(state, service).queue
     queueing.remove(queue, account, request_id)
     return []
 
 
 def free_and_usable(
-    state: state_module.RoutingState, now_s: float, service: str
+    state: routing_state.RoutingState, now_s: float, service: str
 ) -> tuple[int, int]:
     """Returns the free and the usable slots of the owned targets.
 
@@ -166,30 +141,30 @@
     warmup_s = state.settings.target_warmup_s
     free = 0
     usable = 0
-    for target in state_module.owned_targets(state, now_s, service):
+    for target in ownership.owned_targets(state, now_s, service):
         free += target_state.free_slots(target, now_s, warmup_s)
         usable += target_state.usable_slots(target, now_s, warmup_s)
-    queued = state_module.service_state(state, service).queue.size
+    queued = routing_state.service_state(state, service).queue.size
     return max(0, free - queued), usable
 
 
 def _usable_slots(
-    state: state_module.RoutingState, now_s: float, service: str
+    state: routing_state.RoutingState, now_s: float, service: str
 ) -> int:
     warmup_s = state.settings.target_warmup_s
     return sum(
         target_state.usable_slots(target, now_s, warmup_s)
-        for target in state_module.owned_targets(state, now_s, service)
+        for target in ownership.owned_targets(state, now_s, service)
     )
 
 
 def _least_loaded(
-    state: state_module.RoutingState, now_s: float, service: str
+    state: routing_state.RoutingState, now_s: float, service: str
 ) -> target_state.TargetState | None:
     warmup_s = state.settings.target_warmup_s
     best = None
     best_rank = None
-    for target in state_module.owned_targets(state, now_s, service):
+    for target in ownership.owned_targets(state, now_s, service):
         usable = target_state.usable_slots(target, now_s, warmup_s)
         if target.used >= usable:
             continue
@@ -202,26 +177,26 @@
 
 
 def _take(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     target: target_state.TargetState,
     account: str,
     request_id: str,
 ) -> None:
     target.used += 1
-    state.uses[request_id] = state_module.Use(target.target.name, now_s)
+    state.uses[request_id] = routing_state.Use(target.target.name, now_s)
     _account(state, account).granted += 1
 
 
 def _enqueue(
-    state: state_module.RoutingState,
+    state: routing_state.RoutingState,
     now_s: float,
     service: str,
     account: str,
     request_id: str,
     usable: int,
-) -> tuple[Queued | Full, list[effects.Raise]]:
-    kept = state_module.service_state(state, service)
+) -> tuple[routing_state.Queued | routing_state.Full, list[effects.Raise]]:
+    kept = routing_state.service_state(state, service)
     capacity = max(LEAST_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * usable)
     waiter = queueing.Waiter(
         request_id, account, now_s + state.settings.slot_wait_s
@@ -229,15 +204,15 @@
     waits, evicted = queueing.push(kept.queue, waiter, capacity)
     if not waits:
         _account(state, account).refused += 1
-        return Full(retry_after_s(state, service, usable)), []
+        return routing_state.Full(retry_after_s(state, service, usable)), []
     state.waiting[request_id] = (service, account)
     if evicted is None:
-        return Queued(), []
-    return Queued(), [_refuse(state, now_s, evicted)]
+        return routing_state.Queued(), []
+    return routing_state.Queued(), [_refuse(state, now_s, evicted)]
 
 
 def retry_after_s(
-    state: state_module.RoutingState, service: str, usable: int
+    state: routing_state.RoutingState, service: str, usable: int
 ) -> float:
     """Returns when a request that comes back is likely to get a slot.
 
@@ -249,13 +224,13 @@
         service: Name of the service.
         usable: Usable slots of the owned targets.
     """
-    kept = state_module.service_state(state, service)
+    kept = routing_state.service_state(state, service)
     rounds = 1 + kept.queue.size / max(1, usable)
     return max(LEAST_RETRY_AFTER_S, rounds * kept.hold_s)
 
 
 def _expire(
-    state: state_module.RoutingState, now_s: float, queue: queueing.FairQueue
+    state: routing_state.RoutingState, now_s: float, queue: queueing.FairQueue
 ) -> list[effects.Raise]:
     return [
         _refuse(state, now_s, waiter)
@@ -264,7 +239,7 @@
 
 
 def _refuse(
-    state: state_module.RoutingState, now_s: float, waiter: queueing.Waiter
+    state: routing_state.RoutingState, now_s: float, waiter: queueing.Waiter
 ) -> effects.Raise:
     del state.waiting[waiter.request_id]
     _account(state, waiter.account).refused += 1
@@ -272,10 +247,10 @@
 
 
 def _account(
-    state: state_module.RoutingState, account: str
-) -> state_module.AccountCounts:
+    state: routing_state.RoutingState, account: str
+) -> routing_state.AccountCounts:
     counts = state.accounts.get(account)
     if counts is None:
-        counts = state_module.AccountCounts()
+        counts = routing_state.AccountCounts()
         state.accounts[account] = counts
     return counts
--- a/mulberrydeck/routing/state.py
+++ b/mulberrydeck/routing/state.py
@@ -1,16 +1,128 @@
 """State of the routing part."""
 
+import math
 import random
 
 import attrs
 
-from mulberrydeck.routing import ownership
 from mulberrydeck.routing import queueing
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import target_state
 from mulberrydeck.settings import declarations
 
 
+@attrs.frozen
+class ZoneMember:
+    """A live VM of the holder's zone.
+
+    Attributes:
+        name: Name of the VM.
+        echo_s: `sent_s` of its last heartbeat seen by the holder, in seconds
+            on that VM's clock.
+    """
+
+    name: str
+    echo_s: float
+
+
+@attrs.define
+class Promise:
+    """A target that one VM may hold a valid grant for.
+
+    Attributes:
+        owner: Name of the VM.
+        until_s: When its grant has surely expired, in seconds.
+        sequence: Sequence of the last grant that named the target.
+    """
+
+    owner: str
+    until_s: float
+    sequence: int
+
+
+@attrs.define
+class Assignment:
+    """The zone holder's side.
+
+    Attributes:
+        epoch: Epoch in which this VM is the holder; 0 before the first.
+        quiet_until_s: Nothing is granted before this time, in seconds, since
+            grants of an earlier holder may still be valid.
+        last_assign_s: When targets were last assigned, in seconds.
+        sequence: Sequence of the last grant sent.
+        members: Names of the live VMs, sorted.
+        owner_by_target: Planned owner of each target.
+        promises: Grants that may be valid, by target.
+        sent_echo_s: `echo_s` of the last grant, by VM.
+        sent_targets: Targets of the last grant, by VM.
+        plan_stale: Whether targets have changed since the last plan.
+    """
+
+    epoch: int = 0
+    quiet_until_s: float = math.inf
+    last_assign_s: float = -math.inf
+    sequence: int = 0
+    members: tuple[str, ...] = ()
+    owner_by_target: dict[str, str] = attrs.field(factory=dict)
+    promises: dict[str, Promise] = attrs.field(factory=dict)
+    sent_echo_s: dict[str, float] = attrs.field(factory=dict)
+    sent_targets: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    plan_stale: bool = True
+
+
+@attrs.define
+class Grants:
+    """The owner's side.
+
+    Attributes:
+        epoch: Highest epoch seen.
+        sequence: Highest grant sequence seen in that epoch.
+        holder: VM that sent the last grant.
+        expires_s: When each target's grant expires, in seconds.
+        withdrawn: Targets that the holder wants back, with the time at which
+            their grants expire, in seconds.
+        released: Withdrawn targets that were released since the last grant.
+        stopping: Whether this VM gives back all that it is granted.
+    """
+
+    epoch: int = 0
+    sequence: int = 0
+    holder: str = ""
+    expires_s: dict[str, float] = attrs.field(factory=dict)
+    withdrawn: dict[str, float] = attrs.field(factory=dict)
+    released: set[str] = attrs.field(factory=set)
+    stopping: bool = False
+
+
+@attrs.frozen
+class Acquired:
+    """The request has a slot.
+
+    Attributes:
+        target: Name of the target.
+        address: Its address, `host:port`.
+    """
+
+    target: str
+    address: str
+
+
+@attrs.frozen
+class Queued:
+    """The request waits; `SlotDecided` will be raised for it."""
+
+
+@attrs.frozen
+class Full:
+    """There is no slot and no place to wait.
+
+    Attributes:
+        retry_after_s: When a slot is likely to be free, in seconds.
+    """
+
+    retry_after_s: float
+
+
 @attrs.define
 class Use:
     """A slot of an owned target in use by a request.
@@ -106,8 +218,8 @@
     started_s: float | None = None
     targets: dict[str, target_state.TargetState] = attrs.field(factory=dict)
     by_service: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
-    assignment: ownership.Assignment = attrs.field(factory=ownership.Assignment)
-    grants: ownership.Grants = attrs.field(factory=ownership.Grants)
+    assignment: Assignment = attrs.field(factory=Assignment)
+    grants: Grants = attrs.field(factory=Grants)
     services: dict[str, ServiceState] = attrs.field(factory=dict)
     uses: dict[str, Use] = attrs.field(factory=dict)
     waiting: dict[str, tuple[str, str]] = attrs.field(factory=dict)
@@ -130,20 +242,3 @@
         found = ServiceState()
         state.services[service] = found
     return found
-
-
-def owned_targets(
-    state: RoutingState, now_s: float, service: str
-) -> list[target_state.TargetState]:
-    """Returns the targets of a service that this VM may send work to.
-
-    Args:
-        state: State of the routing part.
-        now_s: Monotonic time, in seconds.
-        service: Name of the service.
-    """
-    return [
-        state.targets[name]
-        for name in state.by_service.get(service, ())
-        if ownership.owns(state.grants, name, now_s)
-    ]
--- a/mulberrydeck/routing/tests/fakes.py
+++ b/mulberrydeck/routing/tests/fakes.py
@@ -4,9 +4,8 @@
 
 from mulberrydeck.core import events
 from mulberrydeck.model import configuration
-from mulberrydeck.routing import ownership
 from mulberrydeck.routing import reducer
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 from mulberrydeck.settings import declarations
 
 SETTINGS = declarations.Settings(
@@ -29,7 +28,7 @@
 class FakeCompiled:
     targets: tuple[configuration.Target, ...] = ()
     steps: tuple[Step, ...] = (Step((("z1", 1),)),)
-    zones: tuple[str, ...] = ("z1", "z2")
+    zones: tuple[str, ...] = ("z1", "z2", "far1", "far2")
     version: int = 1
 
     def targets_in(self, zone):
@@ -41,6 +40,12 @@
     def zones_near(self, place):
         return self.zones
 
+    def knows_place(self, place):
+        return place != "unknown"
+
+    def region_of(self, zone):
+        return "far" if zone.startswith("far") else "near"
+
 
 def target(name, slots=4, service="s", zone="z1", **kwargs):
     return configuration.Target(
@@ -53,7 +58,7 @@
 
 
 def make_state(compiled, name="a", now_s=0.0):
-    state = state_module.RoutingState(name, "z1", SETTINGS, seed=1)
+    state = routing_state.RoutingState(name, "z1", SETTINGS, seed=1)
     reducer.configure(state, now_s, compiled)
     return state
 
@@ -61,7 +66,7 @@
 def warm_owner(compiled, now_s=100.0):
     """Returns a sole owner of all targets, reported idle and warmed up."""
     state = make_state(compiled, now_s=now_s - 50.0)
-    member = (ownership.ZoneMember("a", 0.0),)
+    member = (routing_state.ZoneMember("a", 0.0),)
     reducer.assign(state, now_s - 5.0, 1, member)
     reducer.assign(state, now_s - 3.5, 1, member)
     reducer.assign(state, now_s - 2.0, 1, member)
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -8,7 +8,7 @@
 from mulberrydeck.routing import queueing
 from mulberrydeck.routing import reducer
 from mulberrydeck.routing import slots
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 from mulberrydeck.routing.tests import fakes
 
@@ -22,14 +22,14 @@
         answer, _ = reducer.acquire(
             state, now_s, "s", account, f"{prefix}{number}"
         )
-        assert isinstance(answer, slots.Acquired)
+        assert isinstance(answer, routing_state.Acquired)
 
 
 def test_slots_are_never_exceeded_and_waiters_get_freed_ones():
     state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 3),)))
     fill(state, 100.0, 3)
     answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
     raised = reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
     decided = events.SlotDecided(100.1, "late", "t", "127.0.0.1:80")
     assert raised == [effects.Raise(decided)]
@@ -52,7 +52,7 @@
 def test_a_lapsed_grant_admits_nothing():
     state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
     answer, _ = reducer.acquire(state, 105.0, "s", "a", "r")
-    assert isinstance(answer, slots.Full)
+    assert isinstance(answer, routing_state.Full)
 
 
 def test_a_new_owner_subtracts_what_others_use():
@@ -61,7 +61,7 @@
     fakes.poll_all(state, 100.0, used=3)
     fill(state, 100.0, 1)
     answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
 
 
 def test_slots_ramp_up_from_one():
@@ -77,18 +77,18 @@
     state = fakes.warm_owner(compiled)
     fakes.poll_all(state, 100.0, leaving=True)
     assert isinstance(
-        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], routing_state.Full
     )
     state = fakes.warm_owner(compiled)
     drained = fakes.FakeCompiled((fakes.target("t", draining=True),))
     reducer.configure(state, 100.0, drained)
     assert isinstance(
-        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], routing_state.Full
     )
     state = fakes.warm_owner(compiled)
     reducer.configure(state, 100.0, fakes.FakeCompiled())
     assert isinstance(
-        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], routing_state.Full
     )
 
 
@@ -99,7 +99,7 @@
     reducer.configure(state, 100.0, fakes.FakeCompiled())
     reducer.configure(state, 100.0, compiled)
     answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
 
 
 def test_one_account_cannot_starve_the_others():
@@ -108,7 +108,7 @@
     for number in range(30):
         reducer.acquire(state, 100.0, "s", "flood", f"flood{number}")
     answer, _ = reducer.acquire(state, 100.0, "s", "small", "small0")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
     served = []
     active = "r0"
     for _ in range(2):
@@ -127,7 +127,7 @@
     ]
     hold_s = state.services["s"].hold_s
     expected_s = (1 + slots.LEAST_QUEUE_LENGTH) * hold_s
-    assert answers[-1] == slots.Full(expected_s)
+    assert answers[-1] == routing_state.Full(expected_s)
 
 
 def test_shed_answers_lower_the_usable_slots_for_a_while():
@@ -142,7 +142,7 @@
     for number in range(count):
         state.targets[name].used += 1
         use = f"{name}-{number}"
-        state.uses[use] = state_module.Use(name, now_s)
+        state.uses[use] = routing_state.Use(name, now_s)
         reducer.release(state, now_s, use, outcome, status, 0.0)
 
 
