Let routing wait for earlier grants itself and ignore callers that hang up

Cause: the zone holder called `assign` only after the zone handover, and routing then waited for earlier grants again, so a zone stood still twice. A caller that hung up, and a slot given back unused, were counted against the target, so callers could get a healthy target ejected. A poll begun before a VM became owner could hide what the former owner still used.

Both cases go through `forget`, which judges nothing. Such a poll's result is dropped and the target polled again.

--- a/mulberrydeck/core/control.py
+++ b/mulberrydeck/core/control.py
@@ -15,8 +15,8 @@
 from mulberrydeck.model import loading
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import reducer as quota
-from mulberrydeck.routing import ownership
 from mulberrydeck.routing import reducer as routing
+from mulberrydeck.routing import state as routing_state
 
 Effects = list[object]
 
@@ -192,6 +192,7 @@
         shares.apply(state)
     produced += quota.tick(state.quota, event.at_s)
     produced += routing.tick(state.routing, event.at_s)
+    produced += _assign_targets(state)
     if event.at_s >= state.members.next_heartbeat_s:
         produced += _second(state)
     return produced
@@ -205,12 +206,12 @@
     produced = members.redial_silent(state.members, now_s)
     produced += shares.finish_division(state)
     produced += _after_membership(state)
-    produced += _assign_targets(state)
     return produced + _heartbeats(state)
 
 
 def _assign_targets(state: core_state.State) -> Effects:
-    if not state.zone.is_active(state.now_s):
+    """Grants targets as the zone holder; the routing part waits itself."""
+    if not state.zone.epoch:
         return []
     return routing.assign(
         state.routing, state.now_s, state.zone.epoch, _zone_members(state)
@@ -219,15 +220,15 @@
 
 def _zone_members(
     state: core_state.State,
-) -> tuple[ownership.ZoneMember, ...]:
+) -> tuple[routing_state.ZoneMember, ...]:
     zone_members = []
     if not state.leaving:
-        own = ownership.ZoneMember(state.settings.name, state.now_s)
+        own = routing_state.ZoneMember(state.settings.name, state.now_s)
         zone_members.append(own)
     for peer in state.members.live_peers(state.now_s):
         if peer.zone == state.settings.zone and not peer.leaving:
             sent_s = peer.heartbeat.sent_s
-            zone_members.append(ownership.ZoneMember(peer.name, sent_s))
+            zone_members.append(routing_state.ZoneMember(peer.name, sent_s))
     return tuple(zone_members)
 
 
--- a/mulberrydeck/core/reports.py
+++ b/mulberrydeck/core/reports.py
@@ -42,7 +42,7 @@
     lifetime_s = state.settings.lookup_lifetime_s
     if state.configuration is None:
         entries = directory.by_zone.get(state.settings.zone, ())
-        vms = tuple(entry for entry, _ in entries)
+        vms = tuple(entry.vm for entry in entries)
         return gateway.LookupAnswer(vms, lifetime_s, 0)
     return lookup.answer(state.configuration, directory, query, lifetime_s)
 
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -15,7 +15,7 @@
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import reducer as routing
-from mulberrydeck.routing import slots
+from mulberrydeck.routing import state as routing_state
 
 MAX_ATTEMPTS = 4
 NO_CHOICE_RETRY_S = 0.5
@@ -208,12 +208,12 @@
         request.request_id,
     )
     match result:
-        case slots.Acquired(target, address):
+        case routing_state.Acquired(target, address):
             return produced + _use_slot(state, request, target, address)
-        case slots.Queued():
+        case routing_state.Queued():
             request.queued = True
             return produced
-        case slots.Full(retry_after_s):
+        case routing_state.Full(retry_after_s):
             return produced + _no_slot(state, request, retry_after_s)
     return produced
 
@@ -392,13 +392,8 @@
     """Frees a slot whose request was never sent."""
     if not request.target:
         return []
-    ended = events.AttemptEnded(
-        state.now_s,
-        request.request_id,
-        request.attempts,
-        events.AttemptOutcome.NOT_RUN,
-    )
-    produced = _release_slot(state, request, ended)
+    request.target = ""
+    produced = routing.forget(state.routing, state.now_s, request.request_id)
     if request.claimed:
         request.claimed = False
         produced = [*produced, _record(request, 0)]
@@ -419,17 +414,4 @@
     if request is None:
         return []
     quota.forget(state.quota, request.request_id)
-    produced: Effects = []
-    if request.queued:
-        produced += routing.forget(
-            state.routing, state.now_s, request.request_id
-        )
-    if request.target or request.relayed_to:
-        ended = events.AttemptEnded(
-            event.at_s,
-            request.request_id,
-            request.attempts,
-            events.AttemptOutcome.UNKNOWN,
-        )
-        produced += _release_slot(state, request, ended)
-    return produced
+    return routing.forget(state.routing, state.now_s, request.request_id)
--- a/mulberrydeck/routing/health.py
+++ b/mulberrydeck/routing/health.py
@@ -101,13 +101,3 @@
             left += target_state.usable_slots(other, now_s, warmup_s)
     demand += routing_state.service_state(state, service).queue.size
     return left >= max(demand, LEAST_READY_SHARE * total)
-
-
-def gained(state: routing_state.RoutingState, name: str) -> None:
-    """Resets what only the owner of a target can know."""
-    target = state.targets.get(name)
-    if target is None:
-        return
-    target.awaits_report = True
-    target.failed_polls = 0
-    target.next_poll_s = 0.0
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -5,7 +5,6 @@
 from mulberrydeck.core import gateway
 from mulberrydeck.peers import messages
 from mulberrydeck.routing import choice
-from mulberrydeck.routing import health
 from mulberrydeck.routing import holder
 from mulberrydeck.routing import ownership
 from mulberrydeck.routing import slots
@@ -151,7 +150,8 @@
         state.grants, now_s, state.started_s, sender, grant
     )
     for name in gained:
-        health.gained(state, name)
+        if name in state.targets:
+            target_state.begin_ownership(state.targets[name])
     return _release_idle(state, now_s)
 
 
@@ -188,6 +188,7 @@
         if not ownership.owns(state.grants, name, now_s):
             continue
         target.next_poll_s = now_s + state.settings.target_poll_interval_s
+        target.polling = True
         out.append(effects.PollTarget(name, target.address))
     for service, kept in state.services.items():
         if kept.queue.size:
@@ -208,7 +209,10 @@
         event: The result.
     """
     target = state.targets.get(event.target)
-    if target is None or not ownership.owns(state.grants, event.target, now_s):
+    if target is None:
+        return []
+    if not ownership.owns(state.grants, event.target, now_s):
+        target.polling = False
         return []
     target_state.apply_report(target, now_s, event.report)
     return slots.dispatch(state, now_s, target.target.service)
--- a/mulberrydeck/routing/target_state.py
+++ b/mulberrydeck/routing/target_state.py
@@ -27,6 +27,9 @@
         report: Last report, or None.
         failed_polls: Polls that failed in a row.
         next_poll_s: When the next poll is due, in seconds.
+        polling: Whether a poll is under way.
+        poll_is_early: Whether that poll began before this VM became owner, so
+            that its result says too little of what others use.
         detector: Judges the outcomes.
         suspect: Whether the detector signalled but ejection was not allowed.
         ejected_until_s: When probation starts, in seconds; None if not ejected.
@@ -45,6 +48,8 @@
     report: events.TargetReport | None = None
     failed_polls: int = 0
     next_poll_s: float = -math.inf
+    polling: bool = False
+    poll_is_early: bool = False
     detector: detectors.Detector = attrs.field(factory=detectors.SequentialTest)
     suspect: bool = False
     ejected_until_s: float | None = None
@@ -108,6 +113,14 @@
     state.suspect = False
 
 
+def begin_ownership(state: TargetState) -> None:
+    """Forgets what only the owner of a target can know."""
+    state.awaits_report = True
+    state.failed_polls = 0
+    state.next_poll_s = -math.inf
+    state.poll_is_early = state.polling
+
+
 def apply_report(
     state: TargetState, now_s: float, report: events.TargetReport | None
 ) -> None:
@@ -118,6 +131,11 @@
         now_s: Monotonic time, in seconds.
         report: What the target said, or None if the poll failed.
     """
+    state.polling = False
+    if state.poll_is_early:
+        state.poll_is_early = False
+        state.next_poll_s = now_s
+        return
     if report is None:
         state.failed_polls += 1
         return
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -64,6 +64,25 @@
     assert isinstance(answer, routing_state.Queued)
 
 
+def test_a_poll_from_before_the_ownership_does_not_count():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    reducer.tick(state, 101.0)
+    target_state.begin_ownership(state.targets["t"])
+    fakes.poll_all(state, 101.1, used=0)
+    assert slots.free_and_usable(state, 101.1, "s") == (0, 0)
+    assert effects.PollTarget("t", "127.0.0.1:80") in reducer.tick(state, 101.1)
+    fakes.poll_all(state, 101.2, used=3)
+    assert slots.free_and_usable(state, 101.2, "s") == (1, 1)
+
+
+def test_callers_that_hang_up_do_not_harm_a_target():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    for number in range(40):
+        reducer.acquire(state, 100.0, "s", "a", f"r{number}")
+        reducer.forget(state, 100.0, f"r{number}")
+    assert slots.free_and_usable(state, 100.0, "s") == (4, 4)
+
+
 def test_slots_ramp_up_from_one():
     compiled = fakes.FakeCompiled((fakes.target("t", 6),))
     state = fakes.warm_owner(compiled)
