--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -74,7 +74,8 @@
     """Returns which VM gets a request, or None if no VM can.
 
     The steps of the spill order are tried in turn, first for free slots over
-    links with room, then for free slots, then for a place in a queue.
+    links with room, then for free slots, then for a place in a queue. The last
+    resort is an own target whose reports have stopped.
 
     Args:
         state: State of the routing part.
@@ -87,7 +88,11 @@
     if chosen is not None:
         kept = routing_state.service_state(state, service)
         ramp.record(kept.zone_ramps, chosen.zone, now_s)
-    return _decision(chosen)
+        return _decision(chosen)
+    if state.vm_name in excluded:
+        return None
+    blind = slots.has_blind_target(state, now_s, service)
+    return Local() if blind else None
 
 
 def preview(
--- a/mulberrydeck/routing/slots.py
+++ b/mulberrydeck/routing/slots.py
@@ -36,15 +36,15 @@
     """
     usable = _usable_slots(state, now_s, service)
     if not usable:
+        target = _blind_target(state, now_s, service)
+        if target is not None:
+            return _take(state, now_s, target, account, request_id), []
         _account(state, account).refused += 1
         return routing_state.Full(NO_OWNER_RETRY_AFTER_S), []
     raised = dispatch(state, now_s, service)
     target = _least_loaded(state, now_s, service)
     if target is not None:
-        _take(state, now_s, target, account, request_id)
-        return routing_state.Acquired(
-            target.target.name, target.address
-        ), raised
+        return _take(state, now_s, target, account, request_id), raised
     answer, refused = _enqueue(
         state, now_s, service, account, request_id, usable
     )
@@ -158,6 +158,30 @@
     )
 
 
+def has_blind_target(
+    state: routing_state.RoutingState, now_s: float, service: str
+) -> bool:
+    """Returns whether an owned target may be tried without any report.
+
+    Args:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        service: Name of the service.
+    """
+    return _blind_target(state, now_s, service) is not None
+
+
+def _blind_target(
+    state: routing_state.RoutingState, now_s: float, service: str
+) -> target_state.TargetState | None:
+    blind = [
+        target
+        for target in ownership.owned_targets(state, now_s, service)
+        if target_state.blind_slots(target)
+    ]
+    return state.rng.choice(blind) if blind else None
+
+
 def _least_loaded(
     state: routing_state.RoutingState, now_s: float, service: str
 ) -> target_state.TargetState | None:
@@ -182,10 +206,11 @@
     target: target_state.TargetState,
     account: str,
     request_id: str,
-) -> None:
+) -> routing_state.Acquired:
     target.used += 1
     state.uses[request_id] = routing_state.Use(target.target.name, now_s)
     _account(state, account).granted += 1
+    return routing_state.Acquired(target.target.name, target.address)
 
 
 def _enqueue(
--- a/mulberrydeck/routing/target_state.py
+++ b/mulberrydeck/routing/target_state.py
@@ -9,6 +9,7 @@
 from mulberrydeck.routing import detectors
 
 FAILED_POLLS_LIMIT = 3
+BLIND_SLOTS = 1
 FOREIGN_USE_LIMIT_S = 60.0
 
 
@@ -30,8 +31,8 @@
         polling: Whether a poll is under way.
         poll_is_early: Whether that poll began before this VM became owner, so
             that its result says too little of what others use.
-        detector: Judges the outcomes.
-        suspect: Whether the detector signalled but ejection was not allowed.
+        window: Judges the outcomes.
+        suspect: Whether the window signalled but ejection was not allowed.
         ejected_until_s: When probation starts, in seconds; None if not ejected.
         ejections: Ejections without a passed probation between.
         probation_successes: Successes in the current probation.
@@ -50,7 +51,9 @@
     next_poll_s: float = -math.inf
     polling: bool = False
     poll_is_early: bool = False
-    detector: detectors.Detector = attrs.field(factory=detectors.SequentialTest)
+    window: detectors.FailureWindow = attrs.field(
+        factory=detectors.FailureWindow
+    )
     suspect: bool = False
     ejected_until_s: float | None = None
     ejections: int = 0
@@ -76,7 +79,7 @@
         return "draining"
     if state.ejected_until_s is not None:
         return "ejected"
-    if state.awaits_report or state.report is None:
+    if state.awaits_report:
         return "unknown"
     if _unhealthy(state):
         return "unhealthy"
@@ -107,15 +110,36 @@
     return max(0, usable_slots(state, now_s, warmup_s) - state.used)
 
 
+def blind_slots(state: TargetState) -> int:
+    """Returns the free slots of a target whose reports have stopped.
+
+    They are the last resort when no target is known to be usable, since
+    reports may stop although the targets work.
+    """
+    silent = state.failed_polls >= FAILED_POLLS_LIMIT
+    refuses = state.report is not None and not state.report.healthy
+    if not silent or refuses or _leaving(state):
+        return 0
+    return max(0, BLIND_SLOTS - state.used)
+
+
+def record_answer(state: TargetState) -> None:
+    """Takes an answered request as a sign of life, when reports stop."""
+    state.failed_polls = 0
+    state.awaits_report = False
+
+
 def recover(state: TargetState, now_s: float) -> None:
     """Starts the warm-up again after the target was out of use."""
     state.known_since_s = now_s
     state.suspect = False
+    state.window = detectors.FailureWindow()
 
 
 def begin_ownership(state: TargetState) -> None:
     """Forgets what only the owner of a target can know."""
     state.awaits_report = True
+    state.report = None
     state.failed_polls = 0
     state.next_poll_s = -math.inf
     state.poll_is_early = state.polling
@@ -156,7 +180,8 @@
 
 
 def _open_slots(state: TargetState, now_s: float, warmup_s: float) -> int:
-    slots = min(state.target.slots, state.report.slots)
+    reported = state.report.slots if state.report else BLIND_SLOTS
+    slots = min(state.target.slots, reported)
     elapsed_s = now_s - state.known_since_s
     if elapsed_s < warmup_s:
         slots = min(slots, max(1, int(slots * elapsed_s / warmup_s)))
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -5,6 +5,7 @@
 
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.routing import choice
 from mulberrydeck.routing import queueing
 from mulberrydeck.routing import reducer
 from mulberrydeck.routing import slots
@@ -157,6 +158,23 @@
     assert slots.free_and_usable(state, 102.0, "s") == (2, 4)
 
 
+def test_targets_whose_reports_stop_are_the_last_resort():
+    compiled = fakes.FakeCompiled((fakes.target("t", 4),))
+    state = fakes.warm_owner(compiled)
+    target = state.targets["t"]
+    target_state.begin_ownership(target)
+    for _ in range(target_state.FAILED_POLLS_LIMIT):
+        reducer.polled(state, 100.0, events.TargetPolled(100.0, "t", None))
+    assert reducer.loads(state, 100.0) == ()
+    assert choice.choose(state, 100.0, "s", (), ()) == choice.Local()
+    fill(state, 100.0, 1)
+    assert choice.choose(state, 100.0, "s", (), ()) is None
+    reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
+    assert slots.free_and_usable(state, 100.1, "s") == (1, 1)
+    fakes.poll_all(state, 100.2, healthy=False)
+    assert choice.choose(state, 100.2, "s", (), ()) is None
+
+
 def feed(state, name, outcome, status, count, now_s=100.0):
     for number in range(count):
         state.targets[name].used += 1
