--- a/mulberrydeck/core/control.py
+++ b/mulberrydeck/core/control.py
@@ -186,10 +186,6 @@
 def tick(state: core_state.State, event: events.Tick) -> Effects:
     """Does all periodic work that is due."""
     produced: Effects = []
-    active = state.zone.is_active(event.at_s)
-    if active != state.lease_active:
-        state.lease_active = active
-        shares.apply(state)
     produced += quota.tick(state.quota, event.at_s)
     produced += routing.tick(state.routing, event.at_s)
     produced += _assign_targets(state)
--- a/mulberrydeck/core/reports.py
+++ b/mulberrydeck/core/reports.py
@@ -79,6 +79,7 @@
 
 
 def _quotas(state: core_state.State) -> tuple[gateway.QuotaStatus, ...]:
+    quota.advance_all(state.quota, state.now_s)
     return tuple(
         gateway.QuotaStatus(
             balance.resource,
@@ -127,8 +128,11 @@
 
 def _chosen_vm(state: core_state.State, service: str) -> str:
     picked = choice.preview(
-        state.routing, state.now_s, service, requests.peer_loads(state), ()
+        state.routing, state.now_s, service, requests.peer_loads(state)
     )
-    if picked is None:
-        return ""
-    return picked.vm or state.settings.name
+    match picked:
+        case choice.Local():
+            return state.settings.name
+        case choice.Remote(vm):
+            return vm
+    return ""
--- a/mulberrydeck/core/shares.py
+++ b/mulberrydeck/core/shares.py
@@ -27,9 +27,11 @@
         return
     bounds = _bounds(state, active)
     own = {}
-    if state.zone.is_active(state.now_s):
+    if state.zone.epoch:
         own = {bound.resource: _own_units(state, bound) for bound in bounds}
-    quota.configure(state.quota, state.now_s, bounds, own)
+    quota.configure(
+        state.quota, state.now_s, bounds, own, state.zone.usable_from_s
+    )
 
 
 def _bounds(
--- a/mulberrydeck/core/state.py
+++ b/mulberrydeck/core/state.py
@@ -102,7 +102,6 @@
         requests: Requests being handled, by identifier.
         platform_answered_s: When the platform last answered, or -inf.
         leaving: Whether the process is stopping.
-        lease_active: Whether the zone lease was in use at the last tick.
     """
 
     settings: declarations.Settings
@@ -119,7 +118,6 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     platform_answered_s: float = float("-inf")
     leaving: bool = False
-    lease_active: bool = False
 
 
 def create(settings: declarations.Settings, incarnation: str) -> State:
--- a/mulberrydeck/core/tests/test_zones.py
+++ b/mulberrydeck/core/tests/test_zones.py
@@ -35,24 +35,23 @@
     )
 
 
-def test_absent_lease_is_claimed_and_usable_at_once():
+def test_absent_lease_is_claimed():
     zone = make_zone()
     zones.lease_read(zone, events.ZoneLeaseRead(1.0, 0, None))
     claim = zones.claim_if_free(zone, make_members(), 1.0, leaving=False)
     assert claim[0].lease.epoch == 1
     zones.lease_read(zone, events.ZoneLeaseRead(1.5, 4, claim[0].lease))
-    assert zone.is_active(1.5)
+    assert zone.epoch == 1
 
 
 def test_nothing_is_claimed_before_the_object_was_read():
     assert not zones.claim_if_free(make_zone(), make_members(), 1.0, False)
 
 
-def test_later_epoch_waits_until_earlier_loans_have_expired():
+def test_new_holder_waits_until_earlier_loans_have_expired():
     zone = make_zone()
     zones.lease_read(zone, held_by("a", "i1", 2))
-    assert not zone.is_active(1.0 + HANDOVER_S - 0.1)
-    assert zone.is_active(1.0 + HANDOVER_S)
+    assert zone.usable_from_s == 1.0 + HANDOVER_S
 
 
 def test_own_lease_of_an_earlier_process_is_claimed_again():
--- a/mulberrydeck/core/zones.py
+++ b/mulberrydeck/core/zones.py
@@ -30,7 +30,7 @@
         lease: Content of the lease object, or None.
         version: Version of the lease object.
         known: Whether the object was read at all.
-        usable_from_s: When this VM, as holder, may use what the lease gives.
+        usable_from_s: When no loan of an earlier holder can be valid any more.
         claimed_at_s: When a claim was last sent.
     """
 
@@ -57,10 +57,6 @@
         """Name of the VM that holds the lease, or empty."""
         return self.lease.holder if self.lease else ""
 
-    def is_active(self, now_s: float) -> bool:
-        """Returns whether this VM may use what the lease gives."""
-        return self.epoch > 0 and now_s >= self.usable_from_s
-
 
 def lease_read(state: ZoneState, event: events.ZoneLeaseRead) -> bool:
     """Takes a reading of the lease object; returns whether it was newer."""
@@ -71,9 +67,7 @@
     state.version = event.version
     state.lease = event.lease
     if state.epoch and state.epoch != held_before:
-        first = state.epoch == 1
-        wait_s = 0.0 if first else state.handover_s
-        state.usable_from_s = event.at_s + wait_s
+        state.usable_from_s = event.at_s + state.handover_s
     return True
 
 
--- a/mulberrydeck/quota/configuring.py
+++ b/mulberrydeck/quota/configuring.py
@@ -9,6 +9,7 @@
     now_s: float,
     bounds: tuple[state.Bound, ...],
     own_units: dict[str, int],
+    new_usable_s: float = float("inf"),
 ) -> None:
     """Sets the bounds and the units that this VM owns.
 
@@ -21,19 +22,38 @@
         now_s: Current time, in seconds.
         bounds: All bounds; resources that are not named lose theirs.
         own_units: Units owned, by resource; 0 if not named.
+        new_usable_s: Time from which units of a resource that was not known
+            before are usable, in seconds, if that is sooner than a lease.
     """
     named = {bound.resource: bound for bound in bounds}
     for name in quota.resources.keys() - named.keys():
-        _remove(quota, name)
+        _remove(quota, now_s, name)
     for name, bound in named.items():
         resource = quota.resources.get(name)
+        usable_s = now_s + _lease_s(quota)
         if resource is None:
             resource = state.ResourceState(bound, updated_s=now_s)
             quota.resources[name] = resource
-        _apply(quota, now_s, resource, bound, own_units.get(name, 0))
+            usable_s = min(usable_s, _new_usable_s(quota, name, new_usable_s))
+        units = own_units.get(name, 0)
+        _apply(now_s, resource, bound, units, usable_s)
 
 
-def _remove(quota: state.QuotaState, name: str) -> None:
+def _lease_s(quota: state.QuotaState) -> float:
+    """Returns how long loans of an earlier owner may last, in seconds."""
+    return quota.settings.quota_lease_s + quota.settings.lease_margin_s
+
+
+def _new_usable_s(
+    quota: state.QuotaState, name: str, new_usable_s: float
+) -> float:
+    """Returns when a resource is usable that was added, maybe again."""
+    removed_s = quota.removed_s.pop(name, float("-inf"))
+    return max(new_usable_s, removed_s + _lease_s(quota))
+
+
+def _remove(quota: state.QuotaState, now_s: float, name: str) -> None:
+    quota.removed_s[name] = now_s
     resource = quota.resources.pop(name)
     quota.active.discard(name)
     for request in resource.queue:
@@ -42,21 +62,19 @@
 
 
 def _apply(
-    quota: state.QuotaState,
     now_s: float,
     resource: state.ResourceState,
     bound: state.Bound,
     own_units: int,
+    usable_s: float,
 ) -> None:
     bucket.advance(resource, now_s)
     resource.bound = bound
     coming = sum(part.units for part in resource.maturing)
     growth = own_units - resource.own_units - coming
     if growth > 0:
-        settings = quota.settings
-        delay_s = settings.quota_lease_s + settings.lease_margin_s
-        part = state.MaturingUnits(growth, now_s + delay_s)
-        resource.maturing.append(part)
+        resource.maturing.append(state.MaturingUnits(growth, usable_s))
+        bucket.advance(resource, now_s)
     elif growth < 0:
         _shrink(resource, -growth)
     bucket.clamp(resource)
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -178,6 +178,12 @@
     )
 
 
+def advance_all(quota: state.QuotaState, now_s: float) -> None:
+    """Brings all resources to the current time, for exact balances."""
+    for resource in quota.resources.values():
+        bucket.advance(resource, now_s)
+
+
 def balances(quota: state.QuotaState) -> tuple[state.Balance, ...]:
     """Returns units and tokens per resource as of its last use."""
     return tuple(
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -276,6 +276,7 @@
         answered: Answered asks with the time after which they are forgotten.
         next_ask_id: Identifier of the next ask.
         next_loan_id: Identifier of the next loan.
+        removed_s: When a resource lost its bound, in seconds, by name.
         stopping: Whether a planned stop has begun.
     """
 
@@ -291,4 +292,5 @@
     answered: dict[AskKey, float] = attrs.field(factory=dict)
     next_ask_id: int = 1
     next_loan_id: int = 1
+    removed_s: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,11 @@
 """Deployments of real processes that the promise tests share."""
 
+import collections
+
 import pytest
 import pytest_bdd
 
+from mulberrydeck.core import shares
 from standins import deployments
 from standins import fleet
 from standins import http_client
@@ -10,32 +13,19 @@
 
 
 def wait_serving(running: fleet.Fleet) -> None:
-    """Waits until every target is ready at one VM and all peers are heard."""
-    waiting.until(lambda: is_serving(running), "the fleet serves")
-
-
-def is_serving(running: fleet.Fleet) -> bool:
-    """Returns whether all VMs agree and every target has an owner."""
-    statuses = [
-        running.status(name)
-        for name, process in running.vms.items()
-        if process.is_running()
-    ]
-    versions = {status["config_version"] for status in statuses}
-    if len(versions) != 1 or 0 in versions:
-        return False
-    if not all(
-        peer["alive"] for status in statuses for peer in status["peers"]
-    ):
-        return False
-    owned = [
-        target["name"]
-        for status in statuses
-        for target in status["targets"]
-        if target["owned"] and target["state"] == "ready"
-    ]
-    declared = running.layout.deployment.document["targets"]
-    return sorted(owned) == sorted(target["name"] for target in declared)
+    """Waits until targets are ready and all quota has its owners."""
+    running.wait_serving()
+    waiting.until(lambda: is_quota_owned(running), "all quota is owned")
+
+
+def is_quota_owned(running: fleet.Fleet) -> bool:
+    """Returns whether the zones own whole bounds of accounts together."""
+    owned = collections.Counter()
+    for status in running.statuses():
+        for quota in status["quotas"]:
+            if quota["resource"].startswith("account/"):
+                owned[quota["resource"]] += quota["own_units"]
+    return set(owned.values()) == {shares.UNITS}
 
 
 @pytest.fixture(name="running")
