--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo lint format-check docs-check bench binary ci
+.PHONY: setup test demo lint format-check docs-check bench binary binary-check ci
 
 setup: $(STAMP)
 
@@ -34,4 +34,7 @@
 binary: setup
 	$(BIN)/python -m bench.binary
 
+binary-check: binary
+	$(BIN)/python -m bench.binary_check
+
 ci: format-check lint docs-check test
