--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -5,10 +5,11 @@
 
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.routing import choice
 from mulberrydeck.routing import queueing
 from mulberrydeck.routing import reducer
 from mulberrydeck.routing import slots
-from mulberrydeck.routing import state as state_module
+from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 from mulberrydeck.routing.tests import fakes
 
@@ -22,14 +23,14 @@
         answer, _ = reducer.acquire(
             state, now_s, "s", account, f"{prefix}{number}"
         )
-        assert isinstance(answer, slots.Acquired)
+        assert isinstance(answer, routing_state.Acquired)
 
 
 def test_slots_are_never_exceeded_and_waiters_get_freed_ones():
     state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 3),)))
     fill(state, 100.0, 3)
     answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
     raised = reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
     decided = events.SlotDecided(100.1, "late", "t", "127.0.0.1:80")
     assert raised == [effects.Raise(decided)]
@@ -52,7 +53,7 @@
 def test_a_lapsed_grant_admits_nothing():
     state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
     answer, _ = reducer.acquire(state, 105.0, "s", "a", "r")
-    assert isinstance(answer, slots.Full)
+    assert isinstance(answer, routing_state.Full)
 
 
 def test_a_new_owner_subtracts_what_others_use():
@@ -61,7 +62,26 @@
     fakes.poll_all(state, 100.0, used=3)
     fill(state, 100.0, 1)
     answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
+
+
+def test_a_poll_from_before_the_ownership_does_not_count():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    reducer.tick(state, 101.0)
+    target_state.begin_ownership(state.targets["t"])
+    fakes.poll_all(state, 101.1, used=0)
+    assert slots.free_and_usable(state, 101.1, "s") == (0, 0)
+    assert effects.PollTarget("t", "127.0.0.1:80") in reducer.tick(state, 101.1)
+    fakes.poll_all(state, 101.2, used=3)
+    assert slots.free_and_usable(state, 101.2, "s") == (1, 1)
+
+
+def test_callers_that_hang_up_do_not_harm_a_target():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    for number in range(40):
+        reducer.acquire(state, 100.0, "s", "a", f"r{number}")
+        reducer.forget(state, 100.0, f"r{number}")
+    assert slots.free_and_usable(state, 100.0, "s") == (4, 4)
 
 
 def test_slots_ramp_up_from_one():
@@ -77,18 +97,18 @@
     state = fakes.warm_owner(compiled)
     fakes.poll_all(state, 100.0, leaving=True)
     assert isinstance(
-        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], routing_state.Full
     )
     state = fakes.warm_owner(compiled)
     drained = fakes.FakeCompiled((fakes.target("t", draining=True),))
     reducer.configure(state, 100.0, drained)
     assert isinstance(
-        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], routing_state.Full
     )
     state = fakes.warm_owner(compiled)
     reducer.configure(state, 100.0, fakes.FakeCompiled())
     assert isinstance(
-        reducer.acquire(state, 100.0, "s", "a", "r")[0], slots.Full
+        reducer.acquire(state, 100.0, "s", "a", "r")[0], routing_state.Full
     )
 
 
@@ -99,7 +119,7 @@
     reducer.configure(state, 100.0, fakes.FakeCompiled())
     reducer.configure(state, 100.0, compiled)
     answer, _ = reducer.acquire(state, 100.0, "s", "a", "late")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
 
 
 def test_one_account_cannot_starve_the_others():
@@ -108,7 +128,7 @@
     for number in range(30):
         reducer.acquire(state, 100.0, "s", "flood", f"flood{number}")
     answer, _ = reducer.acquire(state, 100.0, "s", "small", "small0")
-    assert isinstance(answer, slots.Queued)
+    assert isinstance(answer, routing_state.Queued)
     served = []
     active = "r0"
     for _ in range(2):
@@ -127,7 +147,7 @@
     ]
     hold_s = state.services["s"].hold_s
     expected_s = (1 + slots.LEAST_QUEUE_LENGTH) * hold_s
-    assert answers[-1] == slots.Full(expected_s)
+    assert answers[-1] == routing_state.Full(expected_s)
 
 
 def test_shed_answers_lower_the_usable_slots_for_a_while():
@@ -138,11 +158,28 @@
     assert slots.free_and_usable(state, 102.0, "s") == (2, 4)
 
 
+def test_targets_whose_reports_stop_are_the_last_resort():
+    compiled = fakes.FakeCompiled((fakes.target("t", 4),))
+    state = fakes.warm_owner(compiled)
+    target = state.targets["t"]
+    target_state.begin_ownership(target)
+    for _ in range(target_state.FAILED_POLLS_LIMIT):
+        reducer.polled(state, 100.0, events.TargetPolled(100.0, "t", None))
+    assert reducer.loads(state, 100.0) == ()
+    assert choice.choose(state, 100.0, "s", (), ()) == choice.Local()
+    fill(state, 100.0, 1)
+    assert choice.choose(state, 100.0, "s", (), ()) is None
+    reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
+    assert slots.free_and_usable(state, 100.1, "s") == (1, 1)
+    fakes.poll_all(state, 100.2, healthy=False)
+    assert choice.choose(state, 100.2, "s", (), ()) is None
+
+
 def feed(state, name, outcome, status, count, now_s=100.0):
     for number in range(count):
         state.targets[name].used += 1
         use = f"{name}-{number}"
-        state.uses[use] = state_module.Use(name, now_s)
+        state.uses[use] = routing_state.Use(name, now_s)
         reducer.release(state, now_s, use, outcome, status, 0.0)
 
 
