--- a/mulberrydeck/model/client_blocks.py
+++ b/mulberrydeck/model/client_blocks.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import ipaddress
+import operator
+import re
 import socket
 
 import attrs
@@ -13,28 +15,35 @@
 from mulberrydeck.model import places
 
 IPV4_BITS = 32
+IPV4_BYTES = 4
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 
+_block_form_4 = re.compile(r"[0-9.]{7,15}/(0|[12]?[0-9]|3[0-2])")
+
 
 @attrs.frozen
-class Block:
-    """A range of IPv4 or IPv6 addresses.
+class Declared:
+    """Where a block was declared.
 
     Attributes:
-        first: Lowest address, as a number.
-        last: Highest address, as a number.
         zone: Position of its zone.
-        key: Path of the key that declares it.
+        number: Its position within the zone's blocks.
         text: Its text.
     """
 
-    first: int
-    last: int
     zone: int
-    key: str
+    number: int
     text: str
 
+    @property
+    def key(self) -> str:
+        """Path of the key that declares it."""
+        return f"zones[{self.zone}].client_blocks[{self.number}]"
+
+
+Range = tuple[int, int, Declared]
+
 
 class BlockIndex:
     """Finds the zone of an address by bisection.
@@ -96,39 +105,51 @@
     Args:
         zones: All zones of a configuration.
     """
-    blocks_by_family: dict[int, list[Block]] = {4: [], 6: []}
+    ranges_4: list[Range] = []
+    ranges_6: list[Range] = []
     for position, zone in enumerate(zones):
         for number, text in enumerate(zone.client_blocks):
-            key = f"zones[{position}].client_blocks[{number}]"
-            try:
-                network = ipaddress.ip_network(text)
-            except ValueError as error:
-                yield findings.Finding(
-                    key, text, f"is no CIDR block ({error}); correct it."
-                )
+            declared = Declared(position, number, text)
+            bounds = _canonical_4(text)
+            if bounds is not None:
+                ranges_4.append((*bounds, declared))
                 continue
-            if str(network) != text:
-                yield findings.Finding(key, text, f"write it as {network}.")
-            first, last = _bounds(network)
-            block = Block(first, last, position, key, text)
-            blocks_by_family[network.version].append(block)
-    for blocks in blocks_by_family.values():
-        yield from _overlaps(blocks)
-
-
-def _overlaps(blocks: list[Block]) -> Iterator[findings.Finding]:
-    blocks.sort(key=lambda block: (block.first, block.last))
+            problem = _problem(text)
+            if problem:
+                yield findings.Finding(declared.key, text, problem)
+                continue
+            bounds = _bounds(ipaddress.ip_network(text))
+            ranges_6.append((*bounds, declared))
+    yield from _overlaps(ranges_4)
+    yield from _overlaps(ranges_6)
+
+
+def _problem(text: str) -> str:
+    """Returns what is wrong with the text of a block, or empty."""
+    try:
+        network = ipaddress.ip_network(text)
+    except ValueError as error:
+        return f"is no CIDR block ({error}); correct it."
+    if str(network) != text:
+        return f"write it as {network}."
+    return ""
+
+
+def _overlaps(ranges: list[Range]) -> Iterator[findings.Finding]:
+    ranges.sort(key=operator.itemgetter(0, 1))
+    widest_last = -1
     widest = None
-    for block in blocks:
-        if widest is not None and block.first <= widest.last:
+    for first, last, declared in ranges:
+        if first <= widest_last:
             yield findings.Finding(
-                block.key,
-                block.text,
+                declared.key,
+                declared.text,
                 f"overlaps {widest.text} ({widest.key}); remove one of "
                 "the two.",
             )
-        if widest is None or block.last > widest.last:
-            widest = block
+        if last > widest_last:
+            widest_last = last
+            widest = declared
 
 
 def _ranges(
@@ -150,9 +171,26 @@
     return int(network.network_address), int(network.broadcast_address)
 
 
+# `ipaddress` would take many seconds for the IPv4 blocks of a large fleet.
+
+
 def _bounds_4(text: str) -> tuple[int, int]:
-    # `ipaddress` takes seconds for the blocks of a large fleet.
     address, _, length = text.partition("/")
     first = int.from_bytes(socket.inet_aton(address))
     size = 1 << (IPV4_BITS - int(length or IPV4_BITS))
     return first, first + size - 1
+
+
+def _canonical_4(text: str) -> tuple[int, int] | None:
+    """Returns the bounds of a well-formed IPv4 block, else None."""
+    if not _block_form_4.fullmatch(text):
+        return None
+    try:
+        first, last = _bounds_4(text)
+    except (OSError, ValueError):
+        return None
+    address = socket.inet_ntoa(first.to_bytes(IPV4_BYTES))
+    is_aligned = first & (last - first) == 0
+    if is_aligned and text.startswith(f"{address}/"):
+        return first, last
+    return None
--- a/mulberrydeck/model/tests/test_compiled.py
+++ b/mulberrydeck/model/tests/test_compiled.py
@@ -1,5 +1,7 @@
 """Tests of configuration indexes."""
 
+import ipaddress
+
 import attrs
 import hypothesis
 from hypothesis import strategies
@@ -109,6 +111,24 @@
     assert client_blocks.BlockIndex(zones).zone_of(address) == expected
 
 
+def is_canonical(text: str) -> bool:
+    try:
+        return str(ipaddress.ip_network(text)) == text
+    except ValueError:
+        return False
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(
+    strategies.from_regex(
+        r"(0?\d{1,3}\.){2,3}(0|128|64|300)/\d{1,2}", fullmatch=True
+    )
+)
+def test_blocks_are_checked_as_the_standard_library_does(text):
+    zone = places.Zone("a", "r", client_blocks=(text,))
+    assert bool(list(client_blocks.check([zone]))) is not is_canonical(text)
+
+
 def test_carries_many_blocks_compactly():
     texts = tuple(
         f"{number >> 16}.{number >> 8 & 255}.{number & 255}.0/24"
