Prove that a withdrawn key stays refused over a restart

Cause: the keyring of a restarted VM could come from the platform's past. Change: a scenario withdraws a key, lets the platform show the keyring from before, restarts a VM and sends the key until the VM knows better.

--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -23,6 +23,12 @@
     Then the second version is in force on every VM
     And no VM has shown an older version after a newer one
 
+  Scenario: A VM restarts while the platform shows a key before its withdrawal
+    Given the small deployment runs with a withdrawn key
+    When the platform answers from before the withdrawal
+    And a VM is killed and starts again
+    Then the withdrawn key is refused until the VM knows of the withdrawal
+
   Scenario: A VM restarts during an outage of the platform
     Given the small deployment runs with a second version in force
     When the platform is down
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -27,6 +27,8 @@
         versions: Configuration versions in the order of acceptance.
         away: VMs that cannot know the latest change.
         changes_made: Changes that the operator's command has made.
+        key: A key that was withdrawn.
+        keys_version: Version of the keyring with the withdrawal.
     """
 
     def __init__(self, running: fleet.Fleet) -> None:
@@ -37,12 +39,14 @@
         self.versions: list[int] = []
         self.away: set[str] = set()
         self.changes_made = 0
+        self.key = ""
+        self.keys_version = 0
         self.accept()
         self.wait_in_force()
 
-    def stored(self) -> http_client.Answer:
-        """Returns the stored configuration with its version."""
-        path = f"/v1/objects/{names.CONFIG}"
+    def stored(self, key: str = names.CONFIG) -> http_client.Answer:
+        """Returns a stored document with its version."""
+        path = f"/v1/objects/{key}"
         return http_client.call(self.running.layout.platform, "GET", path)
 
     def accept(self) -> None:
@@ -66,6 +70,10 @@
         """Returns the configuration version in force on a VM."""
         return self.running.status(vm)["config_version"]
 
+    def knows_withdrawal(self, status: dict[str, object]) -> bool:
+        """Returns whether a VM has the keyring with the withdrawal."""
+        return status["keys_version"] >= self.keys_version
+
     def drain(self, number: int) -> None:
         """Drains one target."""
         target = self.running.layout.deployment.targets[number]["name"]
@@ -115,6 +123,22 @@
     return small
 
 
+@pytest_bdd.given(
+    "the small deployment runs with a withdrawn key", target_fixture="stage"
+)
+def small_with_withdrawn_key(small):
+    small.key = small.running.issue_key("acme")
+    small.running.must("key", "withdraw", small.key.split("_")[1])
+    small.keys_version = int(small.stored(names.KEYS).headers["object-version"])
+    small.running.wait_all(small.knows_withdrawal, "the key is withdrawn")
+    return small
+
+
+@pytest_bdd.when("the platform answers from before the withdrawal")
+def before_withdrawal(stage):
+    stage.faults(stale_revision=stage.keys_version - 1)
+
+
 @pytest_bdd.when("an operator drains a target")
 def drains(stage):
     stage.drain(1)
@@ -257,6 +281,23 @@
         assert stage.version_of(name) == stage.versions[-2]
 
 
+@pytest_bdd.then(
+    "the withdrawn key is refused until the VM knows of the withdrawal"
+)
+def withdrawn_key_refused(stage):
+    name = sorted(stage.running.vms)[0]
+    client = stage.running.client(name, stage.key)
+    answered = []
+
+    def knows():
+        answer = client.request("GET", "/v1/services/permits/status")
+        answered.append(answer.status)
+        return stage.knows_withdrawal(stage.running.status(name))
+
+    waiting.until(knows, f"{name} knows of the withdrawal")
+    assert 200 not in answered
+
+
 @pytest_bdd.then("no VM has shown an older version after a newer one")
 def never_reverts(stage):
     assert stage.watch.reversions() == {}
