Sample keyring versions so that the key scenario can fail

Cause: the scenario of a withdrawn key over a restart passed without the mechanism too, because a starting VM refuses for other reasons first. Change: every VM's keyring version is sampled like its configuration.

--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -28,6 +28,7 @@
     When the platform answers from before the withdrawal
     And a VM is killed and starts again
     Then the withdrawn key is refused until the VM knows of the withdrawal
+    And no VM has shown an older version after a newer one
 
   Scenario: A VM restarts during an outage of the platform
     Given the small deployment runs with a second version in force
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -296,6 +296,9 @@
 
     waiting.until(knows, f"{name} knows of the withdrawal")
     assert 200 not in answered
+    # One more sample shows the version that is in force now.
+    shown = stage.watch.seen[name, "keys_version"]
+    waiting.until(lambda: shown[-1] >= stage.keys_version, "it was sampled")
 
 
 @pytest_bdd.then("no VM has shown an older version after a newer one")
--- a/tests/version_watch.py
+++ b/tests/version_watch.py
@@ -1,4 +1,4 @@
-"""Samples the configuration version of each VM in the background."""
+"""Samples the document versions of each VM in the background."""
 
 import collections
 
@@ -7,21 +7,24 @@
 from standins import fleet
 from standins import http_client
 
-SAMPLE_INTERVAL_S = 0.1
+SAMPLE_INTERVAL_S = 0.05
+DOCUMENTS = ("config_version", "keys_version")
 
 
 class VersionWatch:
-    """Records every configuration version that a VM shows.
+    """Records every version of configuration and keyring that a VM shows.
 
     Attributes:
         running: The fleet.
-        seen: Versions by VM name, in the order they were shown, without the
-            time before a process has any.
+        seen: Versions by VM and document, in the order they were shown,
+            without the time before a process has any.
     """
 
     def __init__(self, running: fleet.Fleet) -> None:
         self.running = running
-        self.seen: dict[str, list[int]] = collections.defaultdict(list)
+        self.seen: dict[tuple[str, str], list[int]] = collections.defaultdict(
+            list
+        )
         self.greenlets = [
             gevent.spawn(self._sample, name) for name in running.vms
         ]
@@ -30,11 +33,11 @@
         """Ends sampling."""
         gevent.killall(self.greenlets)
 
-    def reversions(self) -> dict[str, list[int]]:
-        """Returns the versions of VMs that showed an older one again."""
+    def reversions(self) -> dict[tuple[str, str], list[int]]:
+        """Returns the versions where an older one was shown again."""
         return {
-            name: versions
-            for name, versions in self.seen.items()
+            shown: versions
+            for shown, versions in self.seen.items()
             if versions != sorted(versions)
         }
 
@@ -43,10 +46,12 @@
         while True:
             answer = http_client.call(address, "GET", "/v1/status")
             if isinstance(answer, http_client.Answer):
-                self._record(name, answer.json()["config_version"])
+                status = answer.json()
+                for document in DOCUMENTS:
+                    self._record(name, document, status[document])
             gevent.sleep(SAMPLE_INTERVAL_S)
 
-    def _record(self, name: str, version: int) -> None:
-        versions = self.seen[name]
+    def _record(self, name: str, document: str, version: int) -> None:
+        versions = self.seen[name, document]
         if version and versions[-1:] != [version]:
             versions.append(version)
