Refuse to compile a configuration that was never checked

Cause: a stored document that no `apply` had checked would raise untyped errors in a VM, some only when a request met the missing zone. Conclusion: four kinds of unsound documents are refused in tests.

--- a/mulberrydeck/model/compiled.py
+++ b/mulberrydeck/model/compiled.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberrydeck import errors
 from mulberrydeck.model import client_blocks
 from mulberrydeck.model import configuration
 from mulberrydeck.model import implied_labels
@@ -50,13 +51,16 @@
         self.links = {
             (link.source, link.destination): link for link in source.links
         }
+        self.regions_by_zone = {
+            zone.name: self.regions[zone.region] for zone in source.zones
+        }
         self.zone_names = tuple(sorted(self.zones))
         self.route_indexes = {
             service.name: route_index.RouteIndex(service.routes)
             for service in source.services
         }
         self.targets_by_zone = _group(source.targets)
-        self.zones_by_service = _zones_by_service(source.targets)
+        self.zones_by_service = self._zones_by_service()
         self.limits = {
             account.name: _first_limit(source.limits, account)
             for account in source.accounts
@@ -182,14 +186,19 @@
                 return rule
         return None
 
+    def _zones_by_service(self) -> dict[str, set[str]]:
+        zones: dict[str, set[str]] = {name: set() for name in self.services}
+        for target in self.source.targets:
+            zone = self.zones[target.zone]
+            zones[target.service].add(zone.name)
+        return zones
+
     def _steps(self, service: str, from_zone: places.Zone) -> tuple[Step, ...]:
         labels_by_zone = {
             name: implied_labels.of_zone(
-                self.zones[name],
-                self.regions[self.zones[name].region],
-                from_zone,
+                self.zones[name], self.regions_by_zone[name], from_zone
             )
-            for name in sorted(self.zones_by_service.get(service, ()))
+            for name in sorted(self.zones_by_service[service])
         }
         rule = self.steering_rule(service)
         if rule is None:
@@ -209,11 +218,21 @@
         version: Its version in the platform.
         previous: The configuration that it replaces; its index of client
             blocks, which is slow to build, is taken over if they are equal.
+
+    Raises:
+        errors.ConfigurationError: The configuration was never checked and
+            refers to what it does not declare.
     """
     blocks = None
     if previous is not None and _blocks(previous.source) == _blocks(source):
         blocks = previous.blocks
-    return CompiledConfiguration(source, version, blocks)
+    try:
+        return CompiledConfiguration(source, version, blocks)
+    except (KeyError, ValueError, OSError) as error:
+        raise errors.ConfigurationError(
+            f"Version {version} is unsound ({error!r}); apply one that "
+            "`mulberrydeck check` accepts."
+        ) from error
 
 
 def _blocks(
@@ -275,12 +294,3 @@
     ordered = sorted(targets, key=lambda target: (target.zone, target.name))
     grouped = itertools.groupby(ordered, key=lambda target: target.zone)
     return {zone: tuple(members) for zone, members in grouped}
-
-
-def _zones_by_service(
-    targets: Iterable[configuration.Target],
-) -> dict[str, set[str]]:
-    zones: dict[str, set[str]] = {}
-    for target in targets:
-        zones.setdefault(target.service, set()).add(target.zone)
-    return zones
--- a/mulberrydeck/model/tests/test_compiled.py
+++ b/mulberrydeck/model/tests/test_compiled.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from mulberrydeck import errors
 from mulberrydeck.model import client_blocks
 from mulberrydeck.model import compiled
 from mulberrydeck.model import editing
@@ -82,6 +83,21 @@
     assert sorted(fleet.zones_near(place)) == list(fleet.zone_names)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"regions": ()},
+        {"services": ()},
+        {"zones": ()},
+        {"zones": (places.Zone("north-a", "north", {}, ("x",)),)},
+    ],
+)
+def test_unchecked_configurations_are_a_typed_error(changes):
+    unsound = attrs.evolve(samples.fleet(), **changes)
+    with pytest.raises(errors.ConfigurationError, match="Version 9 is unsound"):
+        compiled.compile_configuration(unsound, 9)
+
+
 def test_equal_blocks_are_indexed_once(fleet):
     drained = editing.set_draining(samples.fleet(), "permits-1", True)
     after = compiled.compile_configuration(drained, 4, fleet)
