--- a/mulberrydeck/model/compiled.py
+++ b/mulberrydeck/model/compiled.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberrydeck import errors
 from mulberrydeck.model import client_blocks
 from mulberrydeck.model import configuration
 from mulberrydeck.model import implied_labels
@@ -34,7 +35,12 @@
         zone_names: Names of all zones, sorted.
     """
 
-    def __init__(self, source: configuration.Configuration, version: int):
+    def __init__(
+        self,
+        source: configuration.Configuration,
+        version: int,
+        blocks: client_blocks.BlockIndex | None = None,
+    ):
         self.source = source
         self.version = version
         self.zones = {zone.name: zone for zone in source.zones}
@@ -45,18 +51,21 @@
         self.links = {
             (link.source, link.destination): link for link in source.links
         }
+        self.regions_by_zone = {
+            zone.name: self.regions[zone.region] for zone in source.zones
+        }
         self.zone_names = tuple(sorted(self.zones))
         self.route_indexes = {
             service.name: route_index.RouteIndex(service.routes)
             for service in source.services
         }
         self.targets_by_zone = _group(source.targets)
-        self.zones_by_service = _zones_by_service(source.targets)
+        self.zones_by_service = self._zones_by_service()
         self.limits = {
             account.name: _first_limit(source.limits, account)
             for account in source.accounts
         }
-        self.blocks = client_blocks.BlockIndex(source.zones)
+        self.blocks = blocks or client_blocks.BlockIndex(source.zones)
         self.access_rules: dict[
             tuple[str, str], configuration.AccessRule | None
         ] = {}
@@ -177,14 +186,19 @@
                 return rule
         return None
 
+    def _zones_by_service(self) -> dict[str, set[str]]:
+        zones: dict[str, set[str]] = {name: set() for name in self.services}
+        for target in self.source.targets:
+            zone = self.zones[target.zone]
+            zones[target.service].add(zone.name)
+        return zones
+
     def _steps(self, service: str, from_zone: places.Zone) -> tuple[Step, ...]:
         labels_by_zone = {
             name: implied_labels.of_zone(
-                self.zones[name],
-                self.regions[self.zones[name].region],
-                from_zone,
+                self.zones[name], self.regions_by_zone[name], from_zone
             )
-            for name in sorted(self.zones_by_service.get(service, ()))
+            for name in sorted(self.zones_by_service[service])
         }
         rule = self.steering_rule(service)
         if rule is None:
@@ -193,15 +207,38 @@
 
 
 def compile_configuration(
-    source: configuration.Configuration, version: int
+    source: configuration.Configuration,
+    version: int,
+    previous: CompiledConfiguration | None = None,
 ) -> CompiledConfiguration:
     """Returns a configuration with its indexes.
 
     Args:
         source: A checked configuration.
         version: Its version in the platform.
+        previous: The configuration that it replaces; its index of client
+            blocks, which is slow to build, is taken over if they are equal.
+
+    Raises:
+        errors.ConfigurationError: The configuration was never checked and
+            refers to what it does not declare.
     """
-    return CompiledConfiguration(source, version)
+    blocks = None
+    if previous is not None and _blocks(previous.source) == _blocks(source):
+        blocks = previous.blocks
+    try:
+        return CompiledConfiguration(source, version, blocks)
+    except (KeyError, ValueError, OSError) as error:
+        raise errors.ConfigurationError(
+            f"Version {version} is unsound ({error!r}); apply one that "
+            "`mulberrydeck check` accepts."
+        ) from error
+
+
+def _blocks(
+    source: configuration.Configuration,
+) -> list[tuple[str, tuple[str, ...]]]:
+    return [(zone.name, zone.client_blocks) for zone in source.zones]
 
 
 def _default_steps(
@@ -257,12 +294,3 @@
     ordered = sorted(targets, key=lambda target: (target.zone, target.name))
     grouped = itertools.groupby(ordered, key=lambda target: target.zone)
     return {zone: tuple(members) for zone, members in grouped}
-
-
-def _zones_by_service(
-    targets: Iterable[configuration.Target],
-) -> dict[str, set[str]]:
-    zones: dict[str, set[str]] = {}
-    for target in targets:
-        zones.setdefault(target.service, set()).add(target.zone)
-    return zones
