--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -51,11 +51,13 @@
         echo_s: The receiver's `sent_s` of its last heartbeat seen here, or -1.
         zone: Availability zone of the sender.
         leaving: Whether the sender is stopping.
+        peer_address: Where the sender receives peer messages, `host:port`.
         caller_address: Where callers reach the sender, `host:port`.
         relay_address: Where VMs send relayed requests, `host:port`.
         documents: Versions that the sender has applied.
         holder_epoch: Epoch of the zone lease that the sender holds, or 0.
         loads: Capacity per service.
+        full_links: Links, as `from/to` regions, on which it lacks quota.
     """
 
     incarnation: str
@@ -64,11 +66,13 @@
     echo_s: float
     zone: str
     leaving: bool
+    peer_address: str
     caller_address: str
     relay_address: str
     documents: tuple[DocumentVersion, ...]
     holder_epoch: int
     loads: tuple[ServiceLoad, ...]
+    full_links: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -109,13 +113,45 @@
         epoch: Epoch of the granting zone holder.
         echo_s: Receiver's clock from which the duration counts.
         duration_s: Validity.
-        targets: Names of the targets granted.
+        targets: Names of all targets granted; others are to be released.
+        sequence: Counter of the holder's grants in this epoch.
     """
 
     epoch: int
     echo_s: float
     duration_s: float
     targets: tuple[str, ...]
+    sequence: int = 0
+
+
+@attrs.frozen
+class TargetRelease:
+    """Gives targets back before their grants expire.
+
+    Attributes:
+        epoch: Epoch of the last grant seen.
+        sequence: Sequence of the last grant seen.
+        targets: Names of targets that the sender no longer uses.
+    """
+
+    epoch: int
+    sequence: int
+    targets: tuple[str, ...]
+
+
+@attrs.frozen
+class TargetClaim:
+    """Tells a new zone holder which targets the sender still owns.
+
+    The sender ignores grants of earlier epochs from now on.
+
+    Attributes:
+        epoch: Epoch of the new holder.
+        targets: Names of targets whose grants are still valid.
+    """
+
+    epoch: int
+    targets: tuple[str, ...]
 
 
 @attrs.frozen
@@ -124,11 +160,15 @@
 
     Attributes:
         resource: Identifier such as `account/acme` or `link/a/b`.
-        units: Units wanted.
+        units: Units wanted in addition to those already borrowed.
+        tokens: Tokens wanted with the units.
+        renew: Loans of this lender whose validity should be extended.
     """
 
     resource: str
     units: int
+    tokens: float = 0.0
+    renew: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -150,11 +190,12 @@
 
 @attrs.frozen
 class QuotaGrant:
-    """One loan.
+    """One loan, new or extended.
 
     Attributes:
         resource: Identifier of the resource.
-        loan_id: Identifier, unique within the lender's incarnation.
+        loan_id: Identifier, unique within the lender's incarnation; one that
+            the ask named in `renew` is extended.
         units: Units lent; 0 when there is nothing to lend.
         tokens: Tokens that move with the units.
         duration_s: Validity from the ask's `sent_s` on the borrower's clock.
@@ -186,17 +227,34 @@
     grants: tuple[QuotaGrant, ...]
 
 
+@attrs.frozen
+class ReturnedLoan:
+    """A loan that is given back, wholly or in part.
+
+    Attributes:
+        resource: Identifier of the resource.
+        loan_id: The loan.
+        kept_units: Units that the borrower goes on using; 0 ends the loan.
+        tokens: Tokens that move back with the units.
+    """
+
+    resource: str
+    loan_id: int
+    kept_units: int
+    tokens: float
+
+
 @attrs.frozen
 class QuotaReturn:
     """Gives loans back before they expire.
 
     Attributes:
         lender_incarnation: Process that lent; others drop the message.
-        loan_ids: Loans that the borrower no longer uses.
+        loans: Loans that the borrower uses no longer, or less.
     """
 
     lender_incarnation: str
-    loan_ids: tuple[int, ...]
+    loans: tuple[ReturnedLoan, ...]
 
 
 type_by_kind = {
@@ -207,4 +265,6 @@
     5: QuotaAsk,
     6: QuotaLoan,
     7: QuotaReturn,
+    8: TargetRelease,
+    9: TargetClaim,
 }
