Tell the core that a request was relayed

Cause: RelayServer passed relayed_account but not relayed_attempt, so the owner VM could relay and retry a relayed request itself and claimed its single runs under its own attempt number. Change: the attempt of the relay head goes into RequestArrived; the caller server starts and ends the trace export and counts dropped spans.

--- a/mulberrydeck/frontend/arrivals.py
+++ b/mulberrydeck/frontend/arrivals.py
@@ -81,6 +81,7 @@
         run_id=relay.run_id,
         deadline_s=relay.remaining_s,
         relayed_account=relay.account,
+        relayed_attempt=relay.attempt,
     )
     return Arrival(event, split)
 
--- a/mulberrydeck/frontend/parts.py
+++ b/mulberrydeck/frontend/parts.py
@@ -61,10 +61,8 @@
             settings.idle_timeout_s,
             gateway.now_s,
         )
-    return Parts(
-        settings,
-        gateway,
-        pool,
-        metrics or metric_sets.Metrics(),
-        tracer or traces.Tracer(settings),
-    )
+    metrics = metrics or metric_sets.Metrics()
+    tracer = tracer or traces.Tracer(settings)
+    if tracer.exporter is not None:
+        tracer.exporter.on_drop = metrics.spans_dropped
+    return Parts(settings, gateway, pool, metrics, tracer)
--- a/mulberrydeck/frontend/server.py
+++ b/mulberrydeck/frontend/server.py
@@ -152,6 +152,7 @@
     def start(self) -> None:
         """Binds the listener and begins to serve."""
         super().start()
+        self.parts.tracer.start()
         self.pool_sweeper = gevent.spawn(self._sweep_pool)
 
     def stop(self, graceful: bool = True) -> None:
@@ -159,6 +160,7 @@
         super().stop(graceful)
         if self.pool_sweeper is not None:
             self.pool_sweeper.kill()
+        self.parts.tracer.stop()
 
     def answer(self, request: requests.Request) -> None:
         """Answers one request of a caller.
--- a/mulberrydeck/frontend/tests/test_keys.py
+++ b/mulberrydeck/frontend/tests/test_keys.py
@@ -62,7 +62,6 @@
         assert not leaks(seen_on_relay.requests[0])
         gateway = fakes.FakeGateway(fakes.to_vm(relay.address))
     caller = serve(gateway, trace_path=str(trace))
-    caller.parts.tracer.start()
     answer = fakes.ask(
         caller.address,
         fakes.get("/v1/services/s/x", *SHAPES[shape], "Connection: close"),
