--- /dev/null
+++ b/mulberrydeck/observability/tests/test_observability.py
@@ -0,0 +1,138 @@
+"""Metrics, traces and logs as seen from outside."""
+
+import json
+import threading
+
+import gevent.pywsgi
+from opentelemetry import trace
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
+
+from mulberrydeck.core import gateway as gateways
+from mulberrydeck.frontend.tests import fakes
+from mulberrydeck.observability import exporting
+from mulberrydeck.observability import fairness
+from mulberrydeck.observability import metrics
+from mulberrydeck.observability import traces
+
+PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+
+def finish_one(tracer, traceparent=PARENT):
+    span = tracer.request("GET permits", traceparent)
+    attempt = span.child("attempt", trace.SpanKind.CLIENT)
+    passed = attempt.traceparent()
+    attempt.end(outcome="answered", status=200)
+    span.end(service="permits")
+    return passed
+
+
+def test_metrics_render_what_happened():
+    one = metrics.Metrics()
+    one.answered("permits", "acme", 0.004)
+    one.answered("permits", "guides", 0.004)
+    one.refused("rate-limited", "acme")
+    one.relayed_bytes("a/b", 10)
+    one.peer_message("in", 19)
+    one.peer_malformed()
+    one.spans_dropped(2)
+    one.drained(1.5)
+    one.watch_in_flight("caller", lambda: 3)
+    quota = gateways.QuotaStatus("account/acme", 4, 1, 2, 0.5)
+    target = gateways.TargetStatus("t1", "permits", True, "ready", 1, 3)
+    one.set_status(
+        gateways.Status(
+            name="a1",
+            zone="a",
+            leaving=False,
+            config_version=9,
+            keys_version=2,
+            platform_age_s=0.5,
+            zone_holder="a1",
+            peers=(),
+            quotas=(quota,),
+            targets=(target,),
+        )
+    )
+    text = one.render().decode()
+    for line in (
+        'request_seconds_count{service="permits"} 2.0',
+        'refusals_total{account="acme",kind="rate-limited"} 1.0',
+        'link_bytes_total{link="a/b"} 10.0',
+        'requests_in_flight{server="caller"} 3.0',
+        'lease_units{part="lent",resource="account/acme"} 1.0',
+        "worst_account_served_ratio 0.5",
+        "config_version 9.0",
+        "drain_seconds_count 1.0",
+        "trace_spans_dropped_total 2.0",
+    ):
+        assert f"mulberrydeck_{line}\n" in text
+
+
+def test_the_worst_share_forgets_old_intervals():
+    now_s = [0.0]
+    shares = fairness.AccountShares(lambda: now_s[0])
+    shares.refused("acme")
+    assert shares.worst() == 0.0
+    now_s[0] = fairness.INTERVAL_S
+    shares.served("acme")
+    assert shares.worst() == 0.5
+    now_s[0] = 4 * fairness.INTERVAL_S
+    assert shares.worst() == 1.0
+
+
+def test_spans_continue_the_callers_trace(tmp_path):
+    path = tmp_path / "trace"
+    tracer = traces.Tracer(fakes.settings(trace_path=str(path)))
+    threads = threading.active_count()
+    tracer.start()
+    passed = finish_one(tracer)
+    tracer.stop()
+    child, parent = [json.loads(line) for line in path.open()]
+    assert passed.split("-")[1] == PARENT.split("-")[1]
+    assert child["context"]["span_id"] == f"0x{passed.split('-')[2]}"
+    assert child["parent_id"] == parent["context"]["span_id"]
+    assert parent["parent_id"] == "0xb7ad6b7169203331"
+    assert threading.active_count() == threads
+
+
+def test_spans_are_posted_as_otlp():
+    bodies = []
+
+    def collect(environ, start_response):
+        bodies.append(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    collector = gevent.pywsgi.WSGIServer(
+        ("127.0.0.1", 0), collect, log=None, environ={"SERVER_NAME": "otlp"}
+    )
+    collector.start()
+    url = f"http://127.0.0.1:{collector.server_port}/v1/traces"
+    tracer = traces.Tracer(fakes.settings(otlp_url=url))
+    finish_one(tracer)
+    tracer.stop()
+    collector.stop(timeout=0)
+    request = trace_service_pb2.ExportTraceServiceRequest.FromString(bodies[0])
+    spans = request.resource_spans[0].scope_spans[0].spans
+    assert [span.name for span in spans] == ["attempt", "GET permits"]
+    assert spans[0].parent_span_id == spans[1].span_id
+    assert tracer.exporter.dropped == 0
+
+
+def test_spans_are_dropped_and_counted_when_full_or_refused():
+    tracer = traces.Tracer(fakes.settings(otlp_url="http://127.0.0.1:1/"))
+    lost = []
+    tracer.exporter.on_drop = lost.append
+    for _ in range(exporting.MAX_QUEUED_SPANS):
+        finish_one(tracer, "")
+    assert len(tracer.exporter.queue) == exporting.MAX_QUEUED_SPANS
+    assert sum(lost) == exporting.MAX_QUEUED_SPANS
+    tracer.stop()
+    assert sum(lost) == 2 * exporting.MAX_QUEUED_SPANS
+
+
+def test_traces_are_off_without_a_destination():
+    tracer = traces.Tracer(fakes.settings())
+    assert tracer.request("GET permits", PARENT) is None
+    assert traces.accepted(PARENT) == PARENT
+    assert traces.accepted("mdk_0123456789") == ""
