Pass the identifier of a single run to the target

Change: Mulberrydeck-Run-Id reaches the target on one and two hops; a target may use it to be idempotent by itself. Conclusion: the assertion failed before and passes now.

--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -50,6 +50,8 @@
         ("mulberrydeck-request-id", outgoing.request_id),
         ("mulberrydeck-deadline", f"{decision.remaining_s:.3f}"),
     ]
+    if outgoing.run_id:
+        own.append(("mulberrydeck-run-id", outgoing.run_id))
     if decision.account:
         own.append(("mulberrydeck-account", _ascii(decision.account)))
     if traceparent:
--- a/mulberrydeck/frontend/tests/test_path.py
+++ b/mulberrydeck/frontend/tests/test_path.py
@@ -67,6 +67,7 @@
     assert (arrived.relayed_account, arrived.run_id) == ("acme", "fee-1")
     assert arrived.relayed_attempt == 1
     assert b"mulberrydeck-request-id: abc\r\n" in target.requests[0]
+    assert b"mulberrydeck-run-id: fee-1\r\n" in target.requests[0]
     assert first.paced[0][0] == "r1/r2"
     assert second.paced[0][0] == "r2/r1"
 
