--- /dev/null
+++ b/tests/test_whole_answers.py
@@ -0,0 +1,193 @@
+"""Steps of whole answers under faulty targets and connections."""
+
+import itertools
+
+import gevent
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from standins import deployments
+from standins import fleet
+from standins import http_client
+from standins import verdicts
+from standins import waiting
+from standins.target import answers
+from tests import conftest
+
+pytest_bdd.scenarios("features/whole_answers.feature")
+
+FAULTY = "permits-east-a-1"
+SMALL_BYTES = 9_000
+LARGE_BYTES = 2_000_000
+BLOCK_PAUSE_MS = 30
+PAUSE_S = 0.05
+FAULT_AFTER_S = 1.0
+FREEZE_S = 1.5
+ANSWER_WITHIN_S = 10.0
+FAULTS = {
+    "go silent": {"silence_existing": True},
+    "are cut": {"cut": True},
+    "freeze and thaw": {"freeze": True},
+}
+
+
+class Callers:
+    """Callers at every VM who check each answer against its request."""
+
+    def __init__(self, scene, size_bytes, pace_ms=0):
+        self.scene = scene
+        query = f"bytes={size_bytes}&pace_ms={pace_ms}"
+        self.path = f"/v1/services/permits/status?{query}"
+        self.size_bytes = size_bytes
+        self.numbers = itertools.count(1)
+        self.results = []
+        self.asking = True
+        key = scene.key("acme")
+        self.greenlets = [
+            gevent.spawn(self.ask_on, scene.fleet.client(name, key))
+            for name in scene.fleet.vms
+            for _ in range(2)
+        ]
+
+    def ask_on(self, client):
+        while self.asking:
+            self.results.append(self.ask(client))
+            gevent.sleep(PAUSE_S)
+
+    def ask(self, client):
+        request_id = f"ask-{next(self.numbers)}"
+        headers = {"Mulberrydeck-Request-Id": request_id}
+        return request_id, client.request("GET", self.path, None, headers)
+
+    def finish(self):
+        self.asking = False
+        gevent.joinall(self.greenlets, raise_error=True)
+
+    def expected(self, request_id):
+        return answers.body(request_id, self.size_bytes)
+
+
+@pytest.fixture(name="impatient")
+def fixture_impatient(tmp_path):
+    options = fleet.Options(settings={"idle_timeout_s": 1.0})
+    with fleet.Fleet(deployments.small(), tmp_path, options) as started:
+        started.start()
+        started.apply()
+        conftest.wait_serving(started)
+        yield started
+
+
+@pytest_bdd.given(
+    "a fleet that gives up silence after 1 second", target_fixture="scene"
+)
+def given_impatient(impatient):
+    return conftest.Scene(impatient)
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"a target's answers (?P<fault>\w+) while callers ask for "
+        r"(?P<duration_s>\d+) seconds"
+    ),
+    target_fixture="callers",
+)
+def when_target_breaks(scene, fault, duration_s):
+    callers = Callers(scene, SMALL_BYTES)
+    gevent.sleep(FAULT_AFTER_S)
+    scene.fleet.surroundings.change_target(FAULTY, fault=fault)
+    gevent.sleep(float(duration_s) - FAULT_AFTER_S)
+    scene.fleet.surroundings.change_target(FAULTY, fault="")
+    callers.finish()
+    runs = scene.fleet.surroundings.runs_of(FAULTY)
+    # A run that hangs has no outcome yet.
+    assert any(run.outcome in (fault, "running") for run in runs)
+    return callers
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"(?P<kind>target|relay) connections (?P<fault>.+) while callers ask "
+        r"for (?P<duration_s>\d+) seconds"
+    ),
+    target_fixture="callers",
+)
+def when_connections_break(scene, kind, fault, duration_s):
+    callers = Callers(scene, SMALL_BYTES)
+    gevent.sleep(FAULT_AFTER_S)
+    rule = scene.fleet.surroundings.rule(
+        "any", "any", kinds=(kind,), **FAULTS[fault]
+    )
+    with rule:
+        gevent.sleep(FREEZE_S)
+    gevent.sleep(float(duration_s) - FAULT_AFTER_S - FREEZE_S)
+    callers.finish()
+    return callers
+
+
+@pytest_bdd.when(
+    "target connections are cut while callers ask for large answers",
+    target_fixture="callers",
+)
+def when_large_are_cut(scene):
+    callers = Callers(scene, LARGE_BYTES, BLOCK_PAUSE_MS)
+    for _ in range(3):
+        gevent.sleep(FAULT_AFTER_S)
+        with scene.fleet.surroundings.rule(
+            "any", "any", kinds=("target",), cut=True
+        ):
+            gevent.sleep(PAUSE_S)
+    callers.finish()
+    assert any(
+        isinstance(result, http_client.NoAnswer)
+        for _, result in callers.results
+    )
+    return callers
+
+
+@pytest_bdd.then("every whole answer is the asked one")
+def then_own(callers):
+    whole = [
+        (request_id, answer)
+        for request_id, answer in callers.results
+        if isinstance(answer, http_client.Answer) and answer.status == 200
+    ]
+    assert whole
+    for request_id, answer in whole:
+        assert answer.body == callers.expected(request_id), request_id
+
+
+@pytest_bdd.then("every refusal is true")
+def then_true(scene, callers):
+    runs = verdicts.ran(scene.fleet.surroundings.runs())
+    ran = {run.request_id for run in runs}
+    for request_id, answer in callers.results:
+        if isinstance(answer, http_client.NoAnswer) or answer.status == 200:
+            continue
+        problem = answer.json()
+        assert problem["ran"] in ("no", "unknown")
+        if problem["ran"] == "no":
+            assert request_id not in ran, problem
+
+
+@pytest_bdd.then(
+    parsers.parse("at least {percent:d} percent of the answers were whole")
+)
+def then_mostly_whole(callers, percent):
+    whole = [
+        answer
+        for _, answer in callers.results
+        if isinstance(answer, http_client.Answer) and answer.status == 200
+    ]
+    assert len(whole) * 100 >= percent * len(callers.results)
+
+
+@pytest_bdd.then("every VM answers again")
+def then_again(scene, callers):
+    for name in scene.fleet.vms:
+        client = scene.fleet.client(name, scene.key("acme"))
+        waiting.until(
+            lambda client=client: callers.ask(client)[1].status == 200,
+            f"{name} answers",
+            ANSWER_WITHIN_S,
+        )
