Prove that a single run runs at most once under failures

Ruled out: a claim by the entry VM before the choice of a target; it writes twice for each request that then finds no slot.

--- /dev/null
+++ b/tests/features/single_runs.feature
@@ -0,0 +1,63 @@
+Feature: A request that may not be repeated runs at most once
+
+  And a refusal that says "not run" is true.
+
+  Scenario: A caller sends a finished run again through another VM
+    Given a fleet that serves
+    When a fee is paid through "east-a-vm1"
+    And the same fee is paid again through "west-a-vm1"
+    Then the first answer has status 200
+    And the second answer is a refusal of kind "run-finished"
+    And the outcome through "east-b-vm1" is "finished"
+    And the fee ran once
+
+  Scenario: A target drops the connection after it has read the request
+    Given a fleet that serves
+    And every target drops the connection of its next request
+    When a fee is paid through "east-a-vm1"
+    And the same fee is paid again through "west-a-vm1"
+    Then the first answer is a refusal of kind "outcome-unknown"
+    And the second answer is a refusal of kind "run-started"
+    And the outcome through "east-b-vm1" is "started"
+    And the fee ran once
+
+  Scenario: The VM dies while the target works
+    Given a fleet that serves
+    When the VM "east-b-vm1" dies while a fee runs
+    And the same fee is paid again through "east-a-vm1"
+    Then the first answer is missing
+    And the second answer is a refusal of kind "run-started"
+    And the fee ran once
+
+  Scenario: The platform is down
+    Given a fleet that serves
+    And the platform refuses all calls
+    When a fee is paid through "east-a-vm1"
+    Then the first answer is a refusal of kind "run-not-recorded"
+    And the first answer says that it did not run
+    When the platform works again
+    And the same fee is paid again through "west-a-vm1"
+    Then the second answer has status 200
+    And the fee ran once
+
+  Scenario: The platform's answer is lost after the claim was made
+    Given a fleet that serves
+    And the platform loses its next answer
+    When a fee is paid through "east-a-vm1"
+    And the same fee is paid again through "west-a-vm1"
+    Then the first answer has status 200
+    And the second answer is a refusal
+    And the fee ran once
+
+  Scenario: The same fee is paid through all VMs at once
+    Given a fleet that serves
+    When the same fee is paid 5 times through each VM at once
+    Then exactly one of the answers has status 200
+    And the fee ran once
+
+  Scenario: Callers retry while everything fails in turn
+    Given a fleet that serves
+    When many fees are paid with retries while VMs, targets and platform fail
+    Then no fee ran twice
+    And every fee that was refused as not run did not run
+    And at least half of the fees were paid
