--- a/mulberrydeck/core/control.py
+++ b/mulberrydeck/core/control.py
@@ -23,7 +23,7 @@
 
 def started(state: core_state.State, event: events.Started) -> Effects:
     """Connects to the seeds of the settings."""
-    del event
+    state.platform_answered_s = event.at_s
     return list(members.add_seeds(state.members, state.settings.seeds))
 
 
@@ -79,31 +79,32 @@
     content: bytes,
     confirmed_at_s: float,
 ) -> Effects:
+    held = state.documents.by_name.get(name)
+    if held is None or version <= held.version:
+        documents.offer(state.documents, name, version, content, confirmed_at_s)
+        return []
     try:
-        apply = _prepare(name, version, content)
+        prepared = _prepare(state, name, version, content)
     except errors.MulberrydeckError as error:
         text = f"Document {name} {version} is not usable: {error}"
         return [effects.Log("documents", text)]
-    if not documents.offer(
-        state.documents, name, version, content, confirmed_at_s
-    ):
-        return []
-    produced: Effects = [
-        effects.Log("documents", f"Applied {name} version {version}.")
-    ]
-    match apply:
+    documents.offer(state.documents, name, version, content, confirmed_at_s)
+    match prepared:
         case compiled.CompiledConfiguration():
-            _apply_configuration(state, apply)
+            _apply_configuration(state, prepared)
         case keyring.KeyIndex():
-            state.key_index = apply
-    return produced + _heartbeats(state)
+            state.key_index = prepared
+    applied = effects.Log("documents", f"Applied {name} version {version}.")
+    return [applied, *_heartbeats(state)]
 
 
 def _prepare(
-    name: str, version: int, content: bytes
+    state: core_state.State, name: str, version: int, content: bytes
 ) -> compiled.CompiledConfiguration | keyring.KeyIndex:
     if name == "config":
-        return compiled.compile_configuration(loading.decode(content), version)
+        return compiled.compile_configuration(
+            loading.decode(content), version, state.configuration
+        )
     return keyring.KeyIndex(keyring.decode(content))
 
 
--- a/mulberrydeck/core/state.py
+++ b/mulberrydeck/core/state.py
@@ -100,7 +100,8 @@
         configuration: Applied configuration, or None.
         key_index: Keys in force.
         requests: Requests being handled, by identifier.
-        platform_answered_s: When the platform last answered, or -inf.
+        platform_answered_s: When the platform last answered, or the process
+            started.
         leaving: Whether the process is stopping.
     """
 
@@ -116,7 +117,7 @@
     configuration: compiled.CompiledConfiguration | None = None
     key_index: keyring.KeyIndex | None = None
     requests: dict[str, Request] = attrs.field(factory=dict)
-    platform_answered_s: float = float("-inf")
+    platform_answered_s: float = 0.0
     leaving: bool = False
 
 
--- a/mulberrydeck/shell/platform_link.py
+++ b/mulberrydeck/shell/platform_link.py
@@ -81,9 +81,11 @@
             names.CONTROL_PREFIX, self.revision, WATCH_WAIT_S
         )
         match answer:
-            case result.Success(changes):
+            case result.Success(changes) if changes.revision >= self.revision:
                 self.revision = changes.revision
                 return self._take(changes)
+            case result.Success(_):
+                logs.write("documents", "Watches lag; read anew.")
         return False
 
     def _read_all(self) -> bool:
