--- a/mulberrydeck/quota/tests/test_messages.py
+++ b/mulberrydeck/quota/tests/test_messages.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import reducer
 from mulberrydeck.quota import state
@@ -30,7 +31,10 @@
 
 def exchange(lender, borrower, now_s=10.0):
     """Lets a borrower in steady demand ask; returns the lender's answer."""
-    borrower.resources[BOUND.resource].arrivals.add(now_s, 12.0)
+    for number in range(24):
+        borrower.resources[BOUND.resource].arrivals.add(
+            now_s - 2.0 + number / 12.0, 1.0
+        )
     _, done = reducer.admit(borrower, now_s, BOUND.resource, "r")
     (answer,) = reducer.receive(lender, now_s, "b", done[0].message)
     return answer.message
@@ -123,6 +127,17 @@
     assert balance(borrower).borrowed_units == 0
 
 
+def test_loan_that_arrives_after_a_planned_stop_is_given_back():
+    lender, borrower = make_lender(), make_borrower()
+    loan = exchange(lender, borrower)
+    reducer.release_all(borrower, 10.0)
+    for done in reducer.receive(borrower, 10.0, "a", loan):
+        if isinstance(done, effects.SendMessage):
+            reducer.receive(lender, 10.0, "b", done.message)
+    assert balance(borrower).borrowed_units == 0
+    assert balance(lender).lent_units == 0
+
+
 def test_tokens_move_with_units_and_are_not_minted():
     lender, borrower = make_lender(), make_borrower()
     for number in range(5):
--- a/mulberrydeck/quota/tests/test_reducer.py
+++ b/mulberrydeck/quota/tests/test_reducer.py
@@ -22,6 +22,12 @@
     return sum(each.admitted == admitted for each in built.outcomes)
 
 
+def send_steadily(built, name):
+    for _ in range(24):
+        built.request(name, ACCOUNT)
+        built.run(built.now_s + 0.125)
+
+
 def fleet_tokens(built):
     for vm in built.vms.values():
         bucket.advance(vm.quota.resources[ACCOUNT], built.clock(vm))
@@ -66,9 +72,7 @@
 
 def test_paused_borrower_uses_no_expired_loan():
     built = make_fleet()
-    for _ in range(10):
-        built.request("b1y", ACCOUNT)
-    built.run(built.now_s + 0.2)
+    send_steadily(built, "b1y")
     vm = built.vms["b1y"]
     assert reducer.balances(vm.quota)[0].borrowed_units > 0
     answer, _ = reducer.admit(vm.quota, built.clock(vm) + 60.0, ACCOUNT, "r")
@@ -89,10 +93,9 @@
 
 def test_planned_stop_gives_all_loans_back():
     built = make_fleet()
-    for _ in range(10):
-        built.request("b1y", ACCOUNT)
-    built.run(built.now_s + 0.2)
+    send_steadily(built, "b1y")
     vm = built.vms["b1y"]
+    assert reducer.balances(vm.quota)[0].borrowed_units > 0
     built.carry_out(vm, reducer.release_all(vm.quota, built.clock(vm)))
     built.run(built.now_s + 0.2)
     assert reducer.balances(vm.quota)[0].borrowed_units == 0
@@ -127,3 +130,34 @@
     built = make_fleet()
     assert not any(vm.quota.active for vm in built.vms.values())
     assert all(vm.sent == 0 for vm in built.vms.values())
+
+
+def test_retry_after_is_truthful():
+    built = make_fleet(rate_per_s=2.0, burst=4.0)
+    for _ in range(6):
+        built.request("c2x", ACCOUNT)
+    built.run(built.now_s + 0.5)
+    denied = [each for each in built.outcomes if not each.admitted]
+    assert denied
+    late_s = max(each.decided_s + each.retry_after_s for each in denied)
+    before = count(built)
+    built.run(late_s)
+    built.request("c2x", ACCOUNT)
+    built.run(late_s + 0.5)
+    assert count(built) == before + 1
+
+
+def test_rate_change_under_way_stays_within_the_larger_rate():
+    built = make_fleet(rate_per_s=10.0, burst=10.0)
+    smaller = fleet.make_bound("kilimani", 5.0, 5.0)
+    for number, name in enumerate(built.vms):
+        at_s = built.now_s + 2.0 + number * 0.3
+        built.at(at_s, lambda name=name: built.configure(name, (smaller,)))
+        for step in range(200):
+            at_s = built.now_s + 0.05 * step
+            built.at(at_s, lambda name=name: built.request(name, ACCOUNT))
+    start_s = built.now_s
+    built.run(start_s + 12.0)
+    assert fleet.largest_excess(built.outcomes, 10.0, 10.0) <= 1e-6
+    settled = [o for o in built.outcomes if o.arrived_s > start_s + 5.0]
+    assert fleet.largest_excess(settled, 5.0, 5.0) <= 1e-6
