Let a stream's path carry a query, and name unreachable servers

Cause: a stream whose path held a query got a second one and targets answered 500; fetch from a server that was down failed with an attribute error on the missing answer. Ruled out: a fault of the target stand-in, which logs the doubled query. Change: wishes are appended to the query that is there; fetch and send raise an error that names address and reason.

--- a/standins/http_client.py
+++ b/standins/http_client.py
@@ -50,6 +50,10 @@
     latency_s: float
 
 
+class UnreachableError(Exception):
+    """A server gave no whole answer; see whether its process still runs."""
+
+
 class Client:
     """One keep-alive connection to one address.
 
@@ -144,10 +148,27 @@
 
 
 def fetch(address: str, path: str) -> object:
-    """Returns the JSON answer of a GET request."""
-    return call(address, "GET", path).json()
+    """Returns the JSON answer of a GET request.
+
+    Raises:
+        UnreachableError: No whole answer came.
+    """
+    return json_of(call(address, "GET", path), address)
 
 
 def send(address: str, path: str, data: object) -> object:
-    """Posts JSON and returns the JSON answer."""
-    return call(address, "POST", path, data).json()
+    """Posts JSON and returns the JSON answer.
+
+    Raises:
+        UnreachableError: No whole answer came.
+    """
+    return json_of(call(address, "POST", path, data), address)
+
+
+def json_of(answer: Answer | NoAnswer, address: str) -> object:
+    """Returns the decoded body of an answer."""
+    match answer:
+        case NoAnswer(reason=reason):
+            raise UnreachableError(f"{address}: {reason}")
+        case Answer():
+            return answer.json()
--- a/standins/tests/test_fleet.py
+++ b/standins/tests/test_fleet.py
@@ -1,5 +1,8 @@
 """The harness places, starts and ends the surroundings of a fleet."""
 
+import pytest
+
+from mulberrydeck.model import loading
 from standins import addresses
 from standins import deployments
 from standins import fleet
@@ -15,6 +18,12 @@
         assert len(deployment.document["accounts"]) == 8
 
 
+@pytest.mark.parametrize("name", ["kilele", "gruber", "small"])
+def test_examples_are_valid_configurations(name):
+    path = deployments.EXAMPLES / f"{name}.toml"
+    assert loading.load(path).targets
+
+
 def test_deployments_get_subnets_of_their_own():
     first = addresses.reserve()
     second = addresses.reserve()
--- /dev/null
+++ b/standins/tests/test_traffic.py
@@ -0,0 +1,30 @@
+"""Callers ask for what their stream says and check what they get."""
+
+import pytest
+
+from standins import traffic
+from standins.target import answers
+
+
+def stream(path, **details):
+    return traffic.Stream("s", "acme", "", "permits", path, 1.0, **details)
+
+
+@pytest.mark.parametrize(
+    ("path", "details", "url"),
+    [
+        ("/a", {}, "/a"),
+        ("/a", {"work_ms": 2, "answer_bytes": 9}, "/a?work_ms=2&bytes=9"),
+        ("/a?work_ms=2", {"answer_bytes": 9}, "/a?work_ms=2&bytes=9"),
+    ],
+)
+def test_url_carries_the_wishes(path, details, url):
+    expected = "/v1/services/permits" + url
+    assert stream(path, **details).url() == expected
+
+
+def test_answer_of_another_request_is_foreign():
+    record = traffic.Record(stream("/a", answer_bytes=100), "r1", due_s=0.0)
+    assert traffic.fits(record, answers.body("r1", 100))
+    assert not traffic.fits(record, answers.body("r2", 100))
+    assert not traffic.fits(record, answers.body("r1", 99))
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -32,12 +32,13 @@
         account: Client account.
         key: Its key.
         service: Service that is called.
-        path: Path within the service.
+        path: Path, and query if there is one, within the service.
         rate_per_s: Average rate of arrivals.
         method: HTTP method.
         single_run: Whether the request may run at most once.
         body_bytes: Length of the body that is sent.
-        work_ms: Time that the target works, in milliseconds.
+        work_ms: Time that the target works, in milliseconds; 0 asks for its
+            usual time.
         answer_bytes: Length of the answer; 0 asks for a receipt.
     """
 
@@ -50,14 +51,16 @@
     method: str = "GET"
     single_run: bool = False
     body_bytes: int = 0
-    work_ms: float = 5.0
+    work_ms: float = 0.0
     answer_bytes: int = 0
 
     def url(self) -> str:
         """Returns path and query for an entry VM."""
-        url = f"/v1/services/{self.service}{self.path}?work_ms={self.work_ms}"
-        if self.answer_bytes:
-            url += f"&bytes={self.answer_bytes}"
+        url = f"/v1/services/{self.service}{self.path}"
+        wanted = {"work_ms": self.work_ms, "bytes": self.answer_bytes}
+        for name, value in wanted.items():
+            if value:
+                url += f"{'&' if '?' in url else '?'}{name}={value}"
         return url
 
 
