--- a/mulberrydeck/model/tests/test_compiled.py
+++ b/mulberrydeck/model/tests/test_compiled.py
@@ -1,11 +1,16 @@
 """Tests of configuration indexes."""
 
+import ipaddress
+
+import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from mulberrydeck import errors
 from mulberrydeck.model import client_blocks
 from mulberrydeck.model import compiled
+from mulberrydeck.model import editing
 from mulberrydeck.model import places
 from mulberrydeck.model.tests import samples
 
@@ -78,6 +83,31 @@
     assert sorted(fleet.zones_near(place)) == list(fleet.zone_names)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"regions": ()},
+        {"services": ()},
+        {"zones": ()},
+        {"zones": (places.Zone("north-a", "north", {}, ("x",)),)},
+    ],
+)
+def test_unchecked_configurations_are_a_typed_error(changes):
+    unsound = attrs.evolve(samples.fleet(), **changes)
+    with pytest.raises(errors.ConfigurationError, match="Version 9 is unsound"):
+        compiled.compile_configuration(unsound, 9)
+
+
+def test_equal_blocks_are_indexed_once(fleet):
+    drained = editing.set_draining(samples.fleet(), "permits-1", True)
+    after = compiled.compile_configuration(drained, 4, fleet)
+    assert after.blocks is fleet.blocks
+    moved = attrs.evolve(drained, zones=drained.zones[::-1])
+    changed = compiled.compile_configuration(moved, 5, after)
+    assert changed.blocks is not fleet.blocks
+    assert changed.zones_near("11.0.0.9")[0] == "south-a"
+
+
 def test_unknown_places_get_all_zones(fleet):
     assert not fleet.knows_place("192.0.2.1")
     assert fleet.zones_near("192.0.2.1") == fleet.zone_names
@@ -97,6 +127,24 @@
     assert client_blocks.BlockIndex(zones).zone_of(address) == expected
 
 
+def is_canonical(text: str) -> bool:
+    try:
+        return str(ipaddress.ip_network(text)) == text
+    except ValueError:
+        return False
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(
+    strategies.from_regex(
+        r"(0?\d{1,3}\.){2,3}(0|128|64|300)/\d{1,2}", fullmatch=True
+    )
+)
+def test_blocks_are_checked_as_the_standard_library_does(text):
+    zone = places.Zone("a", "r", client_blocks=(text,))
+    assert bool(list(client_blocks.check([zone]))) is not is_canonical(text)
+
+
 def test_carries_many_blocks_compactly():
     texts = tuple(
         f"{number >> 16}.{number >> 8 & 255}.{number & 255}.0/24"
