Pass the reason of another VM's refusal to the caller

Cause: a refusal of the owner VM, such as run-finished or run-not-recorded, ended as the entry VM's generic outcome-unknown or no-capacity, so a caller that retried a fee through another VM did not learn that it had run. Ruled out: passing the relayed answer on unread, which would take the choice of another VM from the core. Change: the other VM's problem is read and replaces the core's refusal when that is one of the two generic kinds. Failures go to the log, not to stderr as bare tracebacks.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -7,9 +7,11 @@
 import gevent
 from geventhttpclient import response
 
+from mulberrydeck import errors
 from mulberrydeck.core import events
 from mulberrydeck.forward import answers
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.forward import refusals
 from mulberrydeck.forward import uploads
 
 RECEIVE_BYTES = 64 * 1024
@@ -71,6 +73,7 @@
         begun: Whether the answer was begun towards the caller.
         expired: Whether the request's deadline passed.
         reason: Why it failed, for logs.
+        problem: Refusal that another VM gave, or None.
     """
 
     outcome: events.AttemptOutcome
@@ -79,6 +82,7 @@
     begun: bool = False
     expired: bool = False
     reason: str = ""
+    problem: errors.Problem | None = None
 
 
 class SilentPeerError(Exception):
@@ -141,7 +145,7 @@
             self._start_upload(connection)
             self._read_head(connection)
             if self._is_not_run():
-                return self._not_run()
+                return self._not_run(self._read_problem(connection))
             self._stream(connection, sink)
         except (OSError, response.HTTPParseError, SilentPeerError) as error:
             self.upload.raise_caller_error()
@@ -173,6 +177,19 @@
         ran = self.parser.first(RAN_FIELD)
         return ran == "no" or (self.hop.is_vm and ran == "unknown")
 
+    def _read_problem(
+        self, connection: pools.Connection
+    ) -> errors.Problem | None:
+        if not self.hop.is_vm:
+            return None
+        body = self.parser.take()
+        while not self.parser.complete:
+            if len(body) > refusals.MAX_PROBLEM_BYTES:
+                return None
+            self.parser.accept(self._receive(connection))
+            body += self.parser.take()
+        return refusals.decode(body)
+
     def _stream(self, connection: pools.Connection, sink: Sink) -> None:
         parser = self.parser
         self.begun = True
@@ -232,11 +249,13 @@
             begun=True,
         )
 
-    def _not_run(self) -> Attempt:
+    def _not_run(self, problem: errors.Problem | None) -> Attempt:
         outcome = events.AttemptOutcome.UNKNOWN
         if self.parser.first(RAN_FIELD) == "no":
             outcome = events.AttemptOutcome.NOT_RUN
-        return Attempt(outcome, self.parser.get_code(), self.latency_s)
+        return Attempt(
+            outcome, self.parser.get_code(), self.latency_s, problem=problem
+        )
 
     def _failed(self, reason: str) -> Attempt:
         outcome = events.AttemptOutcome.UNKNOWN
--- a/mulberrydeck/frontend/connections.py
+++ b/mulberrydeck/frontend/connections.py
@@ -11,6 +11,7 @@
 from mulberrydeck.frontend import problems
 from mulberrydeck.frontend import requests
 from mulberrydeck.frontend import wire as wires
+from mulberrydeck.observability import logs
 
 KEEP_ALIVE_S = 75.0
 
@@ -110,7 +111,9 @@
         except (wires.ConnectionLostError, hangups.CallerGoneError):
             raise
         except Exception:
-            traceback.print_exc()
+            logs.write(
+                "frontend", "A request failed.", error=traceback.format_exc()
+            )
             request.answer.closing = True
             request.refuse(problems.INTERNAL)
         if not request.answer.finished:
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -20,6 +20,9 @@
 from mulberrydeck.frontend import requests
 from mulberrydeck.observability import traces
 
+# Refusals of the core that say less than the last VM's own refusal.
+GENERIC_KINDS = frozenset(("no-capacity", "outcome-unknown"))
+
 Forward = effects.ForwardToTarget | effects.ForwardToVm
 Checker = Callable[[requests.Request, part_sets.Parts], arrivals.Arrival]
 
@@ -35,6 +38,7 @@
         span: Trace span of the request, or None.
         account: Client account, once the core has named it.
         may_have_run: Whether an attempt had an unknown outcome.
+        peer_problem: Refusal that another VM gave to the last attempt.
     """
 
     request: requests.Request
@@ -43,6 +47,7 @@
     span: traces.HopSpan | None = None
     account: str = ""
     may_have_run: bool = False
+    peer_problem: errors.Problem | None = None
 
     @property
     def ran(self) -> str:
@@ -109,6 +114,8 @@
                 return
             decision = self.gateway.decide(ended)
         problem = decision.problem
+        if progress.peer_problem and problem.kind in GENERIC_KINDS:
+            problem = progress.peer_problem
         if progress.may_have_run:
             problem = attrs.evolve(problem, ran="unknown")
         progress.account = progress.account or getattr(decision, "account", "")
@@ -131,6 +138,7 @@
         finally:
             if span is not None:
                 _end_attempt_span(span, decision, attempt)
+        progress.peer_problem = attempt.problem
         if attempt.outcome is events.AttemptOutcome.UNKNOWN:
             progress.may_have_run = True
         return attempt
--- a/mulberrydeck/frontend/tests/test_whole_answers.py
+++ b/mulberrydeck/frontend/tests/test_whole_answers.py
@@ -7,6 +7,7 @@
 import gevent.socket
 import pytest
 
+from mulberrydeck import errors
 from mulberrydeck.core import events
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
@@ -127,6 +128,19 @@
     assert first.ended()[0].outcome is UNKNOWN
 
 
+def test_another_vm_s_reason_reaches_the_caller(serve):
+    finished = errors.Problem("run-finished", 409, "Known.", "unknown")
+    relay = serve(fakes.FakeGateway(fakes.refuse(finished)), server.RelayServer)
+    generic = errors.Problem("outcome-unknown", 502, "Unknown.", "unknown")
+    first = fakes.FakeGateway(fakes.to_vm(relay.address), fakes.refuse(generic))
+    sock = fakes.connect(serve(first).address)
+    sock.sendall(fakes.get())
+    answer = fakes.read_message(sock)
+    assert answer.startswith(b"HTTP/1.1 409 ")
+    assert b'"kind": "run-finished"' in answer
+    assert b"mulberrydeck-ran: unknown" in answer
+
+
 @pytest.mark.parametrize(
     "surplus", [b"junk", b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"]
 )
