Refuse a broken upload as unknown once it was sent on

Cause: a chunked body that turned out malformed after its head had gone to the target was refused as bad-request with ran no, which was not certain. Ruled out: reading chunked bodies whole first, which would not stream. Change: the refusal says unknown if any byte had left this VM.

--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -90,6 +90,10 @@
         try:
             decision = self.gateway.decide(arrival.event)
             self._carry_out(progress, decision)
+        except heads.BadRequestError:
+            request.answer.closing = True
+            problem = attrs.evolve(problems.BAD_REQUEST, ran=progress.ran)
+            self._refuse(progress, problem)
         finally:
             self.gateway.submit(
                 events.RequestClosed(
@@ -131,11 +135,12 @@
             traceparent = span.traceparent()
         hop = self._hop(progress.outgoing, decision, traceparent)
         attempt = None
+        running = exchange.Exchange(self.parts.pool, hop, progress.request.body)
         try:
-            attempt = exchange.Exchange(
-                self.parts.pool, hop, progress.request.body
-            ).run(progress.request.answer)
+            attempt = running.run(progress.request.answer)
         finally:
+            if attempt is None:
+                progress.may_have_run |= running.upload.sent_any
             if span is not None:
                 _end_attempt_span(span, decision, attempt)
         progress.peer_problem = attempt.problem
--- a/mulberrydeck/frontend/tests/test_smuggling.py
+++ b/mulberrydeck/frontend/tests/test_smuggling.py
@@ -94,6 +94,8 @@
     answer = fakes.ask(caller.address, CHUNKED + BAD_BODIES[shape] + SMUGGLED)
     assert answer.startswith(b"HTTP/1.1 400 ")
     assert answer.count(b"HTTP/1.1 ") == 1
+    # The request head had been sent on before the fault was seen.
+    assert b"mulberrydeck-ran: unknown" in answer
     assert gateway.target.requests == []
     assert len(gateway.arrived()) == 1
     assert gateway.closed.wait(fakes.WAIT_S)
