--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -151,6 +151,8 @@
         retry_s: It is not asked before this time, in seconds.
         backoff_s: Last delay after an answer that was short, in seconds.
         units_retry_s: It is not asked for units alone before this time.
+        spare_tokens: Tokens that it could still lend when it answered.
+        answered_s: When it answered, in seconds.
     """
 
     asked_s: float = -math.inf
@@ -160,6 +162,8 @@
     retry_s: float = -math.inf
     backoff_s: float = 0.0
     units_retry_s: float = -math.inf
+    spare_tokens: float = 0.0
+    answered_s: float = -math.inf
 
 
 @attrs.frozen
@@ -276,6 +280,7 @@
         answered: Answered asks with the time after which they are forgotten.
         next_ask_id: Identifier of the next ask.
         next_loan_id: Identifier of the next loan.
+        removed_s: When a resource lost its bound, in seconds, by name.
         stopping: Whether a planned stop has begun.
     """
 
@@ -291,4 +296,5 @@
     answered: dict[AskKey, float] = attrs.field(factory=dict)
     next_ask_id: int = 1
     next_loan_id: int = 1
+    removed_s: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
