Count refusals by account, and each request once

Cause: a refusal did not name its account, so the worst-served account's figure never saw one; a relayed request was counted by both VMs. Change: effects.Refuse carries the account when the core knows it; only the VM that the caller asked counts.

--- a/mulberrydeck/core/effects.py
+++ b/mulberrydeck/core/effects.py
@@ -41,10 +41,17 @@
 
 @attrs.frozen
 class Refuse:
-    """Answer a request with a problem; final."""
+    """Answer a request with a problem; final.
+
+    Attributes:
+        request_id: The request.
+        problem: Why.
+        account: Client account, or empty if it is not known.
+    """
 
     request_id: str
     problem: errors.Problem
+    account: str = ""
 
 
 @attrs.frozen
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -455,7 +455,8 @@
     problem: errors.Problem,
 ) -> Effects:
     given_back = _give_back_slot(state, request)
-    return [*given_back, effects.Refuse(request.request_id, problem)]
+    refusal = effects.Refuse(request.request_id, problem, request.account)
+    return [*given_back, refusal]
 
 
 def closed(state: core_state.State, event: events.RequestClosed) -> Effects:
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -49,6 +49,11 @@
     may_have_run: bool = False
     peer_problem: errors.Problem | None = None
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another VM sent it, which counts it in its metrics."""
+        return self.event.relayed_account is not None
+
     @property
     def ran(self) -> str:
         """What a refusal may say of the request: `no` or `unknown`."""
@@ -122,7 +127,7 @@
             problem = progress.peer_problem
         if progress.may_have_run:
             problem = attrs.evolve(problem, ran="unknown")
-        progress.account = progress.account or getattr(decision, "account", "")
+        progress.account = decision.account or progress.account
         self._refuse(progress, problem)
 
     def _attempt(
@@ -181,18 +186,23 @@
     def _finish(self, progress: Progress, attempt: exchange.Attempt) -> None:
         answer = progress.request.answer
         if answer.finished:
-            self.parts.metrics.answered(
-                progress.event.service,
-                progress.account,
-                self.gateway.now_s() - progress.event.at_s,
-            )
+            self._count_answer(progress)
         elif attempt.begun:
             self._refuse(progress, problems.ANSWER_BROKEN)
         else:
             self._refuse(progress, problems.deadline_exceeded(progress.ran))
 
+    def _count_answer(self, progress: Progress) -> None:
+        if progress.is_relayed:
+            return
+        taken_s = self.gateway.now_s() - progress.event.at_s
+        self.parts.metrics.answered(
+            progress.event.service, progress.account, taken_s
+        )
+
     def _refuse(self, progress: Progress, problem: errors.Problem) -> None:
-        self.parts.metrics.refused(problem.kind, progress.account)
+        if not progress.is_relayed:
+            self.parts.metrics.refused(problem.kind, progress.account)
         progress.request.refuse(problem)
 
     def _start_span(
--- a/mulberrydeck/frontend/tests/test_path.py
+++ b/mulberrydeck/frontend/tests/test_path.py
@@ -2,6 +2,7 @@
 
 import json
 
+from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
@@ -35,11 +36,14 @@
 
 
 def test_refuses_with_problem_details(serve):
-    gateway = fakes.FakeGateway(fakes.refuse())
-    caller = serve(gateway)
+    limited = effects.Refuse("", fakes.NO_TARGET, "acme")
+    caller = serve(fakes.FakeGateway(limited))
     answer = fakes.ask(
         caller.address, fakes.get("/v1/services/s/x", "Connection: close")
     )
+    metrics = caller.parts.metrics.render()
+    assert b'refusals_total{account="acme",kind="no-target"} 1.0' in metrics
+    assert b"worst_account_served_ratio 0.0" in metrics
     head, _, body = answer.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 503 ")
     assert b"content-type: application/problem+json" in head
@@ -70,6 +74,9 @@
     assert b"mulberrydeck-run-id: fee-1\r\n" in target.requests[0]
     assert first.paced[0][0] == "r1/r2"
     assert second.paced[0][0] == "r2/r1"
+    counted = b'request_seconds_count{service="s"} 1.0'
+    assert counted in caller.parts.metrics.render()
+    assert counted not in relay.parts.metrics.render()
 
 
 def test_retries_on_the_next_decision(serve, targets):
