--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -121,6 +121,8 @@
         Raises:
             Exception: The caller's side failed; the attempt was cancelled.
         """
+        if self._remaining_s() <= 0:
+            return self._failed("the deadline has passed")
         try:
             connection = self.pool.acquire(
                 self.hop.address, self._remaining_s(), self.hop.fresh
