Record the status of an answer whose caller hung up

Cause: when the caller went away while its answer was passed on, the core heard only that the request was closed, so a single run that a target had answered stayed started for ever. Change: an exchange that is cut off after the answer's head ends as answered with that status. Conclusion: the new test found no ended attempt before; it passes now.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -153,7 +153,7 @@
             self.upload.raise_caller_error()
             self._forget_silent(error)
             return self._failed(str(error))
-        return self._answered()
+        return self.answered()
 
     def _start_upload(self, connection: pools.Connection) -> None:
         if self.hop.pace is None:
@@ -243,7 +243,8 @@
         if isinstance(error, (SilentPeerError, TimeoutError)):
             self.pool.discard_idle(self.hop.address)
 
-    def _answered(self) -> Attempt:
+    def answered(self) -> Attempt:
+        """Returns the attempt whose answer was begun."""
         return Attempt(
             events.AttemptOutcome.ANSWERED,
             self.parser.get_code(),
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -98,13 +98,25 @@
             attempt = running.run(progress.request.answer)
         finally:
             if attempt is None:
-                progress.may_have_run |= running.upload.sent_any
+                self._cancelled(progress, decision, running)
             progresses.end_attempt_span(span, decision, attempt)
         progress.peer_problem = attempt.problem
         if attempt.outcome is events.AttemptOutcome.UNKNOWN:
             progress.may_have_run = True
         return attempt
 
+    def _cancelled(
+        self,
+        progress: progresses.Progress,
+        decision: progresses.Forward,
+        running: exchange.Exchange,
+    ) -> None:
+        """Tells the core what the target had answered when it was cut off."""
+        progress.may_have_run |= running.upload.sent_any
+        if running.begun:
+            ended = self._ended(progress, decision, running.answered())
+            self.gateway.submit(ended)
+
     def _hop(
         self,
         outgoing: hops.Outgoing,
--- a/mulberrydeck/frontend/tests/test_streaming.py
+++ b/mulberrydeck/frontend/tests/test_streaming.py
@@ -17,6 +17,7 @@
 PIECE = b"x" * (256 * 1024)
 POST = b"POST /v1/services/s/x HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n"
 UNKNOWN = events.AttemptOutcome.UNKNOWN
+ANSWERED = events.AttemptOutcome.ANSWERED
 NOT_RUN = events.AttemptOutcome.NOT_RUN
 
 
@@ -173,6 +174,22 @@
         gevent.sleep(0.01)
 
 
+def test_a_hang_up_within_the_answer_leaves_its_status_known(serve, targets):
+    def begin(sock):
+        sock.sendall(b"HTTP/1.1 201 Created\r\nContent-Length: 9\r\n\r\nab")
+        sock.recv(1)
+
+    target = targets(begin)
+    gateway = fakes.FakeGateway(fakes.to_target(target.address))
+    sock = fakes.connect(serve(gateway).address)
+    sock.sendall(fakes.get())
+    assert fakes.receive(sock).startswith(b"HTTP/1.1 201 ")
+    sock.close()
+    assert gateway.closed.wait(fakes.WAIT_S)
+    ended = gateway.ended()[0]
+    assert (ended.outcome, ended.status) == (ANSWERED, 201)
+
+
 def test_a_truncated_upload_is_never_whole_at_the_target(serve, targets):
     target = targets(OK)
     gateway = fakes.FakeGateway(fakes.to_target(target.address))
