--- a/mulberrydeck/frontend/tests/test_path.py
+++ b/mulberrydeck/frontend/tests/test_path.py
@@ -4,6 +4,7 @@
 
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.core import gateway as gateways
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
 
@@ -107,3 +108,20 @@
     body = json.loads(answer.partition(b"\r\n\r\n")[2])
     assert body["vms"][0]["name"] == "a1"
     assert gateway.events[0].place == "zone-a"
+
+
+def test_answers_the_outcome_of_a_single_run(serve):
+    gateway = fakes.FakeGateway()
+    gateway.outcome = gateways.RunOutcome("finished", 201)
+    caller = serve(gateway)
+    lines = ("Mulberrydeck-Key: mdk_secret12", "Connection: close")
+    request = fakes.get("/v1/runs/fee-1", *lines)
+    body = fakes.ask(caller.address, request).partition(b"\r\n\r\n")[2]
+    assert json.loads(body) == {"state": "finished", "status": 201}
+    assert gateway.events == [("mdk_secret12", "fee-1")]
+    gateway.outcome = fakes.NO_TARGET
+    assert fakes.ask(caller.address, request).startswith(b"HTTP/1.1 503 ")
+    post = fakes.get("/v1/lookup", *lines).replace(b"GET", b"POST")
+    assert b'"kind": "method-not-allowed"' in fakes.ask(caller.address, post)
+    unknown = fakes.get("/v2", *lines)
+    assert b'"kind": "not-found"' in fakes.ask(caller.address, unknown)
