Keep the cost of a request flat as VMs grow

Each request gathered the loads of all live peers, and each heartbeat sorted all peers to find lenders. A tick grew with the zone's targets.

Ruled out: caching the gathered loads, since at 2,500 VMs a heartbeat comes between any two requests.

Change: heartbeats keep an index of loads by service and zone, and a choice looks only at the zones that it draws. What can be granted is kept until it changes.

Tests: the routing and core parts pass (67). Of tests/test_limits.py three scenarios fail (80 percent of the rate through all VMs and through one VM, refusals within the rate); the same three fail without this change on. In a run of the other tests on a machine of load 18 one failed and the run was ended by its time limit; not yet explained.

--- a/mulberrydeck/core/control.py
+++ b/mulberrydeck/core/control.py
@@ -15,6 +15,7 @@
 from mulberrydeck.model import loading
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import reducer as quota
+from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import reducer as routing
 from mulberrydeck.routing import state as routing_state
 
@@ -31,9 +32,18 @@
     """Takes the platform's list of VMs into account."""
     state.platform_answered_s = event.at_s
     produced = members.vms_listed(state.members, event)
+    _forget_loads(state)
     return produced + _after_membership(state)
 
 
+def _forget_loads(state: core_state.State) -> None:
+    """Drops what was reported by VMs that are gone or moved elsewhere."""
+    for name in tuple(state.routing.peers.by_vm):
+        peer = state.members.peers.get(name)
+        if peer is None or peer.heartbeat is None:
+            peer_index.forget(state.routing.peers, name)
+
+
 def _after_membership(state: core_state.State) -> Effects:
     _set_lenders(state)
     return zones.claim_if_free(
@@ -161,19 +171,45 @@
 def _heartbeat(
     state: core_state.State, sender: str, beat: messages.Heartbeat
 ) -> Effects:
+    held_epoch = _held_epoch(state, sender)
     produced = members.receive_heartbeat(
         state.members, state.now_s, sender, beat
     )
+    _record_loads(state, sender, beat)
     produced += documents.compare(
         state.documents, state.now_s, sender, beat.documents
     )
     same_zone = beat.zone == state.settings.zone
     if same_zone and beat.holder_epoch:
         produced += _holder_heard(state, sender, beat.holder_epoch)
-    _set_lenders(state)
+    if beat.holder_epoch != held_epoch:
+        _set_lenders(state)
     return produced
 
 
+def _held_epoch(state: core_state.State, name: str) -> int:
+    peer = state.members.peers.get(name)
+    if peer is None or peer.heartbeat is None:
+        return 0
+    return peer.heartbeat.holder_epoch
+
+
+def _record_loads(
+    state: core_state.State, sender: str, beat: messages.Heartbeat
+) -> None:
+    peer = state.members.peers.get(sender)
+    if peer is None or peer.heartbeat is not beat:
+        return
+    report = peer_index.PeerReport(
+        vm=sender,
+        zone=beat.zone,
+        loads=() if beat.leaving else beat.loads,
+        reported_s=state.now_s,
+        full_links=beat.full_links,
+    )
+    peer_index.record(state.routing.peers, report)
+
+
 def _holder_heard(state: core_state.State, sender: str, epoch: int) -> Effects:
     produced: Effects = []
     if zones.fenced_by(state.zone, epoch):
--- a/mulberrydeck/core/reports.py
+++ b/mulberrydeck/core/reports.py
@@ -127,7 +127,7 @@
 
 def _chosen_vm(state: core_state.State, service: str) -> str:
     picked = choice.preview(
-        state.routing, state.now_s, service, requests.peer_loads(state), ()
+        state.routing, state.now_s, service, requests.full_links(state)
     )
     if picked is None:
         return ""
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -8,7 +8,6 @@
 from mulberrydeck import errors
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
-from mulberrydeck.core import members
 from mulberrydeck.core import problems
 from mulberrydeck.core import state as core_state
 from mulberrydeck.model import configuration
@@ -162,8 +161,8 @@
             state.routing,
             state.now_s,
             request.service,
-            peer_loads(state),
             frozenset(request.excluded),
+            full_links(state),
         )
     match picked:
         case choice.Local():
@@ -174,38 +173,9 @@
     return _refuse(state, request, problem)
 
 
-def peer_loads(state: core_state.State) -> tuple[choice.PeerLoad, ...]:
-    """Returns the capacity that live peers report."""
-    live = [
-        peer
-        for peer in state.members.live_peers(state.now_s)
-        if not peer.leaving
-    ]
-    full = _full_links(state, live)
-    return tuple(
-        choice.PeerLoad(
-            peer.name,
-            peer.zone,
-            peer.heartbeat.loads,
-            peer.heard_s,
-            bool(full) and _is_link_full(state, peer.zone, full),
-        )
-        for peer in live
-    )
-
-
-def _full_links(state: core_state.State, live: list[members.Peer]) -> set[str]:
-    full = set(quota.short_links(state.quota))
-    for peer in live:
-        full.update(peer.heartbeat.full_links)
-    return full
-
-
-def _is_link_full(state: core_state.State, zone: str, full: set[str]) -> bool:
-    """Returns whether the link to a zone's region is full in a direction."""
-    here = state.configuration.region_of(state.settings.zone)
-    there = state.configuration.region_of(zone)
-    return f"{here}/{there}" in full or f"{there}/{here}" in full
+def full_links(state: core_state.State) -> frozenset[str]:
+    """Returns the links on which this VM lacks quota."""
+    return frozenset(quota.short_links(state.quota))
 
 
 def _relay(
--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -1,12 +1,17 @@
 """Choice of the VM that gets a request, along the spill order."""
 
+from collections.abc import Callable
+
 import attrs
 
+from mulberrydeck.model import compiled
+from mulberrydeck.peers import messages
+from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import slots
 from mulberrydeck.routing import state as routing_state
 
-RELAY_MEMORY_S = 2.0
+LEAST_SHARE = 0.01
 
 
 @attrs.frozen
@@ -25,26 +30,6 @@
     vm: str
 
 
-@attrs.frozen
-class PeerLoad:
-    """What a live peer reported.
-
-    Attributes:
-        vm: Name of the VM.
-        zone: Its availability zone.
-        loads: Capacity per service.
-        reported_s: When the report came, in seconds.
-        link_full: Whether the link to it is nearly full, so that new work
-            goes elsewhere if it can.
-    """
-
-    vm: str
-    zone: str
-    loads: tuple
-    reported_s: float = 0.0
-    link_full: bool = False
-
-
 @attrs.frozen
 class Candidate:
     """A VM that may get the request.
@@ -64,12 +49,35 @@
     link_full: bool
 
 
+@attrs.define
+class Search:
+    """One search along the spill order.
+
+    Attributes:
+        state: State of the routing part.
+        now_s: Monotonic time, in seconds.
+        service: Name of the service.
+        excluded: Names of VMs that must not get the request.
+        full_links: Links on which this VM lacks quota.
+        own: Free and usable slots of this VM.
+        by_zone: Candidates of the zones looked at so far.
+    """
+
+    state: routing_state.RoutingState
+    now_s: float
+    service: str
+    excluded: frozenset[str]
+    full_links: frozenset[str]
+    own: tuple[int, int]
+    by_zone: dict[str, list[Candidate]] = attrs.field(factory=dict)
+
+
 def choose(
     state: routing_state.RoutingState,
     now_s: float,
     service: str,
-    peers: tuple[PeerLoad, ...],
-    excluded: frozenset[str] | tuple[str, ...],
+    excluded: frozenset[str] = frozenset(),
+    full_links: frozenset[str] = frozenset(),
 ) -> Local | Remote | None:
     """Returns which VM gets a request, or None if no VM can.
 
@@ -81,10 +89,11 @@
         state: State of the routing part.
         now_s: Monotonic time, in seconds.
         service: Name of the service.
-        peers: Live peers with what they reported.
         excluded: Names of VMs that must not get it, such as those tried.
+        full_links: Links, as `from/to` regions, on which this VM lacks quota.
     """
-    chosen = _select(state, now_s, service, peers, excluded)
+    search = _start(state, now_s, service, excluded, full_links)
+    chosen = _select(search)
     if chosen is not None:
         kept = routing_state.service_state(state, service)
         ramp.record(kept.zone_ramps, chosen.zone, now_s)
@@ -99,7 +108,7 @@
     state: routing_state.RoutingState,
     now_s: float,
     service: str,
-    peers: tuple[PeerLoad, ...],
+    full_links: frozenset[str] = frozenset(),
 ) -> Local | Remote | None:
     """Returns what `choose` would pick, without counting it as traffic.
 
@@ -107,9 +116,23 @@
         state: State of the routing part.
         now_s: Monotonic time, in seconds.
         service: Name of the service.
-        peers: Live peers with what they reported.
+        full_links: Links, as `from/to` regions, on which this VM lacks quota.
     """
-    return _decision(_select(state, now_s, service, peers, frozenset()))
+    search = _start(state, now_s, service, frozenset(), full_links)
+    return _decision(_select(search))
+
+
+def _start(
+    state: routing_state.RoutingState,
+    now_s: float,
+    service: str,
+    excluded: frozenset[str],
+    full_links: frozenset[str],
+) -> Search:
+    own = (0, 0)
+    if state.vm_name not in excluded:
+        own = slots.free_and_usable(state, now_s, service)
+    return Search(state, now_s, service, excluded, full_links, own)
 
 
 def _decision(chosen: Candidate | None) -> Local | Remote | None:
@@ -120,20 +143,12 @@
     return Remote(chosen.vm)
 
 
-def _select(
-    state: routing_state.RoutingState,
-    now_s: float,
-    service: str,
-    peers: tuple[PeerLoad, ...],
-    excluded: frozenset[str] | tuple[str, ...],
-) -> Candidate | None:
-    by_zone = _candidates(state, now_s, service, peers, excluded)
-    _note_own_zone(state, service, by_zone.get(state.zone, ()))
-    steps = state.compiled.spill_order(service, state.zone)
+def _select(search: Search) -> Candidate | None:
+    steps = search.state.compiled.spill_order(search.service, search.state.zone)
     return (
-        _first_step(state, now_s, service, steps, by_zone, _is_open)
-        or _first_step(state, now_s, service, steps, by_zone, _is_free)
-        or _first_step(state, now_s, service, steps, by_zone, _can_queue)
+        _first_step(search, steps, _is_open)
+        or _first_step(search, steps, _is_free)
+        or _first_step(search, steps, _can_queue)
     )
 
 
@@ -185,50 +200,58 @@
     return True
 
 
-def _candidates(
-    state: routing_state.RoutingState,
-    now_s: float,
-    service: str,
-    peers: tuple[PeerLoad, ...],
-    excluded: frozenset[str] | tuple[str, ...],
-) -> dict[str, list[Candidate]]:
-    by_zone: dict[str, list[Candidate]] = {}
-    for peer in peers:
-        if peer.vm in excluded:
-            continue
-        for load in peer.loads:
-            if load.service == service and load.total_slots:
-                candidate = _peer_candidate(state, peer, load)
-                by_zone.setdefault(peer.zone, []).append(candidate)
-    if state.vm_name not in excluded:
-        free, usable = slots.free_and_usable(state, now_s, service)
-        if usable:
-            own = Candidate("", state.zone, free, usable, False)
-            by_zone.setdefault(state.zone, []).append(own)
-    return by_zone
+def _candidates(search: Search, zone: str) -> list[Candidate]:
+    found = search.by_zone.get(zone)
+    if found is not None:
+        return found
+    state = search.state
+    oldest_s = search.now_s - state.settings.peer_timeout_s
+    link_full = _is_link_full(search, zone, oldest_s)
+    found = [
+        _peer_candidate(state, load, report, link_full)
+        for load, report in peer_index.heard_in(
+            state.peers, (search.service, zone), oldest_s
+        )
+        if report.vm not in search.excluded
+    ]
+    free, usable = search.own
+    if zone == state.zone and usable:
+        found.append(Candidate("", zone, free, usable, False))
+    search.by_zone[zone] = found
+    return found
+
+
+def _is_link_full(search: Search, zone: str, oldest_s: float) -> bool:
+    """Returns whether the link to a zone's region is full in a direction."""
+    state = search.state
+    here = state.compiled.region_of(state.zone)
+    there = state.compiled.region_of(zone)
+    if here == there:
+        return False
+    return any(
+        link in search.full_links
+        or peer_index.is_link_full(state.peers, link, oldest_s)
+        for link in (f"{here}/{there}", f"{there}/{here}")
+    )
 
 
 def _peer_candidate(
-    state: routing_state.RoutingState, peer: PeerLoad, load: object
+    state: routing_state.RoutingState,
+    load: messages.ServiceLoad,
+    report: peer_index.PeerReport,
+    link_full: bool,
 ) -> Candidate:
-    key = (load.service, peer.vm)
-    in_flight = state.relays_by_vm.get(key, {})
-    sent = sum(since_s >= peer.reported_s for since_s in in_flight.values())
-    free = max(0, load.free_slots - sent)
-    if state.refused_by_vm.get(key, -1.0) >= peer.reported_s:
+    key = (load.service, report.vm)
+    in_flight = state.relays_by_vm.get(key)
+    free = load.free_slots
+    if in_flight:
+        sent = sum(
+            since_s >= report.reported_s for since_s in in_flight.values()
+        )
+        free = max(0, free - sent)
+    if state.refused_by_vm.get(key, -1.0) >= report.reported_s:
         free = 0
-    return Candidate(peer.vm, peer.zone, free, load.total_slots, peer.link_full)
-
-
-def _note_own_zone(
-    state: routing_state.RoutingState,
-    service: str,
-    candidates: list[Candidate] | tuple,
-) -> None:
-    others = [candidate for candidate in candidates if candidate.vm]
-    usable = sum(candidate.total for candidate in others)
-    free = sum(candidate.free for candidate in others)
-    routing_state.service_state(state, service).peer_slots = (usable, free)
+    return Candidate(report.vm, report.zone, free, load.total_slots, link_full)
 
 
 def _is_open(candidate: Candidate) -> bool:
@@ -244,49 +267,56 @@
 
 
 def _first_step(
-    state: routing_state.RoutingState,
-    now_s: float,
-    service: str,
-    steps: tuple,
-    by_zone: dict[str, list[Candidate]],
-    accepts: object,
+    search: Search,
+    steps: tuple[compiled.Step, ...],
+    accepts: Callable[[Candidate], bool],
 ) -> Candidate | None:
     """Returns a candidate of the first step that has an accepted one.
 
     A zone whose share is still growing is passed over with the remaining
     probability, unless it is the only one.
     """
-    passed_over = None
-    ramps = routing_state.service_state(state, service).zone_ramps
+    state = search.state
+    passed_over: list[Candidate] = []
+    ramps = routing_state.service_state(state, search.service).zone_ramps
     for step in steps:
-        options = []
-        for zone, weight in step.zones:
-            fit = [item for item in by_zone.get(zone, ()) if accepts(item)]
-            if fit:
-                options.append((zone, weight, fit))
-        while options:
-            zone, fit = _draw_zone(state, options)
-            if state.rng.random() < ramp.share(ramps, zone, now_s):
+        shares = _shares(search, step)
+        while shares:
+            zone = _draw_zone(state, shares)
+            del shares[zone]
+            fit = [item for item in _candidates(search, zone) if accepts(item)]
+            if not fit:
+                continue
+            if state.rng.random() < ramp.share(ramps, zone, search.now_s):
                 return _draw_vm(state, fit)
             passed_over = passed_over or fit
-            options = [option for option in options if option[0] != zone]
-    if passed_over is None:
+    if not passed_over:
         return None
     return _draw_vm(state, passed_over)
 
 
+def _shares(search: Search, step: compiled.Step) -> dict[str, float]:
+    """Returns weight times free slots of the zones that have usable ones."""
+    state = search.state
+    shares: dict[str, float] = {}
+    for zone, weight in step.zones:
+        capacity = state.peers.capacity.get((search.service, zone))
+        free = capacity.free if capacity else 0
+        total = capacity.total if capacity else 0
+        if zone == state.zone:
+            free += search.own[0]
+            total += search.own[1]
+        if total:
+            shares[zone] = weight * max(LEAST_SHARE, free)
+    return shares
+
+
 def _draw_zone(
-    state: routing_state.RoutingState, options: list
-) -> tuple[str, list[Candidate]]:
-    """Draws a zone by its weight and its capacity."""
-    if len(options) == 1:
-        return options[0][0], options[0][2]
-    shares = [
-        weight * sum(max(1, item.free) for item in fit)
-        for _, weight, fit in options
-    ]
-    zone, _, fit = state.rng.choices(options, shares)[0]
-    return zone, fit
+    state: routing_state.RoutingState, shares: dict[str, float]
+) -> str:
+    if len(shares) == 1:
+        return next(iter(shares))
+    return state.rng.choices(list(shares), list(shares.values()))[0]
 
 
 def _draw_vm(
--- a/mulberrydeck/routing/health.py
+++ b/mulberrydeck/routing/health.py
@@ -3,6 +3,7 @@
 from mulberrydeck.core import events
 from mulberrydeck.routing import detectors
 from mulberrydeck.routing import ownership
+from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 
@@ -12,6 +13,7 @@
 PROBATION_SUCCESSES = 3
 LEAST_READY_SHARE = 0.5
 FIRST_SERVER_ERROR = 500
+NO_PEERS = peer_index.Capacity()
 
 
 def record_outcome(
@@ -90,11 +92,9 @@
     total = 0
     for name in state.by_service[service]:
         total += state.targets[name].target.slots
-    peers_usable, peers_free = routing_state.service_state(
-        state, service
-    ).peer_slots
-    left = peers_usable
-    demand = peers_usable - peers_free
+    peers = state.peers.capacity.get((service, state.zone), NO_PEERS)
+    left = peers.total
+    demand = peers.total - peers.free
     for other in ownership.owned_targets(state, now_s, service):
         demand += other.used
         if other is not target:
--- a/mulberrydeck/routing/holder.py
+++ b/mulberrydeck/routing/holder.py
@@ -91,6 +91,7 @@
     )
     assignment.members = names
     assignment.plan_stale = False
+    assignment.grantable_stale = True
 
 
 def _with_own_clock(
--- a/mulberrydeck/routing/ownership.py
+++ b/mulberrydeck/routing/ownership.py
@@ -36,11 +36,21 @@
     """
     return [
         state.targets[name]
-        for name in state.by_service.get(service, ())
+        for name in state.granted.get(service, ())
         if owns(state.grants, name, now_s)
     ]
 
 
+def index_grants(state: routing_state.RoutingState) -> None:
+    """Groups the granted targets by service, after a change of either."""
+    granted: dict[str, tuple[str, ...]] = {}
+    for service, names in state.by_service.items():
+        mine = [name for name in names if name in state.grants.expires_s]
+        if mine:
+            granted[service] = tuple(mine)
+    state.granted = granted
+
+
 def begin_epoch(
     assignment: routing_state.Assignment,
     now_s: float,
@@ -61,6 +71,7 @@
     assignment.sent_echo_s.clear()
     assignment.sent_targets.clear()
     assignment.plan_stale = True
+    assignment.grantable_stale = True
 
 
 def grants_due(
@@ -86,10 +97,11 @@
     Returns:
         Pairs of VM and grant.
     """
-    grantable = _grantable(assignment, now_s)
+    if assignment.grantable_stale:
+        _update_grantable(assignment, now_s)
     due = []
     for member in members:
-        names = tuple(grantable.get(member.name, ()))
+        names = assignment.grantable.get(member.name, ())
         if not _is_due(assignment, member, names):
             continue
         assignment.sequence += 1
@@ -194,6 +206,7 @@
             continue
         assignment.promises[name] = routing_state.Promise(sender, until_s, 0)
         assignment.owner_by_target[name] = sender
+        assignment.grantable_stale = True
 
 
 def accept_release(
@@ -219,6 +232,7 @@
             continue
         if release.sequence >= promise.sequence:
             del assignment.promises[name]
+            assignment.grantable_stale = True
 
 
 def release_idle(
@@ -256,14 +270,21 @@
     grants.expires_s.clear()
 
 
-def _grantable(
+def _update_grantable(
     assignment: routing_state.Assignment, now_s: float
-) -> dict[str, list[str]]:
+) -> None:
+    """Works out what can be granted; stays stale while a target must wait."""
     grantable: dict[str, list[str]] = {}
+    waiting = False
     for target, owner in assignment.owner_by_target.items():
         if _may_grant(assignment, now_s, target, owner):
             grantable.setdefault(owner, []).append(target)
-    return grantable
+        else:
+            waiting = True
+    assignment.grantable = {
+        owner: tuple(names) for owner, names in grantable.items()
+    }
+    assignment.grantable_stale = waiting
 
 
 def _may_grant(
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -42,6 +42,7 @@
     state.by_service = {
         service: tuple(sorted(names)) for service, names in by_service.items()
     }
+    ownership.index_grants(state)
     state.assignment.plan_stale = True
 
 
@@ -146,9 +147,12 @@
         grant: The grant.
     """
     _start(state, now_s)
+    before = frozenset(state.grants.expires_s)
     gained = ownership.accept_grant(
         state.grants, now_s, state.started_s, sender, grant
     )
+    if state.grants.expires_s.keys() != before:
+        ownership.index_grants(state)
     for name in gained:
         if name in state.targets:
             target_state.begin_ownership(state.targets[name])
@@ -167,6 +171,7 @@
         now_s: Monotonic time, in seconds.
     """
     ownership.withdraw_all(state.grants)
+    ownership.index_grants(state)
     return _release_idle(state, now_s)
 
 
--- a/mulberrydeck/routing/slots.py
+++ b/mulberrydeck/routing/slots.py
@@ -142,8 +142,9 @@
     free = 0
     usable = 0
     for target in ownership.owned_targets(state, now_s, service):
-        free += target_state.free_slots(target, now_s, warmup_s)
-        usable += target_state.usable_slots(target, now_s, warmup_s)
+        open_slots = target_state.usable_slots(target, now_s, warmup_s)
+        free += max(0, open_slots - target.used)
+        usable += open_slots
     queued = routing_state.service_state(state, service).queue.size
     return max(0, free - queued), usable
 
--- a/mulberrydeck/routing/state.py
+++ b/mulberrydeck/routing/state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import queueing
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import target_state
@@ -56,6 +57,8 @@
         sent_echo_s: `echo_s` of the last grant, by VM.
         sent_targets: Targets of the last grant, by VM.
         plan_stale: Whether targets have changed since the last plan.
+        grantable: Targets that each VM may be granted now.
+        grantable_stale: Whether `grantable` must be worked out again.
     """
 
     epoch: int = 0
@@ -68,6 +71,8 @@
     sent_echo_s: dict[str, float] = attrs.field(factory=dict)
     sent_targets: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     plan_stale: bool = True
+    grantable: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    grantable_stale: bool = True
 
 
 @attrs.define
@@ -160,14 +165,11 @@
         hold_s: Moving average of the time that a request holds a slot, in
             seconds.
         zone_ramps: Growth of each zone's share of this VM's traffic.
-        peer_slots: Usable and free slots of the other VMs of the own zone, as
-            last reported.
     """
 
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
     hold_s: float = 0.1
     zone_ramps: dict[str, ramp.ZoneRamp] = attrs.field(factory=dict)
-    peer_slots: tuple[int, int] = (0, 0)
 
 
 @attrs.define
@@ -197,11 +199,14 @@
         started_s: When the first event came, in seconds; None before it.
         targets: Targets of this VM's zone by name.
         by_service: Names of the zone's targets by service.
+        granted: Names of the targets granted to this VM by service; a grant
+            may have expired since.
         assignment: The zone holder's side of ownership.
         grants: The owner's side of ownership.
         services: State per service.
         uses: Slots in use by request.
         waiting: Service and account of each waiting request.
+        peers: What the other VMs report.
         relays: Relayed requests in flight.
         relays_by_vm: Requests in flight by service and VM.
         refused_by_vm: When a VM last refused a relayed request, in seconds, by
@@ -218,11 +223,13 @@
     started_s: float | None = None
     targets: dict[str, target_state.TargetState] = attrs.field(factory=dict)
     by_service: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    granted: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     assignment: Assignment = attrs.field(factory=Assignment)
     grants: Grants = attrs.field(factory=Grants)
     services: dict[str, ServiceState] = attrs.field(factory=dict)
     uses: dict[str, Use] = attrs.field(factory=dict)
     waiting: dict[str, tuple[str, str]] = attrs.field(factory=dict)
+    peers: peer_index.PeerIndex = attrs.field(factory=peer_index.PeerIndex)
     relays: dict[str, Relay] = attrs.field(factory=dict)
     relays_by_vm: dict[tuple[str, str], dict[str, float]] = attrs.field(
         factory=dict
--- a/mulberrydeck/routing/target_state.py
+++ b/mulberrydeck/routing/target_state.py
@@ -105,11 +105,6 @@
             return _open_slots(state, now_s, warmup_s)
 
 
-def free_slots(state: TargetState, now_s: float, warmup_s: float) -> int:
-    """Returns how many more requests the owner may send now."""
-    return max(0, usable_slots(state, now_s, warmup_s) - state.used)
-
-
 def blind_slots(state: TargetState) -> int:
     """Returns the free slots of a target whose reports have stopped.
 
--- a/mulberrydeck/routing/tests/test_choice.py
+++ b/mulberrydeck/routing/tests/test_choice.py
@@ -7,16 +7,20 @@
 from mulberrydeck.peers import messages
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import lookup
+from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import reducer
 from mulberrydeck.routing.tests import fakes
 
 TWO_STEPS = (fakes.Step((("z1", 1),)), fakes.Step((("z2", 1), ("z3", 3))))
 
+FAR_FIRST = (fakes.Step((("far1", 1),)), fakes.Step((("z2", 1),)))
 
-def peer(vm, zone, free, total=8, **kwargs):
+
+def hear(state, vm, zone, free, total=8, reported_s=0.0, **kwargs):
     load = messages.ServiceLoad("s", free, total)
-    return choice.PeerLoad(vm, zone, (load,), **kwargs)
+    report = peer_index.PeerReport(vm, zone, (load,), reported_s, **kwargs)
+    peer_index.record(state.peers, report)
 
 
 def make_state(steps=TWO_STEPS, **kwargs):
@@ -25,69 +29,91 @@
 
 def test_the_first_step_with_free_slots_is_taken():
     state = make_state()
-    peers = (peer("b", "z1", 0), peer("c", "z2", 4))
-    assert choice.choose(state, 1.0, "s", peers, ()) == choice.Remote("c")
-    assert choice.choose(state, 1.0, "s", peers, ("c",)) == choice.Remote("b")
-    assert choice.choose(state, 1.0, "s", peers, ("b", "c")) is None
+    hear(state, "b", "z1", 0)
+    hear(state, "c", "z2", 4)
+    assert choice.choose(state, 1.0, "s") == choice.Remote("c")
+    without_c = frozenset({"c"})
+    assert choice.choose(state, 1.0, "s", without_c) == choice.Remote("b")
+    assert choice.choose(state, 1.0, "s", frozenset({"b", "c"})) is None
+
+
+def test_silent_and_leaving_vms_are_not_chosen():
+    state = make_state()
+    hear(state, "b", "z1", 4)
+    assert choice.choose(state, 4.1, "s") is None
+    assert state.peers.by_vm == {}
+    assert state.peers.capacity[("s", "z1")].total == 0
+    hear(state, "b", "z1", 4, reported_s=5.0)
+    peer_index.record(state.peers, peer_index.PeerReport("b", "z1", (), 5.1))
+    assert choice.choose(state, 5.2, "s") is None
 
 
 def test_own_free_targets_come_before_those_of_the_zone():
     targets = (fakes.target("t", 1),)
     state = fakes.warm_owner(fakes.FakeCompiled(targets))
-    peers = (peer("b", "z1", 4),)
-    assert choice.choose(state, 100.0, "s", peers, ()) == choice.Local()
+    hear(state, "b", "z1", 4, reported_s=100.0)
+    assert choice.choose(state, 100.0, "s") == choice.Local()
     reducer.acquire(state, 100.0, "s", "x", "r")
-    assert choice.choose(state, 100.0, "s", peers, ()) == choice.Remote("b")
+    assert choice.choose(state, 100.0, "s") == choice.Remote("b")
 
 
 def test_zones_of_a_step_share_by_weight_and_capacity():
     state = make_state()
-    peers = (peer("b", "z2", 4), peer("c", "z3", 4))
+    hear(state, "b", "z2", 4)
+    hear(state, "c", "z3", 4)
     picked = collections.Counter(
-        choice.choose(state, 1.0, "s", peers, ()).vm for _ in range(2000)
+        choice.choose(state, 1.0, "s").vm for _ in range(2000)
     )
     assert 0.7 < picked["c"] / 2000 < 0.8
 
 
 def test_relayed_requests_count_until_they_end_or_are_reported():
     state = make_state()
-    peers = (peer("b", "z1", 1, reported_s=1.0), peer("c", "z2", 9))
-    assert choice.choose(state, 1.0, "s", peers, ()) == choice.Remote("b")
+    hear(state, "b", "z1", 1, reported_s=1.0)
+    hear(state, "c", "z2", 9, reported_s=1.0)
+    assert choice.choose(state, 1.0, "s") == choice.Remote("b")
     choice.record_relay(state, 1.1, "s", "b", "r")
-    assert choice.choose(state, 1.2, "s", peers, ()) == choice.Remote("c")
-    later = (peer("b", "z1", 1, reported_s=2.0), peers[1])
-    assert choice.choose(state, 2.0, "s", later, ()) == choice.Remote("b")
+    assert choice.choose(state, 1.2, "s") == choice.Remote("c")
     answered = events.AttemptOutcome.ANSWERED
     reducer.release(state, 1.3, "r", answered, 200, 0.0)
-    assert choice.choose(state, 1.4, "s", peers, ()) == choice.Remote("b")
+    assert choice.choose(state, 1.4, "s") == choice.Remote("b")
+    choice.record_relay(state, 1.5, "s", "b", "r2")
+    hear(state, "b", "z1", 1, reported_s=2.0)
+    assert choice.choose(state, 2.0, "s") == choice.Remote("b")
 
 
 def test_a_vm_that_refused_is_full_until_its_next_report():
     state = make_state()
-    peers = (peer("b", "z1", 4, reported_s=1.0), peer("c", "z2", 9))
+    hear(state, "b", "z1", 4, reported_s=1.0)
+    hear(state, "c", "z2", 9, reported_s=1.0)
     choice.record_relay(state, 1.1, "s", "b", "r")
     not_run = events.AttemptOutcome.NOT_RUN
     reducer.release(state, 1.2, "r", not_run, 503, 0.0)
-    assert choice.choose(state, 1.3, "s", peers, ()) == choice.Remote("c")
+    assert choice.choose(state, 1.3, "s") == choice.Remote("c")
 
 
 def test_nearly_full_links_are_used_last():
-    state = make_state()
-    peers = (peer("b", "z1", 4, link_full=True), peer("c", "z2", 1))
-    assert choice.choose(state, 1.0, "s", peers, ()) == choice.Remote("c")
-    assert choice.choose(state, 1.0, "s", peers[:1], ()) == choice.Remote("b")
+    state = make_state(steps=FAR_FIRST)
+    hear(state, "b", "far1", 4)
+    hear(state, "c", "z2", 1)
+    assert choice.choose(state, 1.0, "s") == choice.Remote("b")
+    full = frozenset({"near/far"})
+    assert choice.choose(state, 1.0, "s", full_links=full) == choice.Remote("c")
+    hear(state, "b", "far1", 4, full_links=("far/near",))
+    assert choice.choose(state, 1.0, "s") == choice.Remote("c")
+    without_c = frozenset({"c"})
+    assert choice.choose(state, 1.0, "s", without_c) == choice.Remote("b")
 
 
 def test_the_share_of_a_cold_zone_grows_step_by_step():
     state = make_state(steps=TWO_STEPS)
-    away = (peer("c", "z2", 100, 100),)
-    choice.choose(state, 0.0, "s", away, ())
-    back = (peer("b", "z1", 100, 100), *away)
+    hear(state, "c", "z2", 100, 100)
+    choice.choose(state, 0.0, "s")
 
     def share(now_s):
-        picked = [
-            choice.choose(state, now_s, "s", back, ()) for _ in range(400)
-        ]
+        hear(state, "b", "z1", 100, 100, reported_s=now_s)
+        hear(state, "c", "z2", 100, 100, reported_s=now_s)
+        picked = [choice.choose(state, now_s, "s") for _ in range(400)]
         return picked.count(choice.Remote("b")) / 400
 
     shares = [share(now_s) for now_s in (10.0, 11.5, 12.5, 15.0)]
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -166,13 +166,13 @@
     for _ in range(target_state.FAILED_POLLS_LIMIT):
         reducer.polled(state, 100.0, events.TargetPolled(100.0, "t", None))
     assert reducer.loads(state, 100.0) == ()
-    assert choice.choose(state, 100.0, "s", (), ()) == choice.Local()
+    assert choice.choose(state, 100.0, "s") == choice.Local()
     fill(state, 100.0, 1)
-    assert choice.choose(state, 100.0, "s", (), ()) is None
+    assert choice.choose(state, 100.0, "s") is None
     reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
     assert slots.free_and_usable(state, 100.1, "s") == (1, 1)
     fakes.poll_all(state, 100.2, healthy=False)
-    assert choice.choose(state, 100.2, "s", (), ()) is None
+    assert choice.choose(state, 100.2, "s") is None
 
 
 def feed(state, name, outcome, status, count, now_s=100.0):
