--- a/bench/single_vm.py
+++ b/bench/single_vm.py
@@ -26,6 +26,7 @@
 WARM_UP_STEPS = 12
 STEP_S = 0.5
 REPORTED_SLOTS = 1000
+IDLE = events.TargetReport(True, False, REPORTED_SLOTS, 0)
 
 
 @attrs.frozen
@@ -135,10 +136,17 @@
         secret: Key of the first client account.
     """
 
-    def __init__(self, size: Size, port: int = 1, slots: int = 64) -> None:
+    def __init__(
+        self,
+        size: Size,
+        port: int = 1,
+        slots: int = 64,
+        first_s: float = FIRST_S,
+        **changes: object,
+    ) -> None:
         self.size = size
-        self.state = core_state.create(settings(), "bench")
-        self.now_s = FIRST_S
+        self.state = core_state.create(settings(**changes), "bench")
+        self.now_s = first_s
         self.sequence = 0
         issued = keyring.issue(ACCOUNT)
         self.secret = issued.secret
@@ -217,5 +225,4 @@
 
     def report(self, target: str) -> None:
         """Lets a target report that it is idle."""
-        idle = events.TargetReport(True, False, REPORTED_SLOTS, 0)
-        self.feed(events.TargetPolled(self.now_s, target, idle))
+        self.feed(events.TargetPolled(self.now_s, target, IDLE))
--- a/mulberrydeck/routing/lookup.py
+++ b/mulberrydeck/routing/lookup.py
@@ -104,9 +104,8 @@
     place = query.place or query.caller_ip
     block = hashing.digest(caller_block(query.caller_ip))
     found: list[gateway.EntryVm] = []
-    for tier in _tiers(compiled, members, place, block):
-        for zone in tier:
-            found.extend(_ordered(members.by_zone[zone], block))
+    for zone in _zones(compiled, members, place, block):
+        found.extend(_ordered(members.by_zone[zone], block))
         if len(found) >= ANSWER_SIZE:
             break
     return gateway.LookupAnswer(
@@ -123,9 +122,9 @@
     return address.rpartition(".")[0]
 
 
-def _tiers(
+def _zones(
     compiled: object, members: Directory, place: str, block: int
-) -> Iterator[list[str]]:
+) -> Iterator[str]:
     """Yields zones with entry VMs, nearest first."""
 
     def spread(zones: Iterable[str]) -> list[str]:
@@ -135,7 +134,7 @@
         )
 
     if not compiled.knows_place(place):
-        yield spread(members.by_zone)
+        yield from spread(members.by_zone)
         return
     nearest = compiled.zones_near(place)
     region = compiled.region_of(nearest[0])
@@ -144,8 +143,8 @@
         for zone in nearest
         if zone in members.by_zone and compiled.region_of(zone) == region
     ]
-    yield spread(near) if place == region else near
-    yield spread(set(members.by_zone).difference(near))
+    yield from spread(near) if place == region else near
+    yield from spread(set(members.by_zone).difference(near))
 
 
 def _ordered(entries: tuple[Entry, ...], block: int) -> list[gateway.EntryVm]:
