--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -109,7 +109,7 @@
     now_s: float,
     service: str,
     full_links: frozenset[str] = frozenset(),
-) -> Local | Remote | None:
+) -> Candidate | None:
     """Returns what `choose` would pick, without counting it as traffic.
 
     Args:
@@ -119,7 +119,7 @@
         full_links: Links, as `from/to` regions, on which this VM lacks quota.
     """
     search = _start(state, now_s, service, frozenset(), full_links)
-    return _decision(_select(search))
+    return _select(search)
 
 
 def _start(
--- a/mulberrydeck/routing/tests/test_choice.py
+++ b/mulberrydeck/routing/tests/test_choice.py
@@ -31,6 +31,7 @@
     state = make_state()
     hear(state, "b", "z1", 0)
     hear(state, "c", "z2", 4)
+    assert choice.preview(state, 1.0, "s").vm == "c"
     assert choice.choose(state, 1.0, "s") == choice.Remote("c")
     without_c = frozenset({"c"})
     assert choice.choose(state, 1.0, "s", without_c) == choice.Remote("b")
