--- a/bench/reducer_cost.py
+++ b/bench/reducer_cost.py
@@ -12,6 +12,8 @@
 from bench import single_vm
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.core import reports
+from mulberrydeck.observability import metrics as metric_sets
 
 REPEATS = 5
 LEAST_ROUND_S = 0.06
@@ -28,6 +30,7 @@
         second: One tick with heartbeats due.
         heartbeat: One heartbeat of a peer.
         report: One report of a target.
+        metrics: Status and its metrics, worked out once a second.
     """
 
     request: float
@@ -35,6 +38,7 @@
     second: float
     heartbeat: float
     report: float
+    metrics: float
 
 
 def measure(size: single_vm.Size) -> Costs:
@@ -76,12 +80,18 @@
     def beat() -> None:
         vm.feed(vm.heartbeat(1 + next(numbers) % (size.vms - 1)))
 
+    found = metric_sets.Metrics()
+
+    def show() -> None:
+        found.set_status(reports.status(vm.state))
+
     return Costs(
         request=cost_us(ask),
         tick=cost_us(tick),
         second=cost_us(second),
         heartbeat=cost_us(beat),
         report=cost_us(lambda: vm.report(owned)),
+        metrics=cost_us(show),
     )
 
 
