--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -51,11 +51,13 @@
         echo_s: The receiver's `sent_s` of its last heartbeat seen here, or -1.
         zone: Availability zone of the sender.
         leaving: Whether the sender is stopping.
+        peer_address: Where the sender receives peer messages, `host:port`.
         caller_address: Where callers reach the sender, `host:port`.
         relay_address: Where VMs send relayed requests, `host:port`.
         documents: Versions that the sender has applied.
         holder_epoch: Epoch of the zone lease that the sender holds, or 0.
         loads: Capacity per service.
+        full_links: Links, as `from/to` regions, on which it lacks quota.
     """
 
     incarnation: str
@@ -64,11 +66,13 @@
     echo_s: float
     zone: str
     leaving: bool
+    peer_address: str
     caller_address: str
     relay_address: str
     documents: tuple[DocumentVersion, ...]
     holder_epoch: int
     loads: tuple[ServiceLoad, ...]
+    full_links: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -109,13 +113,45 @@
         epoch: Epoch of the granting zone holder.
         echo_s: Receiver's clock from which the duration counts.
         duration_s: Validity.
-        targets: Names of the targets granted.
+        targets: Names of all targets granted; others are to be released.
+        sequence: Counter of the holder's grants in this epoch.
     """
 
     epoch: int
     echo_s: float
     duration_s: float
     targets: tuple[str, ...]
+    sequence: int = 0
+
+
+@attrs.frozen
+class TargetRelease:
+    """Gives targets back before their grants expire.
+
+    Attributes:
+        epoch: Epoch of the last grant seen.
+        sequence: Sequence of the last grant seen.
+        targets: Names of targets that the sender no longer uses.
+    """
+
+    epoch: int
+    sequence: int
+    targets: tuple[str, ...]
+
+
+@attrs.frozen
+class TargetClaim:
+    """Tells a new zone holder which targets the sender still owns.
+
+    The sender ignores grants of earlier epochs from now on.
+
+    Attributes:
+        epoch: Epoch of the new holder.
+        targets: Names of targets whose grants are still valid.
+    """
+
+    epoch: int
+    targets: tuple[str, ...]
 
 
 @attrs.frozen
@@ -231,4 +267,6 @@
     5: QuotaAsk,
     6: QuotaLoan,
     7: QuotaReturn,
+    8: TargetRelease,
+    9: TargetClaim,
 }
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -173,6 +173,21 @@
     return _give_all_back(resources)
 
 
+def short_links(quota: state.QuotaState) -> tuple[str, ...]:
+    """Returns links, as `from/to`, that lacked tokens since the last tick."""
+    return tuple(
+        name.removeprefix("link/")
+        for name in quota.active
+        if name.startswith("link/") and quota.resources[name].shortfall > 0
+    )
+
+
+def advance_all(quota: state.QuotaState, now_s: float) -> None:
+    """Brings all resources to the current time, for exact balances."""
+    for resource in quota.resources.values():
+        bucket.advance(resource, now_s)
+
+
 def balances(quota: state.QuotaState) -> tuple[state.Balance, ...]:
     """Returns units and tokens per resource as of its last use."""
     return tuple(
--- a/mulberrydeck/settings/declarations.py
+++ b/mulberrydeck/settings/declarations.py
@@ -47,6 +47,12 @@
         "address",
         default="",
     )
+    advertised_peer_address: str = setting(
+        "Address that peers are told for peer messages; empty means "
+        "`peer_address`.",
+        "address",
+        default="",
+    )
     source_ip: str = setting(
         "Local IP of outgoing connections; empty lets the system choose.",
         "address",
@@ -86,8 +92,14 @@
         "s",
         default=0.2,
     )
+    admission_lifetime_s: float = setting(
+        "A request admitted under its account's limit must be sent to a target "
+        "within this time, or it is admitted anew.",
+        "s",
+        default=0.15,
+    )
     slot_wait_s: float = setting(
-        "Longest time that a request waits for a free slot.", "s", default=0.25
+        "Longest time that a request waits for a free slot.", "s", default=0.1
     )
     zone_takeover_s: float = setting(
         "A zone lease is taken over when its holder has been missing from the "
@@ -129,6 +141,9 @@
         "s",
         default=2.0,
     )
+    platform_timeout_s: float = setting(
+        "Time allowed for one call of the platform.", "s", default=2.0
+    )
     otlp_url: str = setting(
         "OTLP/HTTP endpoint for traces; empty writes JSON lines to "
         "`trace_path`.",
--- /dev/null
+++ b/tests/version_watch.py
@@ -0,0 +1,57 @@
+"""Samples the document versions of each VM in the background."""
+
+import collections
+
+import gevent
+
+from standins import fleet
+from standins import http_client
+
+SAMPLE_INTERVAL_S = 0.05
+DOCUMENTS = ("config_version", "keys_version")
+
+
+class VersionWatch:
+    """Records every version of configuration and keyring that a VM shows.
+
+    Attributes:
+        running: The fleet.
+        seen: Versions by VM and document, in the order they were shown,
+            without the time before a process has any.
+    """
+
+    def __init__(self, running: fleet.Fleet) -> None:
+        self.running = running
+        self.seen: dict[tuple[str, str], list[int]] = collections.defaultdict(
+            list
+        )
+        self.greenlets = [
+            gevent.spawn(self._sample, name) for name in running.vms
+        ]
+
+    def stop(self) -> None:
+        """Ends sampling."""
+        gevent.killall(self.greenlets)
+
+    def reversions(self) -> dict[tuple[str, str], list[int]]:
+        """Returns the versions where an older one was shown again."""
+        return {
+            shown: versions
+            for shown, versions in self.seen.items()
+            if versions != sorted(versions)
+        }
+
+    def _sample(self, name: str) -> None:
+        address = self.running.layout.vm_addresses(name).caller
+        while True:
+            answer = http_client.call(address, "GET", "/v1/status")
+            if isinstance(answer, http_client.Answer):
+                status = answer.json()
+                for document in DOCUMENTS:
+                    self._record(name, document, status[document])
+            gevent.sleep(SAMPLE_INTERVAL_S)
+
+    def _record(self, name: str, document: str, version: int) -> None:
+        versions = self.seen[name, document]
+        if version and versions[-1:] != [version]:
+            versions.append(version)
