Hold no receive buffer on idle connections

Cause: a kept connection held its last receive buffer, up to 64 KiB. Change: it is dropped before the wait for the next request. Conclusion: no change of behaviour; unit tests pass.

--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -35,6 +35,7 @@
     def is_quiet(self) -> bool:
         """Returns whether it is open and has nothing to read."""
         try:
+            # The wrapped socket, since gevent's own would wait for bytes.
             self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
--- a/mulberrydeck/frontend/wire.py
+++ b/mulberrydeck/frontend/wire.py
@@ -126,6 +126,7 @@
         if not self.has_unread:
             self.set_timeout(start_timeout_s)
             self.idle = True
+            self.buffer = b""  # Idle connections hold no memory.
             self.buffer = self._receive()
             self.position = 0
             self.idle = False
