Name the VM that explain chooses after the choice's preview changed

Cause: merging two changes of the preview left the caller with the result type of the older one; tests/test_operator_views.py failed. After: it passes.

--- a/mulberrydeck/core/reports.py
+++ b/mulberrydeck/core/reports.py
@@ -130,9 +130,6 @@
     picked = choice.preview(
         state.routing, state.now_s, service, requests.full_links(state)
     )
-    match picked:
-        case choice.Local():
-            return state.settings.name
-        case choice.Remote(vm):
-            return vm
-    return ""
+    if picked is None:
+        return ""
+    return picked.vm or state.settings.name
