Prove drains and planned stops; keep serving right after a cut

Ruled out: the callers (they got whole answers with no-capacity) and the peers, which had free slots.

Change: a target whose drain has just begun is the last resort for 1 s, if the last choice found no VM with usable slots. New scenarios run drains by command and by the target's report, planned stops of a VM under long transfers, both at once, and a drain while a zone is cut off.

--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -75,7 +75,8 @@
 
     The steps of the spill order are tried in turn, first for free slots over
     links with room, then for free slots, then for a place in a queue. The last
-    resort is an own target whose reports have stopped.
+    resort is an own target whose reports have stopped or whose drain has just
+    begun.
 
     Args:
         state: State of the routing part.
@@ -85,14 +86,15 @@
         excluded: Names of VMs that must not get it, such as those tried.
     """
     chosen = _select(state, now_s, service, peers, excluded)
+    kept = routing_state.service_state(state, service)
+    kept.has_others = chosen is not None
     if chosen is not None:
-        kept = routing_state.service_state(state, service)
         ramp.record(kept.zone_ramps, chosen.zone, now_s)
         return _decision(chosen)
     if state.vm_name in excluded:
         return None
-    blind = slots.has_blind_target(state, now_s, service)
-    return Local() if blind else None
+    usable = slots.has_last_resort(state, now_s, service)
+    return Local() if usable else None
 
 
 def preview(
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -32,6 +32,8 @@
             continue
         if known.target.draining and not target.draining:
             target_state.recover(known, now_s)
+        if target.draining and not known.target.draining:
+            known.draining_since_s = now_s
         known.target = target
     for name in list(state.targets):
         if name not in declared and not state.targets[name].used:
--- a/mulberrydeck/routing/slots.py
+++ b/mulberrydeck/routing/slots.py
@@ -36,7 +36,7 @@
     """
     usable = _usable_slots(state, now_s, service)
     if not usable:
-        target = _blind_target(state, now_s, service)
+        target = _last_resort(state, now_s, service)
         if target is not None:
             return _take(state, now_s, target, account, request_id), []
         _account(state, account).refused += 1
@@ -158,28 +158,29 @@
     )
 
 
-def has_blind_target(
+def has_last_resort(
     state: routing_state.RoutingState, now_s: float, service: str
 ) -> bool:
-    """Returns whether an owned target may be tried without any report.
+    """Returns whether an owned target may be tried as the last resort.
 
     Args:
         state: State of the routing part.
         now_s: Monotonic time, in seconds.
         service: Name of the service.
     """
-    return _blind_target(state, now_s, service) is not None
+    return _last_resort(state, now_s, service) is not None
 
 
-def _blind_target(
+def _last_resort(
     state: routing_state.RoutingState, now_s: float, service: str
 ) -> target_state.TargetState | None:
-    blind = [
+    has_others = routing_state.service_state(state, service).has_others
+    found = [
         target
         for target in ownership.owned_targets(state, now_s, service)
-        if target_state.blind_slots(target)
+        if target_state.last_resort_slots(target, now_s, has_others)
     ]
-    return state.rng.choice(blind) if blind else None
+    return state.rng.choice(found) if found else None
 
 
 def _least_loaded(
--- a/mulberrydeck/routing/state.py
+++ b/mulberrydeck/routing/state.py
@@ -162,12 +162,14 @@
         zone_ramps: Growth of each zone's share of this VM's traffic.
         peer_slots: Usable and free slots of the other VMs of the own zone, as
             last reported.
+        has_others: Whether the last choice found a VM with usable slots.
     """
 
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
     hold_s: float = 0.1
     zone_ramps: dict[str, ramp.ZoneRamp] = attrs.field(factory=dict)
     peer_slots: tuple[int, int] = (0, 0)
+    has_others: bool = True
 
 
 @attrs.define
--- a/mulberrydeck/routing/target_state.py
+++ b/mulberrydeck/routing/target_state.py
@@ -11,6 +11,7 @@
 FAILED_POLLS_LIMIT = 3
 BLIND_SLOTS = 1
 FOREIGN_USE_LIMIT_S = 60.0
+DRAIN_GRACE_S = 1.0
 
 
 @attrs.define
@@ -38,6 +39,7 @@
         probation_successes: Successes in the current probation.
         shed_until_s: Until when `shed_slots` applies, in seconds.
         shed_slots: Limit learned from a request that the target shed.
+        draining_since_s: When this VM learned that operators drain it.
     """
 
     target: configuration.Target
@@ -60,6 +62,7 @@
     probation_successes: int = 0
     shed_until_s: float = -math.inf
     shed_slots: int = 0
+    draining_since_s: float = -math.inf
 
     @property
     def address(self) -> str:
@@ -110,17 +113,29 @@
     return max(0, usable_slots(state, now_s, warmup_s) - state.used)
 
 
-def blind_slots(state: TargetState) -> int:
-    """Returns the free slots of a target whose reports have stopped.
+def last_resort_slots(
+    state: TargetState, now_s: float, has_others: bool
+) -> int:
+    """Returns the free slots to use when no target is known to be usable.
 
-    They are the last resort when no target is known to be usable, since
-    reports may stop although the targets work.
+    Reports may stop although a target works. After a cut, a drain may reach a
+    VM before the heartbeats of the VMs that can take over.
+
+    Args:
+        state: The target.
+        now_s: Monotonic time, in seconds.
+        has_others: Whether another VM can serve instead.
     """
+    if state.report is not None and not state.report.healthy:
+        return 0
     silent = state.failed_polls >= FAILED_POLLS_LIMIT
-    refuses = state.report is not None and not state.report.healthy
-    if not silent or refuses or _leaving(state):
+    if not _leaving(state):
+        return max(0, BLIND_SLOTS - state.used) if silent else 0
+    drained_for_s = now_s - state.draining_since_s
+    in_grace = drained_for_s < DRAIN_GRACE_S and not has_others
+    if silent or not in_grace or state.report is None or state.report.leaving:
         return 0
-    return max(0, BLIND_SLOTS - state.used)
+    return max(0, _open_slots(state, now_s, warmup_s=0.0) - state.used)
 
 
 def record_answer(state: TargetState) -> None:
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -92,6 +92,18 @@
     assert usable == [1, 3]
 
 
+def test_a_drained_target_works_on_for_a_moment_without_others():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
+    drained = fakes.FakeCompiled((fakes.target("t", draining=True),))
+    reducer.configure(state, 100.0, drained)
+    assert choice.choose(state, 100.5, "s", (), ()) == choice.Local()
+    answer, _ = reducer.acquire(state, 100.5, "s", "a", "r")
+    assert isinstance(answer, routing_state.Acquired)
+    assert choice.choose(state, 101.5, "s", (), ()) is None
+    answer, _ = reducer.acquire(state, 101.5, "s", "a", "r2")
+    assert isinstance(answer, routing_state.Full)
+
+
 def test_leaving_targets_get_no_new_work_at_once():
     compiled = fakes.FakeCompiled((fakes.target("t"),))
     state = fakes.warm_owner(compiled)
--- /dev/null
+++ b/tests/features/drains.feature
@@ -0,0 +1,54 @@
+Feature: Planned drains and stops cut off nothing
+
+  A leaving target receives no new work after 3 seconds. A planned stop of a
+  VM ends every request whole. A zone that is cut off from the platform and
+  from its peers learns of a drain when the cut has healed.
+
+  Scenario: An operator drains a target under load
+    Given a fleet that serves
+    When callers follow look-ups for 9 seconds
+    And an operator drains the busiest target of east-a
+    Then that target gets no work later than 3 seconds after it
+    And every request was served
+
+  Scenario: A target says itself that it leaves
+    Given a fleet that serves
+    When callers follow look-ups for 9 seconds
+    And the busiest target of east-a says that it leaves
+    Then that target gets no work later than 3 seconds after it
+    And every request was served
+
+  Scenario Outline: A VM stops while long transfers pass through it
+    Given a fleet that serves
+    And all work of the east goes through <vm>
+    When callers follow look-ups for 12 seconds
+    And long transfers pass through <vm>
+    And <vm> is told to stop
+    Then other VMs stop naming <vm> while it still answers
+    And <vm> ends with exit code 0
+    And every long transfer ended whole
+    And every request was served
+
+    Examples:
+      | vm         |
+      | east-a-vm2 |
+      | east-b-vm1 |
+
+  Scenario: A target is drained while a VM stops
+    Given a fleet that serves
+    When callers follow look-ups for 11 seconds
+    And east-a-vm2 is told to stop
+    And an operator drains the busiest target of east-a
+    Then that target gets no work later than 3 seconds after it
+    And east-a-vm2 ends with exit code 0
+    And every request was served
+
+  Scenario: Targets are drained while a zone is cut off
+    Given a fleet that serves
+    When callers follow look-ups for 16 seconds
+    And west-a is cut off
+    And an operator drains the busiest target of east-a and permits-west-a-1
+    Then that target gets no work later than 3 seconds after it
+    When the cut heals
+    Then permits-west-a-1 gets no work later than 3 seconds after that
+    And every request was served
--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,246 @@
+"""Steps of planned drains of targets and stops of VMs."""
+
+import collections
+import hashlib
+import time
+
+import gevent
+import pytest_bdd
+from pytest_bdd import parsers
+
+from standins import http_client
+from standins import traffic
+from standins import verdicts
+from standins import waiting
+from standins.target import answers
+
+pytest_bdd.scenarios("features/drains.feature")
+
+SEED = 5
+RATE_PER_S = 20.0
+SETTLING_S = 2.0
+WATCH_S = 2.0
+PIECE = b"u" * 4096
+PIECES = 25
+PIECE_PAUSE_S = 0.2
+DOWNLOAD_BYTES = 25 * answers.BLOCK_BYTES
+SERVICE_PATH = "/v1/services/permits/status"
+
+
+class Transfers:
+    """Long uploads and downloads, each with its own connection."""
+
+    def __init__(self, scene, vms):
+        self.key = scene.key("acme")
+        self.scene = scene
+        self.greenlets = {}
+        for vm in vms:
+            self.start(f"down-{vm}", vm, self.download)
+            self.start(f"up-{vm}", vm, self.upload)
+
+    def start(self, request_id, vm, transfer):
+        client = self.scene.fleet.client(vm, self.key)
+        self.greenlets[request_id] = gevent.spawn(transfer, client, request_id)
+
+    def download(self, client, request_id):
+        query = f"?bytes={DOWNLOAD_BYTES}&pace_ms={1000 * PIECE_PAUSE_S}"
+        headers = {"Mulberrydeck-Request-Id": request_id}
+        answer = client.request("GET", SERVICE_PATH + query, None, headers)
+        assert isinstance(answer, http_client.Answer), answer
+        assert answer.body == answers.body(request_id, DOWNLOAD_BYTES)
+
+    def upload(self, client, request_id):
+        headers = {"Mulberrydeck-Request-Id": request_id}
+        answer = client.request("POST", SERVICE_PATH, slow_pieces(), headers)
+        assert isinstance(answer, http_client.Answer), answer
+        digest = hashlib.sha256(PIECE * PIECES).hexdigest()
+        assert answer.json()["received_sha256"] == digest
+
+    def running_at(self, target):
+        runs = self.scene.fleet.surroundings.runs_of(target)
+        return {
+            run.request_id for run in runs if run.outcome == "running"
+        } & set(self.greenlets)
+
+
+def slow_pieces():
+    for _ in range(PIECES):
+        yield PIECE
+        gevent.sleep(PIECE_PAUSE_S)
+
+
+def owned_target(fleet, vm):
+    owned = [t["name"] for t in fleet.status(vm)["targets"] if t["owned"]]
+    return owned[0]
+
+
+def busiest_target(fleet, zone):
+    counts = collections.Counter(
+        run.target
+        for run in fleet.surroundings.runs()
+        if run.target.startswith(f"permits-{zone}-")
+    )
+    return max(counts, key=counts.get)
+
+
+def condition_of(fleet, vm, name):
+    targets = fleet.status(vm)["targets"]
+    return {target["name"]: target["state"] for target in targets}[name]
+
+
+@pytest_bdd.given(parsers.parse("all work of the east goes through {vm}"))
+def given_only(scene, vm):
+    kept = owned_target(scene.fleet, vm)
+    names = [
+        target["name"]
+        for target in scene.fleet.layout.deployment.targets
+        if target["zone"].startswith("east") and target["name"] != kept
+    ]
+    scene.fleet.must("drain", *names)
+    for name in names:
+        zone = name.removeprefix("permits-")[:6]
+        waiting.until(
+            lambda name=name, zone=zone: (
+                condition_of(scene.fleet, f"{zone}-vm1", name) == "draining"
+            ),
+            f"{name} drains",
+        )
+    scene.target = kept
+
+
+@pytest_bdd.when(
+    parsers.parse("callers follow look-ups for {duration_s:d} seconds"),
+    target_fixture="load",
+)
+def when_callers(scene, duration_s):
+    fleet = scene.fleet
+    entrances = [fleet.client(name).address for name in fleet.vms]
+    callers = [
+        traffic.Callers(entrances, fleet.layout.caller_ip(zone), number)
+        for number, zone in enumerate(fleet.layout.zone_numbers)
+    ]
+    load = traffic.Load(callers, SEED)
+    key = scene.key("acme")
+    stream = traffic.Stream(
+        "calls", "acme", key, "permits", "/status", RATE_PER_S
+    )
+    load.start(stream, duration_s)
+    gevent.sleep(SETTLING_S)
+    return load
+
+
+@pytest_bdd.when(
+    parsers.re(r"an operator drains the busiest target of east-a(?P<more>.*)"),
+    target_fixture="left",
+)
+def when_drained(scene, more):
+    name = busiest_target(scene.fleet, "east-a")
+    scene.fleet.must("drain", name, *more.split(" and ")[1:])
+    return name, time.monotonic()
+
+
+@pytest_bdd.when(
+    parsers.parse("the busiest target of {zone} says that it leaves"),
+    target_fixture="left",
+)
+def when_leaves(scene, zone):
+    name = busiest_target(scene.fleet, zone)
+    scene.fleet.surroundings.change_target(name, leaving=True)
+    return name, time.monotonic()
+
+
+@pytest_bdd.when(
+    parsers.parse("long transfers pass through {vm}"),
+    target_fixture="transfers",
+)
+def when_transfers(scene, vm):
+    started = Transfers(scene, [vm, "east-a-vm1"])
+    waiting.until(
+        lambda: started.running_at(scene.target) == set(started.greenlets),
+        f"all transfers run at {scene.target}",
+    )
+    return started
+
+
+@pytest_bdd.when(
+    parsers.parse("{vm} is told to stop"), target_fixture="stopping"
+)
+def when_stopped(scene, vm):
+    return gevent.spawn(scene.fleet.stop_vm, vm)
+
+
+@pytest_bdd.when(parsers.parse("{zone} is cut off"))
+def when_cut(scene, zone):
+    scene.fleet.surroundings.isolate(zone)
+
+
+@pytest_bdd.when("the cut heals", target_fixture="healed_s")
+def when_heals(scene):
+    scene.fleet.surroundings.heal()
+    return time.monotonic()
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        "that target gets no work later than {bound_s:d} seconds after it"
+    )
+)
+def then_no_work(scene, left, bound_s):
+    name, left_s = left
+    gevent.sleep(max(0.0, left_s + bound_s + WATCH_S - time.monotonic()))
+    runs = scene.fleet.surroundings.runs_of(name)
+    assert any(run.start_s < left_s for run in runs), "it had no work before"
+    late = verdicts.work_after(runs, name, left_s + bound_s)
+    assert not late, f"{len(late)} later than {bound_s} s"
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        "{name} gets no work later than {bound_s:d} seconds after that"
+    )
+)
+def then_no_work_healed(scene, healed_s, name, bound_s):
+    then_no_work(scene, (name, healed_s), bound_s)
+
+
+@pytest_bdd.then(
+    parsers.parse("other VMs stop naming {vm} while it still answers")
+)
+def then_unnamed(scene, vm):
+    address = scene.fleet.client(vm).address
+
+    def named():
+        for name in scene.fleet.vms:
+            if name == vm:
+                continue
+            client = scene.fleet.client(name)
+            answer = client.request("GET", "/v1/lookup?service=permits")
+            if address in [one["address"] for one in answer.json()["vms"]]:
+                return True
+        return False
+
+    waiting.until(lambda: not named(), f"{vm} is not named")
+    key = scene.key("acme")
+    answer = scene.fleet.client(vm, key).request("GET", SERVICE_PATH)
+    assert getattr(answer, "status", 0) == 200, answer
+
+
+@pytest_bdd.then(parsers.parse("{vm} ends with exit code 0"))
+def then_exits(stopping, vm):
+    assert stopping.get() == 0, vm
+
+
+@pytest_bdd.then("every long transfer ended whole")
+def then_whole(transfers):
+    gevent.joinall(transfers.greenlets.values(), raise_error=True)
+
+
+@pytest_bdd.then("every request was served")
+def then_served(load):
+    records = load.finish()
+    failed = [
+        (record.request_id, record.kind, record.status)
+        for record in records
+        if record.status != 200 or record.is_foreign
+    ]
+    assert not failed, f"{len(failed)} of {len(records)}: {failed[:9]}"
