--- a/mulberrydeck/routing/state.py
+++ b/mulberrydeck/routing/state.py
@@ -165,11 +165,13 @@
         hold_s: Moving average of the time that a request holds a slot, in
             seconds.
         zone_ramps: Growth of each zone's share of this VM's traffic.
+        has_others: Whether the last choice found a VM with usable slots.
     """
 
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
     hold_s: float = 0.1
     zone_ramps: dict[str, ramp.ZoneRamp] = attrs.field(factory=dict)
+    has_others: bool = True
 
 
 @attrs.define
