--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -174,7 +174,7 @@
 
 
 def short_links(quota: state.QuotaState) -> tuple[str, ...]:
-    """Returns links, as `from/to`, that lacked tokens since the last tick."""
+    """Returns links, as `from/to`, that lacked tokens when last used."""
     return tuple(
         name.removeprefix("link/")
         for name in quota.active
