--- a/mulberrydeck/frontend/wire.py
+++ b/mulberrydeck/frontend/wire.py
@@ -98,7 +98,7 @@
         self.position = end + len(mark)
         return data
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes | memoryview) -> None:
         """Sends all of `data`.
 
         Raises:
--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -83,8 +83,8 @@
 
     The steps of the spill order are tried in turn, first for free slots over
     links with room, then for free slots, then for a place in a queue. The last
-    resort is an own target whose reports have stopped or whose drain has just
-    begun.
+    resort, while no VM reports usable slots, is an own target whose reports
+    have stopped or whose drain has just begun.
 
     Args:
         state: State of the routing part.
@@ -96,11 +96,14 @@
     search = _start(state, now_s, service, excluded, full_links)
     chosen = _select(search)
     kept = routing_state.service_state(state, service)
-    kept.has_others = chosen is not None
+    oldest_s = now_s - state.settings.peer_timeout_s
+    kept.has_others = chosen is not None or peer_index.has_capacity(
+        state.peers, service, oldest_s
+    )
     if chosen is not None:
         ramp.record(kept.zone_ramps, chosen.zone, now_s)
         return _decision(chosen)
-    if state.vm_name in excluded:
+    if state.vm_name in excluded or kept.has_others:
         return None
     usable = slots.has_last_resort(state, now_s, service)
     return Local() if usable else None
--- a/mulberrydeck/routing/state.py
+++ b/mulberrydeck/routing/state.py
@@ -165,7 +165,7 @@
         hold_s: Moving average of the time that a request holds a slot, in
             seconds.
         zone_ramps: Growth of each zone's share of this VM's traffic.
-        has_others: Whether the last choice found a VM with usable slots.
+        has_others: Whether a VM had usable slots at the last choice.
     """
 
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
--- a/mulberrydeck/routing/tests/test_choice.py
+++ b/mulberrydeck/routing/tests/test_choice.py
@@ -10,6 +10,7 @@
 from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import reducer
+from mulberrydeck.routing import target_state
 from mulberrydeck.routing.tests import fakes
 
 TWO_STEPS = (fakes.Step((("z1", 1),)), fakes.Step((("z2", 1), ("z3", 3))))
@@ -58,6 +59,16 @@
     assert choice.choose(state, 100.0, "s") == choice.Remote("b")
 
 
+def test_a_silent_target_is_tried_only_while_no_vm_can_serve():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
+    state.targets["t"].failed_polls = target_state.FAILED_POLLS_LIMIT
+    hear(state, "b", "z1", 0, reported_s=100.0)
+    without_b = frozenset({"b"})
+    assert choice.choose(state, 100.0, "s", without_b) is None
+    peer_index.forget(state.peers, "b")
+    assert choice.choose(state, 100.0, "s") == choice.Local()
+
+
 def test_zones_of_a_step_share_by_weight_and_capacity():
     state = make_state()
     hear(state, "b", "z2", 4)
