Try a silent target only while no VM has usable slots

Cause: when all VMs that had taken part refused a request for want of slots, its entry VM tried an own target whose reports had stopped. With the targets of a region dead, 10 of 45 refusals that came more than 5 s after the death could no longer say that the request did not run.

Ruled out: requests in progress at the death, which are unknown by right; all counted ones came later.

Change: the last resort is left while any VM reports usable slots, full or not, refused or not.

--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -75,8 +75,8 @@
 
     The steps of the spill order are tried in turn, first for free slots over
     links with room, then for free slots, then for a place in a queue. The last
-    resort is an own target whose reports have stopped or whose drain has just
-    begun.
+    resort, while no VM reports usable slots, is an own target whose reports
+    have stopped or whose drain has just begun.
 
     Args:
         state: State of the routing part.
@@ -87,16 +87,25 @@
     """
     chosen = _select(state, now_s, service, peers, excluded)
     kept = routing_state.service_state(state, service)
-    kept.has_others = chosen is not None
+    kept.has_others = chosen is not None or _has_capacity(peers, service)
     if chosen is not None:
         ramp.record(kept.zone_ramps, chosen.zone, now_s)
         return _decision(chosen)
-    if state.vm_name in excluded:
+    if state.vm_name in excluded or kept.has_others:
         return None
     usable = slots.has_last_resort(state, now_s, service)
     return Local() if usable else None
 
 
+def _has_capacity(peers: tuple[PeerLoad, ...], service: str) -> bool:
+    """Returns whether a peer has usable slots, though it may be full."""
+    return any(
+        load.service == service and load.total_slots
+        for peer in peers
+        for load in peer.loads
+    )
+
+
 def preview(
     state: routing_state.RoutingState,
     now_s: float,
--- a/mulberrydeck/routing/state.py
+++ b/mulberrydeck/routing/state.py
@@ -162,7 +162,7 @@
         zone_ramps: Growth of each zone's share of this VM's traffic.
         peer_slots: Usable and free slots of the other VMs of the own zone, as
             last reported.
-        has_others: Whether the last choice found a VM with usable slots.
+        has_others: Whether a VM had usable slots at the last choice.
     """
 
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
--- a/mulberrydeck/routing/tests/test_choice.py
+++ b/mulberrydeck/routing/tests/test_choice.py
@@ -9,6 +9,7 @@
 from mulberrydeck.routing import lookup
 from mulberrydeck.routing import ramp
 from mulberrydeck.routing import reducer
+from mulberrydeck.routing import target_state
 from mulberrydeck.routing.tests import fakes
 
 TWO_STEPS = (fakes.Step((("z1", 1),)), fakes.Step((("z2", 1), ("z3", 3))))
@@ -40,6 +41,14 @@
     assert choice.choose(state, 100.0, "s", peers, ()) == choice.Remote("b")
 
 
+def test_a_silent_target_is_tried_only_while_no_vm_can_serve():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
+    state.targets["t"].failed_polls = target_state.FAILED_POLLS_LIMIT
+    full = (peer("b", "z1", 0),)
+    assert choice.choose(state, 100.0, "s", full, ("b",)) is None
+    assert choice.choose(state, 100.0, "s", (), ()) == choice.Local()
+
+
 def test_zones_of_a_step_share_by_weight_and_capacity():
     state = make_state()
     peers = (peer("b", "z2", 4), peer("c", "z3", 4))
--- /dev/null
+++ b/tests/features/links.feature
@@ -0,0 +1,32 @@
+Feature: Shifts of traffic overload neither a link nor a region
+
+  Every byte that VMs of one region send to another counts, as the network
+  sees it, in every window of 1 second and more.
+
+  Scenario: Uploads and answers want more than the link carries
+    Given a fleet with narrow links that serves
+    When the east has no targets and wants twice its links for 10 seconds
+    Then the links were within their caps
+    And both links were used to 60 percent at least
+    And every request was answered whole or refused
+
+  Scenario: The targets of a region die under load
+    Given a fleet with narrow links that serves
+    When callers want more than one region can serve for 13 seconds
+    And all targets of the east die
+    Then no target ran more than its slots
+    And what was too much was refused at once and did not run
+    And the links were within their caps
+
+  Scenario: A region dies under load
+    Given a fleet with narrow links that serves
+    When callers want more than one region can serve for 13 seconds
+    And all VMs and targets of the east die
+    Then no target ran more than its slots
+    And what was too much was refused at once and did not run
+    And the links were within their caps
+
+  Scenario: A VM gets no quota of its link
+    Given a fleet with narrow links that serves
+    When a VM of the east is left without link quota and targets
+    Then a request that needs the link ends at its deadline as not run
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,260 @@
+"""Steps of the caps of links and of moves of traffic between regions."""
+
+import collections
+import time
+
+import attrs
+import gevent
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from mulberrydeck.core import shares
+from standins import deployments
+from standins import fleet as fleets
+from standins import http_client
+from standins import traffic
+from standins import verdicts
+from standins import waiting
+from tests import conftest
+from tests import link_use
+
+pytest_bdd.scenarios("features/links.feature")
+
+SEED = 7
+CAP_BYTES_PER_S = 400_000
+BIG_BYTES = 100_000
+BIG_RATE_PER_S = 2 * CAP_BYTES_PER_S / BIG_BYTES
+BUSY_RATE_PER_S = 80.0
+WEST_SLOTS = 16
+BUSY_MS = 300.0
+BUSY_BYTES = 6_000
+SETTLING_S = 3.0
+AT_ONCE_S = 2.0
+DETECTION_S = 5.0
+DEADLINE_S = 2.0
+REGIONS = ("east", "west")
+EAST_ZONES = ("east-a", "east-b")
+OPEN_PATH = "/v1/services/permits/notices"
+
+
+def narrow():
+    """Returns the small deployment with low link caps and a larger west."""
+    deployment = deployments.small()
+    for link in deployment.document["links"]:
+        link["cap_bytes_per_s"] = CAP_BYTES_PER_S
+    for target in deployment.document["targets"]:
+        if target["zone"] == "west-a":
+            target["slots"] = WEST_SLOTS
+    return deployment
+
+
+@pytest.fixture(name="narrow_fleet")
+def fixture_narrow_fleet(tmp_path):
+    with fleets.Fleet(narrow(), tmp_path) as started:
+        started.start()
+        started.apply()
+        conftest.wait_serving(started)
+        yield started
+
+
+@pytest_bdd.given(
+    "a fleet with narrow links that serves", target_fixture="scene"
+)
+def given_narrow(narrow_fleet):
+    scene = conftest.Scene(narrow_fleet)
+    scene.key("acme")
+    return scene
+
+
+def load_of(scene, zones):
+    fleet = scene.fleet
+    entrances = [
+        fleet.client(name).address
+        for zone in zones
+        for name in fleet.vms_in(zone)
+    ]
+    callers = [
+        traffic.Callers(entrances, fleet.layout.caller_ip(zone), number)
+        for number, zone in enumerate(zones)
+    ]
+    return traffic.Load(callers, SEED)
+
+
+def stream(scene, name, rate_per_s, **fields):
+    key = scene.key("acme")
+    return traffic.Stream(
+        name, "acme", key, "permits", "/status", rate_per_s, **fields
+    )
+
+
+def targets_in(fleet, zones):
+    return [
+        target["name"]
+        for target in fleet.layout.deployment.targets
+        if target["zone"] in zones
+    ]
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "the east has no targets and wants twice its links for "
+        "{duration_s:d} seconds"
+    ),
+    target_fixture="load",
+)
+def when_relayed(scene, duration_s):
+    scene.fleet.must("drain", *targets_in(scene.fleet, EAST_ZONES))
+    scene.fleet.wait_all(
+        lambda status: all(
+            target["state"] == "draining"
+            for target in status["targets"]
+            if "east" in target["name"]
+        ),
+        "the east drains",
+    )
+    load = load_of(scene, EAST_ZONES)
+    down = stream(scene, "down", BIG_RATE_PER_S, answer_bytes=BIG_BYTES)
+    up = stream(
+        scene, "up", BIG_RATE_PER_S, method="POST", body_bytes=BIG_BYTES
+    )
+    load.start(down, duration_s)
+    load.start(up, duration_s)
+    load.duration_s = duration_s
+    return load
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "callers want more than one region can serve for {duration_s:d} seconds"
+    ),
+    target_fixture="load",
+)
+def when_busy(scene, duration_s):
+    load = load_of(scene, tuple(scene.fleet.layout.zone_numbers))
+    wanted = stream(
+        scene,
+        "busy",
+        BUSY_RATE_PER_S,
+        work_ms=BUSY_MS,
+        answer_bytes=BUSY_BYTES,
+    )
+    load.start(wanted, duration_s)
+    gevent.sleep(SETTLING_S)
+    return load
+
+
+@pytest_bdd.when("all targets of the east die")
+def when_targets_die(scene, load):
+    for zone in EAST_ZONES:
+        scene.fleet.surroundings.targets[zone].kill()
+    load.died_s = time.monotonic()
+
+
+@pytest_bdd.when("all VMs and targets of the east die")
+def when_region_dies(scene, load):
+    for zone in EAST_ZONES:
+        scene.fleet.kill_zone(zone)
+    load.died_s = time.monotonic()
+
+
+@pytest_bdd.when(
+    "a VM of the east is left without link quota and targets",
+    target_fixture="lonely",
+)
+def when_no_quota(scene):
+    fleet = scene.fleet
+    fleet.surroundings.add_rule("zone:platform", "any", cut=True)
+    holder = fleet.status("east-a-vm1")["zone_holder"]
+    fleet.kill_vm("east-b-vm1")
+    fleet.kill_vm(holder)
+    (lonely,) = fleet.vms_in("east-a")
+    waiting.until(lambda: has_no_share(fleet.status(lonely)), "no quota")
+    return lonely
+
+
+def has_no_share(status):
+    units = [
+        quota["own_units"] + quota["borrowed_units"]
+        for quota in status["quotas"]
+        if quota["resource"] == "link/east/west"
+    ]
+    return units == [0] and not any(t["owned"] for t in status["targets"])
+
+
+@pytest_bdd.then(
+    "a request that needs the link ends at its deadline as not run"
+)
+def then_ends(scene, lonely):
+    deadline = {"Mulberrydeck-Deadline": str(DEADLINE_S)}
+    client = scene.fleet.client(lonely)
+    answer = client.request("GET", OPEN_PATH, None, deadline)
+    assert isinstance(answer, http_client.Answer), answer
+    assert answer.status in (503, 504), answer
+    assert answer.headers.get("mulberrydeck-ran") == "no", answer
+    assert answer.latency_s < DEADLINE_S + AT_ONCE_S
+
+
+@pytest_bdd.then("the links were within their caps")
+def then_capped(scene, load):
+    load.finish()
+    for source, destination in (REGIONS, REGIONS[::-1]):
+        use = link_use.between(scene.fleet, source, destination)
+        burst = CAP_BYTES_PER_S * shares.LINK_BURST_S
+        over = link_use.excess_bytes(use, CAP_BYTES_PER_S, burst)
+        print(source, destination, sum(use.values()), over)
+        assert over <= 0, f"{source} to {destination}: {over:.0f} bytes over"
+
+
+@pytest_bdd.then(
+    parsers.parse("both links were used to {percent:d} percent at least")
+)
+def then_used(scene, load, percent):
+    for source, destination in (REGIONS, REGIONS[::-1]):
+        use = link_use.between(scene.fleet, source, destination)
+        due = CAP_BYTES_PER_S * load.duration_s * percent / 100
+        assert sum(use.values()) >= due, f"{source} to {destination}"
+
+
+@pytest_bdd.then("every request was answered whole or refused")
+def then_answered(load):
+    kinds = collections.Counter((r.stream.name, r.kind) for r in load.finish())
+    print(kinds)
+    bad = [
+        attrs.evolve(record, stream=None)
+        for record in load.finish()
+        if record.is_foreign
+        or not (record.status == 200 or record.status in (429, 503, 504))
+    ]
+    assert not bad, f"{len(bad)}: {bad[:5]}"
+
+
+@pytest_bdd.then("no target ran more than its slots")
+def then_slots(scene, load):
+    load.finish()
+    slots = {
+        target["name"]: target["slots"]
+        for target in scene.fleet.layout.deployment.targets
+    }
+    runs = scene.fleet.surroundings.runs()
+    over = [run for run in runs if run.concurrent > slots[run.target]]
+    shed = [run for run in runs if run.outcome == verdicts.NOT_RUN]
+    assert runs
+    assert not over
+    assert not shed, f"{len(shed)} sent to a full target"
+
+
+@pytest_bdd.then("what was too much was refused at once and did not run")
+def then_refused(scene, load):
+    records = load.finish()
+    refused = [record for record in records if record.kind == "no-capacity"]
+    assert refused
+    ended_s = load.died_s + DETECTION_S
+    late = [record for record in refused if record.due_s > ended_s]
+    ran = [record for record in late if not record.not_run]
+    assert late
+    assert not ran, f"{len(ran)} of {len(late)} may have run"
+    slow = [r for r in refused if r.tries == 1 and r.latency_s > AT_ONCE_S]
+    assert not slow, f"{len(slow)} of {len(refused)} waited"
+    ids = {record.request_id for record in refused}
+    assert not verdicts.false_refusals(scene.fleet.surroundings.runs(), ids)
