Keep links between regions within their caps, system traffic included

Cause: bodies were paced in pieces of up to 64 KiB that were sent whole, at the full cap; heartbeats, quota messages and packet headers came on top. A VM that got no room on a link waited for ever and held the slot of its target meanwhile.

Ruled out: taking peer messages from the link's quota, since quota is lent by them.

Change: allow_bytes allows slices of 10 ms of the cap and returns their length; transfers get 90% of cap and burst; without any room for idle_timeout_s it raises LinkBusyError, which breaks the answer off and frees the slot. The parts in forward/ and frontend/ send slice by slice.

--- a/mulberrydeck/core/gateway.py
+++ b/mulberrydeck/core/gateway.py
@@ -202,8 +202,19 @@
     def decide(self, event: object) -> Decision:
         """Feeds an event and blocks the greenlet until a decision."""
 
-    def allow_bytes(self, link: str, count: int) -> None:
-        """Blocks the greenlet until the link may carry `count` bytes."""
+    def allow_bytes(self, link: str, count: int) -> int:
+        """Blocks the greenlet until the link may carry some bytes.
+
+        Args:
+            link: `source/destination` regions.
+            count: Bytes that wait to be sent.
+
+        Returns:
+            Bytes to send at once, from 1 to `count`; they are counted.
+
+        Raises:
+            errors.LinkBusyError: The link had no room for too long.
+        """
 
     def lookup(self, query: LookupQuery) -> LookupAnswer:
         """Answers which entry VMs to use."""
--- a/mulberrydeck/core/shares.py
+++ b/mulberrydeck/core/shares.py
@@ -16,6 +16,7 @@
 
 UNITS = 1000
 LINK_BURST_S = 0.25
+LINK_RESERVE_RATIO = 0.1
 
 Division = tuple[str, ...]
 
@@ -49,10 +50,10 @@
     for link in active.source.links:
         if link.source == region:
             resource = f"link/{link.source}/{link.destination}"
-            cap = link.cap_bytes_per_s
-            bounds.append(
-                quota_state.Bound(resource, UNITS, cap, cap * LINK_BURST_S)
-            )
+            paced_per_s = link.cap_bytes_per_s * (1 - LINK_RESERVE_RATIO)
+            burst = paced_per_s * LINK_BURST_S
+            bound = quota_state.Bound(resource, UNITS, paced_per_s, burst)
+            bounds.append(bound)
     return tuple(bounds)
 
 
--- a/mulberrydeck/errors.py
+++ b/mulberrydeck/errors.py
@@ -47,6 +47,10 @@
     """A caller's key does not have the documented form."""
 
 
+class LinkBusyError(MulberrydeckError, TimeoutError):
+    """A link between regions had no room for too long; raise its cap."""
+
+
 class TargetError(MulberrydeckError):
     """An exchange with a target or another VM failed."""
 
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -45,7 +45,8 @@
         head: Encoded request head.
         method: HTTP method.
         remaining_s: Time left for the request, in seconds.
-        pace: Blocks until so many bytes may be sent; None if not limited.
+        pace: Blocks until some of so many bytes may be sent, and returns how
+            many; None if not limited.
         is_vm: Whether the next hop is another VM.
         fresh: Whether to open a new connection, since a kept one that the
             peer has just closed would leave the outcome unknown.
@@ -55,7 +56,7 @@
     head: bytes
     method: str
     remaining_s: float
-    pace: Callable[[int], None] | None = None
+    pace: Callable[[int], int] | None = None
     is_vm: bool = False
     fresh: bool = False
 
--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -70,7 +70,7 @@
     decision: effects.ForwardToVm,
     traceparent: str,
     secret: bytes,
-    allow_bytes: Callable[[str, int], None],
+    allow_bytes: Callable[[str, int], int],
 ) -> exchange.Hop:
     """Returns the hop to another VM.
 
@@ -79,7 +79,8 @@
         decision: Where to send it.
         traceparent: W3C trace context, or empty.
         secret: The fleet's secret.
-        allow_bytes: Blocks until a link may carry so many bytes.
+        allow_bytes: Blocks until a link may carry some bytes, and returns how
+            many.
     """
     link = decision.link
     relay = relaying.RelayHead(
--- a/mulberrydeck/forward/uploads.py
+++ b/mulberrydeck/forward/uploads.py
@@ -42,13 +42,14 @@
 
     def __init__(
         self,
-        pace: Callable[[int], None] | None,
+        pace: Callable[[int], int] | None,
         now_s: Callable[[], float],
     ) -> None:
         """Prepares an upload.
 
         Args:
-            pace: Blocks until so many bytes may be sent; None if not limited.
+            pace: Blocks until some of so many bytes may be sent, and returns
+                how many; None if not limited.
             now_s: Monotonic clock, in seconds.
         """
         self.pace = pace
@@ -128,9 +129,13 @@
             self._send(piece)
 
     def _send(self, data: bytes) -> None:
-        if self.pace is not None:
-            self.pace(len(data))
         view = memoryview(data)
+        while len(view):
+            allowed = len(view) if self.pace is None else self.pace(len(view))
+            self._send_allowed(view[:allowed])
+            view = view[allowed:]
+
+    def _send_allowed(self, view: memoryview) -> None:
         while len(view):
             sent = self.sock.send(view)
             self.sent_any = True
--- a/mulberrydeck/frontend/answers.py
+++ b/mulberrydeck/frontend/answers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from mulberrydeck import errors
 from mulberrydeck.forward import answers as parsed
 from mulberrydeck.forward import fields as header_fields
 from mulberrydeck.frontend import heads
@@ -32,7 +33,7 @@
         wire: wires.Wire,
         head: heads.RequestHead | None,
         closing: bool,
-        pace: Callable[[int], None] | None = None,
+        pace: Callable[[int], int] | None = None,
     ) -> None:
         """Prepares an answer.
 
@@ -40,7 +41,8 @@
             wire: Connection to write to.
             head: Head of the request; None if it could not be read.
             closing: Whether the connection closes after this answer.
-            pace: Blocks until so many bytes may be sent; None if not limited.
+            pace: Blocks until some of so many bytes may be sent, and returns
+                how many; None if not limited.
         """
         self.wire = wire
         self.method = "GET" if head is None else head.method
@@ -100,16 +102,29 @@
         """Sends what was added.
 
         Raises:
-            wires.ConnectionLostError: The peer went away.
+            wires.ConnectionLostError: The peer went away, or the link to it
+                had no room for too long.
         """
         if not self.pending:
             return
         data = b"".join(self.pending)
         self.pending.clear()
-        if self.pace is not None:
-            self.pace(len(data))
-        self.sent = True
-        self.wire.send(data)
+        if self.pace is None:
+            self.sent = True
+            self.wire.send(data)
+            return
+        view = memoryview(data)
+        while len(view):
+            allowed = self._allow(len(view))
+            self.sent = True
+            self.wire.send(view[:allowed])
+            view = view[allowed:]
+
+    def _allow(self, count: int) -> int:
+        try:
+            return self.pace(count)
+        except errors.LinkBusyError as error:
+            raise wires.ConnectionLostError(str(error)) from error
 
     def finish(self) -> None:
         """Ends the answer as whole and sends it.
--- a/mulberrydeck/frontend/parts.py
+++ b/mulberrydeck/frontend/parts.py
@@ -27,15 +27,22 @@
     metrics: metric_sets.Metrics
     tracer: traces.Tracer
 
-    def allow_bytes(self, link: str, count: int) -> None:
-        """Blocks until a link may carry so many bytes, and counts them.
+    def allow_bytes(self, link: str, count: int) -> int:
+        """Blocks until a link may carry some bytes, and counts them.
 
         Args:
             link: `source/destination` regions.
-            count: Number of bytes.
+            count: Bytes that wait to be sent.
+
+        Returns:
+            Bytes to send at once, from 1 to `count`.
+
+        Raises:
+            errors.LinkBusyError: The link had no room for too long.
         """
-        self.gateway.allow_bytes(link, count)
-        self.metrics.relayed_bytes(link, count)
+        allowed = self.gateway.allow_bytes(link, count)
+        self.metrics.relayed_bytes(link, allowed)
+        return allowed
 
 
 def wire(
--- a/mulberrydeck/frontend/tests/fakes.py
+++ b/mulberrydeck/frontend/tests/fakes.py
@@ -94,6 +94,7 @@
 
     def allow_bytes(self, link, count):
         self.paced.append((link, count))
+        return count
 
     def lookup(self, query):
         self.events.append(query)
--- a/mulberrydeck/frontend/tests/test_path.py
+++ b/mulberrydeck/frontend/tests/test_path.py
@@ -2,6 +2,7 @@
 
 import json
 
+from mulberrydeck import errors
 from mulberrydeck.core import events
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
@@ -49,6 +50,13 @@
     assert (problem["kind"], problem["ran"]) == ("no-target", "no")
 
 
+class BusyGateway(fakes.FakeGateway):
+    """A gateway whose links have no room."""
+
+    def allow_bytes(self, link, count):
+        raise errors.LinkBusyError(f"{link} has no room.")
+
+
 def test_relays_through_another_vm(serve, targets):
     target = targets(OK)
     second = fakes.FakeGateway(fakes.to_target(target.address))
@@ -72,6 +80,19 @@
     assert second.paced[0][0] == "r2/r1"
 
 
+def test_a_link_without_room_ends_the_answer_and_frees_the_slot(serve, targets):
+    second = BusyGateway(fakes.to_target(targets(OK).address))
+    relay = serve(second, server.RelayServer)
+    hop = fakes.to_vm(relay.address, link="r1/r2")
+    first = fakes.FakeGateway(hop, fakes.refuse())
+    request = fakes.get("/v1/services/s/x", "Connection: close")
+    answer = fakes.ask(serve(first).address, request)
+    assert first.ended()[0].outcome is events.AttemptOutcome.UNKNOWN
+    assert b"mulberrydeck-ran: unknown" in answer
+    assert second.closed.wait(fakes.WAIT_S)
+    assert isinstance(second.events[-1], events.RequestClosed)
+
+
 def test_retries_on_the_next_decision(serve, targets):
     target = targets(OK)
     gateway = fakes.FakeGateway(
--- a/mulberrydeck/frontend/wire.py
+++ b/mulberrydeck/frontend/wire.py
@@ -56,7 +56,7 @@
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes | memoryview) -> None:
         """Sends all of `data`.
 
         Raises:
--- a/mulberrydeck/shell/core_gateway.py
+++ b/mulberrydeck/shell/core_gateway.py
@@ -12,6 +12,9 @@
 from mulberrydeck.shell import runtime as runtime_module
 
 MAX_PACING_WAIT_S = 0.25
+PACING_SLICE_S = 0.01
+MIN_SLICE_BYTES = 2048
+MAX_SLICE_BYTES = 1024 * 1024
 DIRECTORY_LIFETIME_S = 0.1
 
 
@@ -34,16 +37,30 @@
         self._directory: lookup.Directory | None = None
         self._directory_until_s = 0.0
 
-    def allow_bytes(self, link: str, count: int) -> None:
-        """Blocks the greenlet until the link may carry `count` bytes."""
+    def allow_bytes(self, link: str, count: int) -> int:
+        """Blocks until the link may carry some bytes; returns how many."""
         state = self.runtime.state
         resource = f"link/{link}"
+        size = min(count, self._slice_bytes(resource))
+        ends_s = self.now_s() + state.settings.idle_timeout_s
         while True:
-            wait_s = quota.take(state.quota, self.now_s(), resource, count)
+            wait_s = quota.take(state.quota, self.now_s(), resource, size)
             if wait_s <= 0:
-                return
+                return size
+            if self.now_s() >= ends_s:
+                raise errors.LinkBusyError(
+                    f"The link {link} had no room; raise its cap or send less."
+                )
             gevent.sleep(min(wait_s, MAX_PACING_WAIT_S))
 
+    def _slice_bytes(self, resource: str) -> int:
+        found = self.runtime.state.quota.resources.get(resource)
+        if found is None:
+            return MAX_SLICE_BYTES
+        return max(
+            MIN_SLICE_BYTES, int(found.bound.rate_per_s * PACING_SLICE_S)
+        )
+
     def lookup(self, query: gateway.LookupQuery) -> gateway.LookupAnswer:
         """Answers which entry VMs to use."""
         state = self.runtime.state
--- /dev/null
+++ b/mulberrydeck/shell/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shell."""
