--- a/bench/http_path.py
+++ b/bench/http_path.py
@@ -64,8 +64,9 @@
             event.request_id, 1, "t1", self.target, "acme", 30.0, True
         )
 
-    def allow_bytes(self, link: str, count: int) -> None:
+    def allow_bytes(self, link: str, count: int) -> int:
         """Allows everything."""
+        return count
 
     def lookup(self, query: gateways.LookupQuery) -> gateways.LookupAnswer:
         """Returns a fixed answer."""
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -7,9 +7,11 @@
 import gevent
 from geventhttpclient import response
 
+from mulberrydeck import errors
 from mulberrydeck.core import events
 from mulberrydeck.forward import answers
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.forward import refusals
 from mulberrydeck.forward import uploads
 
 RECEIVE_BYTES = 64 * 1024
@@ -72,6 +74,7 @@
         begun: Whether the answer was begun towards the caller.
         expired: Whether the request's deadline passed.
         reason: Why it failed, for logs.
+        problem: Refusal that another VM gave, or None.
     """
 
     outcome: events.AttemptOutcome
@@ -80,6 +83,7 @@
     begun: bool = False
     expired: bool = False
     reason: str = ""
+    problem: errors.Problem | None = None
 
 
 class SilentPeerError(Exception):
@@ -118,6 +122,8 @@
         Raises:
             Exception: The caller's side failed; the attempt was cancelled.
         """
+        if self._remaining_s() <= 0:
+            return self._failed("the deadline has passed")
         try:
             connection = self.pool.acquire(
                 self.hop.address, self._remaining_s(), self.hop.fresh
@@ -142,13 +148,13 @@
             self._start_upload(connection)
             self._read_head(connection)
             if self._is_not_run():
-                return self._not_run()
+                return self._not_run(self._read_problem(connection))
             self._stream(connection, sink)
         except (OSError, response.HTTPParseError, SilentPeerError) as error:
             self.upload.raise_caller_error()
             self._forget_silent(error)
             return self._failed(str(error))
-        return self._answered()
+        return self.answered()
 
     def _start_upload(self, connection: pools.Connection) -> None:
         if self.hop.pace is None:
@@ -174,6 +180,19 @@
         ran = self.parser.first(RAN_FIELD)
         return ran == "no" or (self.hop.is_vm and ran == "unknown")
 
+    def _read_problem(
+        self, connection: pools.Connection
+    ) -> errors.Problem | None:
+        if not self.hop.is_vm:
+            return None
+        body = self.parser.take()
+        while not self.parser.complete:
+            if len(body) > refusals.MAX_PROBLEM_BYTES:
+                return None
+            self.parser.accept(self._receive(connection))
+            body += self.parser.take()
+        return refusals.decode(body)
+
     def _stream(self, connection: pools.Connection, sink: Sink) -> None:
         parser = self.parser
         self.begun = True
@@ -225,7 +244,8 @@
         if isinstance(error, (SilentPeerError, TimeoutError)):
             self.pool.discard_idle(self.hop.address)
 
-    def _answered(self) -> Attempt:
+    def answered(self) -> Attempt:
+        """Returns the attempt whose answer was begun."""
         return Attempt(
             events.AttemptOutcome.ANSWERED,
             self.parser.get_code(),
@@ -233,11 +253,13 @@
             begun=True,
         )
 
-    def _not_run(self) -> Attempt:
+    def _not_run(self, problem: errors.Problem | None) -> Attempt:
         outcome = events.AttemptOutcome.UNKNOWN
         if self.parser.first(RAN_FIELD) == "no":
             outcome = events.AttemptOutcome.NOT_RUN
-        return Attempt(outcome, self.parser.get_code(), self.latency_s)
+        return Attempt(
+            outcome, self.parser.get_code(), self.latency_s, problem=problem
+        )
 
     def _failed(self, reason: str) -> Attempt:
         outcome = events.AttemptOutcome.UNKNOWN
--- a/mulberrydeck/frontend/tests/test_path.py
+++ b/mulberrydeck/frontend/tests/test_path.py
@@ -3,7 +3,9 @@
 import json
 
 from mulberrydeck import errors
+from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.core import gateway as gateways
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
 
@@ -36,11 +38,14 @@
 
 
 def test_refuses_with_problem_details(serve):
-    gateway = fakes.FakeGateway(fakes.refuse())
-    caller = serve(gateway)
+    limited = effects.Refuse("", fakes.NO_TARGET, "acme")
+    caller = serve(fakes.FakeGateway(limited))
     answer = fakes.ask(
         caller.address, fakes.get("/v1/services/s/x", "Connection: close")
     )
+    metrics = caller.parts.metrics.render()
+    assert b'refusals_total{account="acme",kind="no-target"} 1.0' in metrics
+    assert b"worst_account_served_ratio 0.0" in metrics
     head, _, body = answer.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 503 ")
     assert b"content-type: application/problem+json" in head
@@ -78,6 +83,9 @@
     assert b"mulberrydeck-run-id: fee-1\r\n" in target.requests[0]
     assert first.paced[0][0] == "r1/r2"
     assert second.paced[0][0] == "r2/r1"
+    counted = b'request_seconds_count{service="s"} 1.0'
+    assert counted in caller.parts.metrics.render()
+    assert counted not in relay.parts.metrics.render()
 
 
 def test_a_link_without_room_ends_the_answer_and_frees_the_slot(serve, targets):
@@ -121,3 +129,20 @@
     body = json.loads(answer.partition(b"\r\n\r\n")[2])
     assert body["vms"][0]["name"] == "a1"
     assert gateway.events[0].place == "zone-a"
+
+
+def test_answers_the_outcome_of_a_single_run(serve):
+    gateway = fakes.FakeGateway()
+    gateway.outcome = gateways.RunOutcome("finished", 201)
+    caller = serve(gateway)
+    lines = ("Mulberrydeck-Key: mdk_secret12", "Connection: close")
+    request = fakes.get("/v1/runs/fee-1", *lines)
+    body = fakes.ask(caller.address, request).partition(b"\r\n\r\n")[2]
+    assert json.loads(body) == {"state": "finished", "status": 201}
+    assert gateway.events == [("mdk_secret12", "fee-1")]
+    gateway.outcome = fakes.NO_TARGET
+    assert fakes.ask(caller.address, request).startswith(b"HTTP/1.1 503 ")
+    post = fakes.get("/v1/lookup", *lines).replace(b"GET", b"POST")
+    assert b'"kind": "method-not-allowed"' in fakes.ask(caller.address, post)
+    unknown = fakes.get("/v2", *lines)
+    assert b'"kind": "not-found"' in fakes.ask(caller.address, unknown)
--- a/mulberrydeck/quota/configuring.py
+++ b/mulberrydeck/quota/configuring.py
@@ -68,10 +68,12 @@
     own_units: int,
     usable_s: float,
 ) -> None:
-    bucket.advance(resource, now_s)
-    resource.bound = bound
     coming = sum(part.units for part in resource.maturing)
     growth = own_units - resource.own_units - coming
+    if growth == 0 and resource.bound == bound:
+        return
+    bucket.advance(resource, now_s)
+    resource.bound = bound
     if growth > 0:
         resource.maturing.append(state.MaturingUnits(growth, usable_s))
         bucket.advance(resource, now_s)
--- a/mulberrydeck/routing/target_state.py
+++ b/mulberrydeck/routing/target_state.py
@@ -108,11 +108,6 @@
             return _open_slots(state, now_s, warmup_s)
 
 
-def free_slots(state: TargetState, now_s: float, warmup_s: float) -> int:
-    """Returns how many more requests the owner may send now."""
-    return max(0, usable_slots(state, now_s, warmup_s) - state.used)
-
-
 def last_resort_slots(
     state: TargetState, now_s: float, has_others: bool
 ) -> int:
