--- a/mulberrydeck/routing/choice.py
+++ b/mulberrydeck/routing/choice.py
@@ -96,10 +96,7 @@
     search = _start(state, now_s, service, excluded, full_links)
     chosen = _select(search)
     kept = routing_state.service_state(state, service)
-    oldest_s = now_s - state.settings.peer_timeout_s
-    kept.has_others = chosen is not None or peer_index.has_capacity(
-        state.peers, service, oldest_s
-    )
+    kept.has_others = chosen is not None or _has_capacity(search)
     if chosen is not None:
         ramp.record(kept.zone_ramps, chosen.zone, now_s)
         return _decision(chosen)
@@ -109,6 +106,13 @@
     return Local() if usable else None
 
 
+def _has_capacity(search: Search) -> bool:
+    """Returns whether a VM has usable slots, though it may be full."""
+    state = search.state
+    steps = state.compiled.spill_order(search.service, state.zone)
+    return any(_shares(search, step) for step in steps)
+
+
 def preview(
     state: routing_state.RoutingState,
     now_s: float,
--- a/mulberrydeck/routing/peer_index.py
+++ b/mulberrydeck/routing/peer_index.py
@@ -108,22 +108,6 @@
     return list(heard.values())
 
 
-def has_capacity(index: PeerIndex, service: str, oldest_s: float) -> bool:
-    """Returns whether a VM has usable slots, though they may be in use.
-
-    Args:
-        index: The index, changed in place.
-        service: Name of the service.
-        oldest_s: Reports from before this time, in seconds, are dropped.
-    """
-    places = [place for place in index.by_place if place[0] == service]
-    return any(
-        load.total_slots
-        for place in places
-        for load, _ in heard_in(index, place, oldest_s)
-    )
-
-
 def is_link_full(index: PeerIndex, link: str, oldest_s: float) -> bool:
     """Returns whether a VM that is still heard lacks quota on a link.
 
