Give a silent target no probation

Cause: a target that was ejected and whose polls fail got one request when its probation was due.

Ruled out: the last resort, which is not used while a VM has usable slots.

Change: probation needs reports that say healthy. A target whose reports have stopped is still the last resort when no VM has usable slots.

Conclusion: a dead target costs no request once its polls have failed.

--- a/mulberrydeck/routing/target_state.py
+++ b/mulberrydeck/routing/target_state.py
@@ -103,7 +103,8 @@
         case "draining" | "unknown" | "unhealthy":
             return 0
         case "ejected":
-            return 1 if now_s >= state.ejected_until_s else 0
+            on_probation = now_s >= state.ejected_until_s
+            return 1 if on_probation and not _unhealthy(state) else 0
         case _:
             return _open_slots(state, now_s, warmup_s)
 
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -170,6 +170,14 @@
     assert slots.free_and_usable(state, 102.0, "s") == (2, 4)
 
 
+def test_a_silent_target_gets_no_probation():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 4),)))
+    state.targets["t"].ejected_until_s = 99.0
+    assert slots.free_and_usable(state, 100.0, "s") == (1, 1)
+    state.targets["t"].failed_polls = target_state.FAILED_POLLS_LIMIT
+    assert slots.free_and_usable(state, 100.0, "s") == (0, 0)
+
+
 def test_targets_whose_reports_stop_are_the_last_resort():
     compiled = fakes.FakeCompiled((fakes.target("t", 4),))
     state = fakes.warm_owner(compiled)
