Start each request while its admission is valid

Cause: the VM that replaced the only VM of a region had no quota of its link yet. Ruled out: the quota leases, whose sums stayed within the bound. Change: the first byte of a request must leave while its admission is valid; otherwise the attempt did not run, its unused token goes back and the request is admitted and routed anew, or refused at once.

--- a/mulberrydeck/core/effects.py
+++ b/mulberrydeck/core/effects.py
@@ -66,6 +66,8 @@
         account: Client account, or empty on open routes.
         remaining_s: Time left for the request, in seconds.
         repeatable: Whether the request is idempotent.
+        start_within_s: Time left until its first byte must be sent, since
+            its admission ends, in seconds.
     """
 
     request_id: str
@@ -75,6 +77,7 @@
     account: str
     remaining_s: float
     repeatable: bool
+    start_within_s: float = float("inf")
 
 
 @attrs.frozen
@@ -90,6 +93,8 @@
         remaining_s: Time left for the request, in seconds.
         repeatable: Whether the request is idempotent.
         link: `source/destination` regions, or empty within a region.
+        start_within_s: Time left until its first byte must be sent, since
+            its admission ends, in seconds.
     """
 
     request_id: str
@@ -100,6 +105,7 @@
     remaining_s: float
     repeatable: bool
     link: str = ""
+    start_within_s: float = float("inf")
 
 
 @attrs.frozen
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -19,6 +19,7 @@
 
 MAX_ATTEMPTS = 4
 NO_CHOICE_RETRY_S = 0.5
+MIN_START_S = 0.03
 
 Effects = list[object]
 
@@ -181,6 +182,8 @@
 def _relay(
     state: core_state.State, request: core_state.Request, vm: str
 ) -> Effects:
+    if _is_admission_old(state, request):
+        return _admit_anew(state, request)
     heartbeat = state.members.peers[vm].heartbeat
     request.attempts += 1
     request.excluded.add(vm)
@@ -197,6 +200,7 @@
         remaining_s=request.deadline_at_s - state.now_s,
         repeatable=request.route.repeatable,
         link=_link(state, heartbeat.zone),
+        start_within_s=_start_within_s(state, request),
     )
     return [forward]
 
@@ -301,10 +305,8 @@
     remaining_s = request.deadline_at_s - state.now_s
     if remaining_s <= 0:
         return _refuse(state, request, problems.deadline_exceeded("no"))
-    admitted_for_s = state.now_s - request.admitted_at_s
-    lifetime_s = state.settings.admission_lifetime_s
-    if admitted_for_s > lifetime_s and _is_limited(state, request):
-        return _limit(state, request)
+    if _is_admission_old(state, request):
+        return _admit_anew(state, request)
     request.attempts += 1
     forward = effects.ForwardToTarget(
         request_id=request.request_id,
@@ -314,10 +316,43 @@
         account=request.account,
         remaining_s=remaining_s,
         repeatable=request.route.repeatable,
+        start_within_s=_start_within_s(state, request),
     )
     return [forward]
 
 
+def _start_within_s(
+    state: core_state.State, request: core_state.Request
+) -> float:
+    """Returns how long a request may still wait for its first byte."""
+    lifetime_s = state.settings.admission_lifetime_s
+    if not _is_limited(state, request):
+        return lifetime_s
+    return request.admitted_at_s + lifetime_s - state.now_s
+
+
+def _admit_anew(
+    state: core_state.State, request: core_state.Request
+) -> Effects:
+    """Admits a request again whose admission ended before it was sent.
+
+    The unused token goes back, unless another VM took it.
+    """
+    if not request.relayed_attempt:
+        resource = f"account/{request.account}"
+        quota.refund(state.quota, state.now_s, resource)
+    return _limit(state, request)
+
+
+def _is_admission_old(
+    state: core_state.State, request: core_state.Request
+) -> bool:
+    """Returns whether too little time is left to send a request."""
+    lifetime_s = state.settings.admission_lifetime_s
+    needed_s = min(MIN_START_S, lifetime_s / 2)
+    return _start_within_s(state, request) < needed_s
+
+
 def attempt_ended(
     state: core_state.State, event: events.AttemptEnded
 ) -> Effects:
--- a/mulberrydeck/errors.py
+++ b/mulberrydeck/errors.py
@@ -47,6 +47,10 @@
     """A caller's key does not have the documented form."""
 
 
+class AdmissionExpiredError(MulberrydeckError, TimeoutError):
+    """A request could not be started while its admission was valid."""
+
+
 class LinkBusyError(MulberrydeckError, TimeoutError):
     """A link between regions had no room for too long; raise its cap."""
 
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -52,6 +52,8 @@
         is_vm: Whether the next hop is another VM.
         fresh: Whether to open a new connection, since a kept one that the
             peer has just closed would leave the outcome unknown.
+        start_within_s: Time left until the first byte must be sent, in
+            seconds.
     """
 
     address: str
@@ -61,6 +63,7 @@
     pace: Callable[[int], int] | None = None
     is_vm: bool = False
     fresh: bool = False
+    start_within_s: float = float("inf")
 
 
 @attrs.frozen
@@ -110,7 +113,9 @@
         self.ends_s = self.started_s + hop.remaining_s
         self.latency_s = 0.0
         self.begun = False
-        self.upload = uploads.Upload(hop.pace, pool.now_s)
+        self.upload = uploads.Upload(
+            hop.pace, pool.now_s, self.started_s + hop.start_within_s
+        )
         self.parser = answers.AnswerParser(hop.method)
 
     def run(self, sink: Sink) -> Attempt:
@@ -241,6 +246,8 @@
         )
 
     def _forget_silent(self, error: Exception) -> None:
+        if isinstance(error, errors.AdmissionExpiredError):
+            return
         if isinstance(error, (SilentPeerError, TimeoutError)):
             self.pool.discard_idle(self.hop.address)
 
--- a/mulberrydeck/forward/uploads.py
+++ b/mulberrydeck/forward/uploads.py
@@ -8,6 +8,9 @@
 import gevent
 import gevent.socket
 
+from mulberrydeck import errors
+
+MAX_START_S = 3600.0
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -44,6 +47,7 @@
         self,
         pace: Callable[[int], int] | None,
         now_s: Callable[[], float],
+        start_by_s: float = float("inf"),
     ) -> None:
         """Prepares an upload.
 
@@ -51,9 +55,12 @@
             pace: Blocks until some of so many bytes may be sent, and returns
                 how many; None if not limited.
             now_s: Monotonic clock, in seconds.
+            start_by_s: When the first byte must be sent at the latest, on
+                that clock.
         """
         self.pace = pace
         self.now_s = now_s
+        self.start_by_s = start_by_s
         self.sent_any = False
         self.finished = False
         self.caller_error: Exception | None = None
@@ -73,6 +80,7 @@
 
         Raises:
             OSError: The connection broke.
+            errors.AdmissionExpiredError: It was too late for the first byte.
         """
         self.sock = sock
         if body is None:
@@ -131,10 +139,25 @@
     def _send(self, data: bytes) -> None:
         view = memoryview(data)
         while len(view):
-            allowed = len(view) if self.pace is None else self.pace(len(view))
+            allowed = self._allowed(len(view))
             self._send_allowed(view[:allowed])
             view = view[allowed:]
 
+    def _allowed(self, count: int) -> int:
+        """Returns how many bytes may be sent, waiting for the link."""
+        if self.sent_any:
+            return count if self.pace is None else self.pace(count)
+        left_s = self.start_by_s - self.now_s()
+        late = errors.AdmissionExpiredError(
+            "The request was not started in time; it is admitted anew."
+        )
+        if left_s <= 0:
+            raise late
+        if self.pace is None:
+            return count
+        with gevent.Timeout(min(left_s, MAX_START_S), late):
+            return self.pace(count)
+
     def _send_allowed(self, view: memoryview) -> None:
         while len(view):
             sent = self.sock.send(view)
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -83,6 +83,22 @@
             return
 
 
+def refund(quota: state.QuotaState, now_s: float, resource: str) -> None:
+    """Gives back a token of an admitted request that was not sent.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+        resource: Identifier of the resource.
+    """
+    found = quota.resources.get(resource)
+    if found is None:
+        return
+    bucket.advance(found, now_s)
+    found.tokens += 1.0
+    bucket.clamp(found)
+
+
 def take(
     quota: state.QuotaState, now_s: float, resource: str, amount: float
 ) -> float:
--- a/mulberrydeck/quota/tests/test_retry_after.py
+++ b/mulberrydeck/quota/tests/test_refusals.py
@@ -1,4 +1,4 @@
-"""Tests of the time after which a refused request may come back."""
+"""Tests of refusals and of tokens that go back."""
 
 import math
 
@@ -17,3 +17,15 @@
     assert isinstance(verdict, state.Denied)
     assert math.isfinite(verdict.retry_after_s)
     assert verdict.retry_after_s <= admission.MAX_RETRY_AFTER_S
+
+
+def test_a_refund_never_exceeds_the_depth():
+    settings = declarations.Settings("a", "z", "", "", "", "", "")
+    quota = state.QuotaState("i", settings)
+    bound = state.Bound("account/acme", 1000, 10.0, 5)
+    reducer.configure(quota, 0.0, (bound,), {"account/acme": 1000}, 0.0)
+    for number in range(3):
+        reducer.admit(quota, 100.0, "account/acme", f"r{number}")
+    for _ in range(9):
+        reducer.refund(quota, 100.0, "account/acme")
+    assert reducer.balances(quota)[0].tokens == 5.0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -74,10 +74,11 @@
         """Returns a key of an account, issued when it is first needed."""
         if account not in self.keys:
             self.keys[account] = self.fleet.issue_key(account)
-            self._wait_known(account)
+            self.key_known_everywhere(account)
         return self.keys[account]
 
-    def _wait_known(self, account: str) -> None:
+    def key_known_everywhere(self, account: str) -> None:
+        """Waits until every running VM accepts the account's key."""
         for name, process in self.fleet.vms.items():
             if process.is_running():
                 client = self.fleet.client(name, self.keys[account])
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -36,3 +36,9 @@
     Given a fleet that serves
     When acme sends 0.8 times its rate through one VM for 10 seconds
     Then fewer than 0.5 percent of its requests were refused after the start
+
+  Scenario: The only VM of a region is replaced
+    Given a fleet that serves
+    When the only VM of the west is replaced
+    And acme sends 4 times its rate through the new VM for 12 seconds
+    Then acme never got more than its rate and burst
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -23,11 +23,18 @@
 )
 def when_sends(scene, account, factor, which, duration_s):
     vms = sorted(scene.fleet.vms)
-    if which == "one VM":
-        vms = vms[-1:]
+    if which != "all VMs":
+        vms = [name for name in vms if name.startswith("west")][-1:]
     return sending_module.Sending(scene, account, factor, vms, duration_s)
 
 
+@pytest_bdd.when("the only VM of the west is replaced")
+def when_west_replaced(scene):
+    scene.key("acme")
+    scene.fleet.replace_vm("west-a-vm1")
+    scene.key_known_everywhere("acme")
+
+
 @pytest_bdd.when("a VM is killed and replaced meanwhile")
 def when_replaced(scene):
     gevent.sleep(SETTLING_S)
