--- a/mulberrydeck/compose.py
+++ b/mulberrydeck/compose.py
@@ -23,7 +23,6 @@
 from mulberrydeck.shell import runtime as runtime_module
 from mulberrydeck.shell import target_poller
 
-METRICS_INTERVAL_S = 1.0
 EXIT_TIMEOUT_S = 3.0
 
 
@@ -99,24 +98,18 @@
         self.callers.start()
         self.runtime.submit(events.Started(self.runtime.now_s()))
         gevent.spawn(self.runtime.run_ticks)
-        gevent.spawn(self._report_metrics)
         self.platform.start()
 
-    def _report_metrics(self) -> None:
-        while True:
-            gevent.sleep(METRICS_INTERVAL_S)
-            self.metrics.set_status(self.gateway.status())
-
     def stop(self) -> None:
         """Stops gracefully: no request in progress is cut off."""
         now_s = self.runtime.now_s
-        self.runtime.submit(events.StopRequested(now_s()))
+        started_s = now_s()
+        self.runtime.submit(events.StopRequested(started_s))
         stops = [
             gevent.spawn(self.callers.stop),
             gevent.spawn(self.relays.stop),
         ]
         gevent.joinall(stops)
-        started_s = now_s()
         self.runtime.submit(events.StopFinished(now_s()))
         self.runtime.stopped.wait(EXIT_TIMEOUT_S)
         self.platform.wait_written(EXIT_TIMEOUT_S)
--- a/mulberrydeck/core/reducer.py
+++ b/mulberrydeck/core/reducer.py
@@ -37,25 +37,48 @@
     return produced
 
 
-_handler_by_event = {
-    events.RequestArrived: requests.arrived,
-    events.AttemptEnded: requests.attempt_ended,
-    events.RequestClosed: requests.closed,
-    events.ClaimAnswered: requests.claim_answered,
-    events.QuotaDecided: requests.quota_decided,
-    events.SlotDecided: requests.slot_decided,
-    events.PeerReceived: control.peer_received,
-    events.DocumentRead: control.document_read,
-    events.PlatformConfirmed: control.platform_confirmed,
-    events.VmsListed: control.vms_listed,
-    events.ZoneLeaseRead: control.lease_read,
-    events.Tick: control.tick,
-    events.TargetPolled: control.target_polled,
-    events.Started: control.started,
-    events.StopRequested: control.stop_requested,
-    events.StopFinished: control.stop_finished,
-}
+def _dispatch(state: core_state.State, event: object) -> list[object]:
+    match event:
+        case events.RequestArrived():
+            return requests.arrived(state, event)
+        case events.AttemptEnded():
+            return requests.attempt_ended(state, event)
+        case events.RequestClosed():
+            return requests.closed(state, event)
+        case events.ClaimAnswered():
+            return requests.claim_answered(state, event)
+        case events.QuotaDecided():
+            return requests.quota_decided(state, event)
+        case events.SlotDecided():
+            return requests.slot_decided(state, event)
+    return _dispatch_control(state, event)
 
 
-def _dispatch(state: core_state.State, event: object) -> list[object]:
-    return _handler_by_event[type(event)](state, event)
+def _dispatch_control(state: core_state.State, event: object) -> list[object]:
+    match event:
+        case events.PeerReceived():
+            return control.peer_received(state, event)
+        case events.Tick():
+            return control.tick(state, event)
+        case events.TargetPolled():
+            return control.target_polled(state, event)
+        case events.Started():
+            return control.started(state, event)
+        case events.StopRequested():
+            return control.stop_requested(state, event)
+        case events.StopFinished():
+            return control.stop_finished(state, event)
+    return _dispatch_platform(state, event)
+
+
+def _dispatch_platform(state: core_state.State, event: object) -> list[object]:
+    match event:
+        case events.DocumentRead():
+            return control.document_read(state, event)
+        case events.PlatformConfirmed():
+            return control.platform_confirmed(state, event)
+        case events.VmsListed():
+            return control.vms_listed(state, event)
+        case events.ZoneLeaseRead():
+            return control.lease_read(state, event)
+    raise TypeError(f"{type(event).__name__} is no event; add it here.")
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -6,9 +6,12 @@
 """
 
 from mulberrydeck import errors
+from mulberrydeck.core import admission
+from mulberrydeck.core import authentication
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import problems
+from mulberrydeck.core import settlement
 from mulberrydeck.core import state as core_state
 from mulberrydeck.model import configuration
 from mulberrydeck.quota import reducer as quota
@@ -19,18 +22,17 @@
 
 MAX_ATTEMPTS = 4
 NO_CHOICE_RETRY_S = 0.5
-MIN_START_S = 0.03
 
 Effects = list[object]
 
 
 def arrived(state: core_state.State, event: events.RequestArrived) -> Effects:
     """Decides on a request head from a caller or a relaying VM."""
-    route = _route(state, event)
+    route = authentication.route_of(state, event)
     if isinstance(route, errors.Problem):
         return [effects.Refuse(event.request_id, route)]
     if event.relayed_account is None:
-        account = _authenticate(state, event, route)
+        account = authentication.authenticate(state, event, route)
     else:
         account = event.relayed_account
     if isinstance(account, errors.Problem):
@@ -45,43 +47,6 @@
     return _limit(state, request)
 
 
-def _route(
-    state: core_state.State, event: events.RequestArrived
-) -> configuration.Route | errors.Problem:
-    if state.configuration is None:
-        return problems.not_configured()
-    route = state.configuration.route_of(
-        event.service, event.method, event.path
-    )
-    return route or problems.unknown_service(event.service)
-
-
-def _authenticate(
-    state: core_state.State,
-    event: events.RequestArrived,
-    route: configuration.Route,
-) -> str | errors.Problem:
-    if route.open_to_all:
-        return ""
-    if not event.key:
-        return problems.key_missing()
-    account = account_of_key(state, event.key)
-    if isinstance(account, errors.Problem):
-        return account
-    if state.configuration.access_rule(account, event.service) is None:
-        return problems.not_allowed(account, event.service)
-    return account
-
-
-def account_of_key(state: core_state.State, key: str) -> str | errors.Problem:
-    """Returns the client account of a key that is in force."""
-    keys = state.documents.by_name["keys"]
-    unconfirmed_s = state.now_s - keys.confirmed_at_s
-    if state.key_index is None or unconfirmed_s > state.settings.keys_offline_s:
-        return problems.keys_stale()
-    return state.key_index.account_of(key) or problems.key_rejected()
-
-
 def _open(
     state: core_state.State,
     event: events.RequestArrived,
@@ -107,7 +72,7 @@
 
 def _limit(state: core_state.State, request: core_state.Request) -> Effects:
     """Takes a token of the account's limit and goes on, or refuses."""
-    if not _is_limited(state, request):
+    if not admission.is_limited(state, request):
         return _proceed(state, request)
     resource = f"account/{request.account}"
     verdict, produced = quota.admit(
@@ -122,12 +87,6 @@
     return list(produced)
 
 
-def _is_limited(state: core_state.State, request: core_state.Request) -> bool:
-    if not request.account:
-        return False
-    return state.configuration.limit_of(request.account) is not None
-
-
 def quota_decided(
     state: core_state.State, event: events.QuotaDecided
 ) -> Effects:
@@ -182,7 +141,7 @@
 def _relay(
     state: core_state.State, request: core_state.Request, vm: str
 ) -> Effects:
-    if _is_admission_old(state, request):
+    if admission.is_old(state, request):
         return _admit_anew(state, request)
     heartbeat = state.members.peers[vm].heartbeat
     request.attempts += 1
@@ -200,7 +159,7 @@
         remaining_s=request.deadline_at_s - state.now_s,
         repeatable=request.route.repeatable,
         link=_link(state, heartbeat.zone),
-        start_within_s=_start_within_s(state, request),
+        start_within_s=admission.start_within_s(state, request),
     )
     return [forward]
 
@@ -305,7 +264,7 @@
     remaining_s = request.deadline_at_s - state.now_s
     if remaining_s <= 0:
         return _refuse(state, request, problems.deadline_exceeded("no"))
-    if _is_admission_old(state, request):
+    if admission.is_old(state, request):
         return _admit_anew(state, request)
     request.attempts += 1
     forward = effects.ForwardToTarget(
@@ -316,21 +275,11 @@
         account=request.account,
         remaining_s=remaining_s,
         repeatable=request.route.repeatable,
-        start_within_s=_start_within_s(state, request),
+        start_within_s=admission.start_within_s(state, request),
     )
     return [forward]
 
 
-def _start_within_s(
-    state: core_state.State, request: core_state.Request
-) -> float:
-    """Returns how long a request may still wait for its first byte."""
-    lifetime_s = state.settings.admission_lifetime_s
-    if not _is_limited(state, request):
-        return lifetime_s
-    return request.admitted_at_s + lifetime_s - state.now_s
-
-
 def _admit_anew(
     state: core_state.State, request: core_state.Request
 ) -> Effects:
@@ -344,15 +293,6 @@
     return _limit(state, request)
 
 
-def _is_admission_old(
-    state: core_state.State, request: core_state.Request
-) -> bool:
-    """Returns whether too little time is left to send a request."""
-    lifetime_s = state.settings.admission_lifetime_s
-    needed_s = min(MIN_START_S, lifetime_s / 2)
-    return _start_within_s(state, request) < needed_s
-
-
 def attempt_ended(
     state: core_state.State, event: events.AttemptEnded
 ) -> Effects:
@@ -360,7 +300,7 @@
     request = state.requests.get(event.request_id)
     if request is None or event.attempt != request.attempts:
         return []
-    produced = _settle_target(state, request, event)
+    produced = settlement.settle(state, request, event)
     if event.outcome is events.AttemptOutcome.ANSWERED:
         return produced
     if not _may_retry(state, request, event):
@@ -371,50 +311,6 @@
     return produced + _choose(state, request)
 
 
-def _settle_target(
-    state: core_state.State,
-    request: core_state.Request,
-    event: events.AttemptEnded,
-) -> Effects:
-    if not request.target and not request.relayed_to:
-        return []
-    produced = _release_slot(state, request, event)
-    if not request.claimed:
-        return produced
-    match event.outcome:
-        case events.AttemptOutcome.ANSWERED:
-            status = event.status
-        case events.AttemptOutcome.NOT_RUN:
-            status = 0
-        case events.AttemptOutcome.UNKNOWN:
-            return produced
-    request.claimed = False
-    return [*produced, _record(request, status)]
-
-
-def _record(request: core_state.Request, status: int) -> effects.RecordRun:
-    return effects.RecordRun(
-        request.request_id, request.account, request.run_id, status
-    )
-
-
-def _release_slot(
-    state: core_state.State,
-    request: core_state.Request,
-    event: events.AttemptEnded,
-) -> Effects:
-    request.target = ""
-    request.relayed_to = ""
-    return routing.release(
-        state.routing,
-        state.now_s,
-        request.request_id,
-        event.outcome,
-        event.status,
-        event.latency_s,
-    )
-
-
 def _may_retry(
     state: core_state.State,
     request: core_state.Request,
@@ -440,26 +336,12 @@
     return problems.no_capacity(request.service, NO_CHOICE_RETRY_S)
 
 
-def _give_back_slot(
-    state: core_state.State, request: core_state.Request
-) -> Effects:
-    """Frees a slot whose request was never sent."""
-    if not request.target:
-        return []
-    request.target = ""
-    produced = routing.forget(state.routing, state.now_s, request.request_id)
-    if request.claimed:
-        request.claimed = False
-        produced = [*produced, _record(request, 0)]
-    return produced
-
-
 def _refuse(
     state: core_state.State,
     request: core_state.Request,
     problem: errors.Problem,
 ) -> Effects:
-    given_back = _give_back_slot(state, request)
+    given_back = settlement.give_back(state, request)
     refusal = effects.Refuse(request.request_id, problem, request.account)
     return [*given_back, refusal]
 
--- /dev/null
+++ b/mulberrydeck/core/settlement.py
@@ -0,0 +1,65 @@
+"""Frees what an attempt of a request held, and records a single run."""
+
+from mulberrydeck.core import effects
+from mulberrydeck.core import events
+from mulberrydeck.core import state as core_state
+from mulberrydeck.routing import reducer as routing
+
+Effects = list[object]
+
+
+def settle(
+    state: core_state.State,
+    request: core_state.Request,
+    event: events.AttemptEnded,
+) -> Effects:
+    """Frees the slot or relay of an ended attempt and records its run."""
+    if not request.target and not request.relayed_to:
+        return []
+    produced = _release_slot(state, request, event)
+    if not request.claimed:
+        return produced
+    match event.outcome:
+        case events.AttemptOutcome.ANSWERED:
+            status = event.status
+        case events.AttemptOutcome.NOT_RUN:
+            status = 0
+        case events.AttemptOutcome.UNKNOWN:
+            return produced
+    request.claimed = False
+    return [*produced, _record(request, status)]
+
+
+def _record(request: core_state.Request, status: int) -> effects.RecordRun:
+    return effects.RecordRun(
+        request.request_id, request.account, request.run_id, status
+    )
+
+
+def _release_slot(
+    state: core_state.State,
+    request: core_state.Request,
+    event: events.AttemptEnded,
+) -> Effects:
+    request.target = ""
+    request.relayed_to = ""
+    return routing.release(
+        state.routing,
+        state.now_s,
+        request.request_id,
+        event.outcome,
+        event.status,
+        event.latency_s,
+    )
+
+
+def give_back(state: core_state.State, request: core_state.Request) -> Effects:
+    """Frees a slot whose request was never sent."""
+    if not request.target:
+        return []
+    request.target = ""
+    produced = routing.forget(state.routing, state.now_s, request.request_id)
+    if request.claimed:
+        request.claimed = False
+        produced = [*produced, _record(request, 0)]
+    return produced
--- a/mulberrydeck/shell/core_gateway.py
+++ b/mulberrydeck/shell/core_gateway.py
@@ -3,9 +3,9 @@
 import gevent
 
 from mulberrydeck import errors
+from mulberrydeck.core import authentication
 from mulberrydeck.core import gateway
 from mulberrydeck.core import reports
-from mulberrydeck.core import requests
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.routing import lookup
 from mulberrydeck.runs import recorder
@@ -15,7 +15,7 @@
 PACING_SLICE_S = 0.01
 MIN_SLICE_BYTES = 2048
 MAX_SLICE_BYTES = 1024 * 1024
-DIRECTORY_LIFETIME_S = 0.1
+DIRECTORY_LIFETIME_S = 0.5
 
 
 class CoreGateway:
@@ -81,7 +81,7 @@
         self, key: str, run_id: str
     ) -> gateway.RunOutcome | errors.Problem:
         """Returns what is known of a single run of the key's account."""
-        account = requests.account_of_key(self.runtime.state, key)
+        account = authentication.account_of_key(self.runtime.state, key)
         if isinstance(account, errors.Problem):
             return account
         return self.runs.outcome(account, run_id)
