Wire the servers' parts in one place and list VMs by one type

Cause: both servers built their parts themselves from the same five arguments, and the platform's list of VMs had two equal types. No behaviour changes; the tests keep their assertions.

--- a/bench/http_path.py
+++ b/bench/http_path.py
@@ -20,6 +20,7 @@
 
 from mulberrydeck.core import effects
 from mulberrydeck.core import gateway as gateways
+from mulberrydeck.frontend import parts
 from mulberrydeck.frontend import server as servers
 from mulberrydeck.settings import declarations
 
@@ -122,7 +123,7 @@
         for number in range(1, 4)
     )
     gateway = FixedGateway(target, gateways.LookupAnswer(vms, 5.0, 1))
-    server = servers.CallerServer(settings, gateway)
+    server = servers.CallerServer(parts.wire(settings, gateway))
     server.start()
     _announce(server.address)
 
--- a/mulberrydeck/compose.py
+++ b/mulberrydeck/compose.py
@@ -8,11 +8,10 @@
 
 from mulberrydeck.core import events
 from mulberrydeck.core import state as core_state
-from mulberrydeck.forward import pool as pools
+from mulberrydeck.frontend import parts
 from mulberrydeck.frontend import server
 from mulberrydeck.observability import logs
 from mulberrydeck.observability import metrics as metric_sets
-from mulberrydeck.observability import traces
 from mulberrydeck.peers import transport
 from mulberrydeck.platformapi import client
 from mulberrydeck.runs import recorder
@@ -76,20 +75,9 @@
         )
 
     def _make_servers(self) -> None:
-        settings = self.settings
-        pool = pools.ConnectionPool(
-            settings.source_ip,
-            settings.connect_timeout_s,
-            settings.idle_timeout_s,
-            self.runtime.now_s,
-        )
-        tracer = traces.Tracer(settings)
-        self.callers = server.CallerServer(
-            settings, self.gateway, pool, self.metrics, tracer
-        )
-        self.relays = server.RelayServer(
-            settings, self.gateway, pool, self.metrics, tracer
-        )
+        wired = parts.wire(self.settings, self.gateway, metrics=self.metrics)
+        self.callers = server.CallerServer(wired)
+        self.relays = server.RelayServer(wired)
 
     def start(self) -> None:
         """Opens the listeners and joins the fleet."""
--- a/mulberrydeck/core/events.py
+++ b/mulberrydeck/core/events.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from mulberrydeck.platformapi import records
+
 
 @attrs.frozen
 class Tick:
@@ -54,29 +56,12 @@
     version: int
 
 
-@attrs.frozen
-class VmRecord:
-    """A VM as the platform lists it.
-
-    Attributes:
-        name: Unique name.
-        zone: Availability zone.
-        peer_address: Where it receives peer messages, `host:port`.
-        leaving: Whether the platform is taking it away.
-    """
-
-    name: str
-    zone: str
-    peer_address: str
-    leaving: bool = False
-
-
 @attrs.frozen
 class VmsListed:
     """The platform returned its list of VMs, which may lag."""
 
     at_s: float
-    vms: tuple[VmRecord, ...]
+    vms: tuple[records.VmEntry, ...]
 
 
 @attrs.frozen
--- a/mulberrydeck/core/tests/test_members.py
+++ b/mulberrydeck/core/tests/test_members.py
@@ -6,6 +6,7 @@
 from mulberrydeck.core import events
 from mulberrydeck.core import members
 from mulberrydeck.peers import messages
+from mulberrydeck.platformapi import records
 
 
 def make_state():
@@ -19,7 +20,7 @@
 
 
 def listed(now_s, *names):
-    vms = tuple(events.VmRecord(name, "z", f"{name}:1") for name in names)
+    vms = tuple(records.VmEntry(name, "z", f"{name}:1") for name in names)
     return events.VmsListed(now_s, vms)
 
 
--- a/mulberrydeck/core/tests/test_zones.py
+++ b/mulberrydeck/core/tests/test_zones.py
@@ -6,6 +6,7 @@
 from mulberrydeck.core import members
 from mulberrydeck.core import zones
 from mulberrydeck.peers import messages
+from mulberrydeck.platformapi import records
 
 TAKEOVER_S = 3.0
 HANDOVER_S = 6.0
@@ -20,7 +21,7 @@
 
 
 def listed(now_s, *names):
-    vms = tuple(events.VmRecord(name, "z", f"{name}:1") for name in names)
+    vms = tuple(records.VmEntry(name, "z", f"{name}:1") for name in names)
     return events.VmsListed(now_s, vms)
 
 
--- a/mulberrydeck/frontend/server.py
+++ b/mulberrydeck/frontend/server.py
@@ -4,8 +4,6 @@
 import gevent.pywsgi
 import gevent.socket
 
-from mulberrydeck.core import gateway as gateways
-from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import arrivals
 from mulberrydeck.frontend import connections
 from mulberrydeck.frontend import hangups
@@ -15,9 +13,6 @@
 from mulberrydeck.frontend import requests
 from mulberrydeck.frontend import services
 from mulberrydeck.frontend import views
-from mulberrydeck.observability import metrics as metric_sets
-from mulberrydeck.observability import traces
-from mulberrydeck.settings import declarations
 
 STOP_POLL_S = 0.02
 FIRST_REQUEST_S = 0.25
@@ -126,28 +121,16 @@
 class CallerServer(HttpServer):
     """Serves callers."""
 
-    def __init__(
-        self,
-        settings: declarations.Settings,
-        gateway: gateways.Gateway,
-        pool: pools.ConnectionPool | None = None,
-        metrics: metric_sets.Metrics | None = None,
-        tracer: traces.Tracer | None = None,
-    ) -> None:
-        """Wires the paths of callers; what is not given is made.
+    def __init__(self, parts: part_sets.Parts) -> None:
+        """Prepares the listener.
 
         Args:
-            settings: Settings of this VM.
-            gateway: Entry to the core.
-            pool: Connections to targets and other VMs.
-            metrics: Metrics of this VM.
-            tracer: Starts trace spans.
+            parts: Parts of this VM.
         """
-        parts = part_sets.wire(settings, gateway, pool, metrics, tracer)
         self.views = views.Views(parts)
         self.services = services.ServiceRequests(parts, arrivals.from_caller)
         self.pool_sweeper: gevent.Greenlet | None = None
-        super().__init__(settings.caller_address, "caller", parts)
+        super().__init__(parts.settings.caller_address, "caller", parts)
 
     def start(self) -> None:
         """Binds the listener and begins to serve."""
@@ -182,26 +165,14 @@
 class RelayServer(HttpServer):
     """Serves requests that other VMs relay."""
 
-    def __init__(
-        self,
-        settings: declarations.Settings,
-        gateway: gateways.Gateway,
-        pool: pools.ConnectionPool | None = None,
-        metrics: metric_sets.Metrics | None = None,
-        tracer: traces.Tracer | None = None,
-    ) -> None:
-        """Wires the path of relaying VMs; what is not given is made.
+    def __init__(self, parts: part_sets.Parts) -> None:
+        """Prepares the listener.
 
         Args:
-            settings: Settings of this VM.
-            gateway: Entry to the core.
-            pool: Connections to targets and other VMs.
-            metrics: Metrics of this VM.
-            tracer: Starts trace spans.
+            parts: Parts of this VM.
         """
-        parts = part_sets.wire(settings, gateway, pool, metrics, tracer)
         self.services = services.ServiceRequests(parts, arrivals.from_vm)
-        super().__init__(settings.relay_address, "relay", parts)
+        super().__init__(parts.settings.relay_address, "relay", parts)
 
     def answer(self, request: requests.Request) -> None:
         """Answers one relayed request.
--- a/mulberrydeck/frontend/tests/conftest.py
+++ b/mulberrydeck/frontend/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from mulberrydeck.frontend import parts
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
 
@@ -24,7 +25,8 @@
     started = []
 
     def start(gateway, kind=server.CallerServer, **changes):
-        started.append(kind(fakes.settings(**changes), gateway))
+        wired = parts.wire(fakes.settings(**changes), gateway)
+        started.append(kind(wired))
         started[-1].start()
         return started[-1]
 
--- a/mulberrydeck/shell/platform_link.py
+++ b/mulberrydeck/shell/platform_link.py
@@ -179,9 +179,8 @@
     def _list_once(self) -> None:
         match self.objects.vms():
             case result.Success(entries):
-                listed = tuple(_vm_record(entry) for entry in entries)
                 now_s = self.runtime.now_s()
-                self.runtime.submit(events.VmsListed(now_s, listed))
+                self.runtime.submit(events.VmsListed(now_s, entries))
 
     def _spawn_claim(self, effect: effects.ClaimZone) -> None:
         self._writes.spawn(self.claim_zone, effect)
@@ -206,9 +205,3 @@
         case result.Failure(errors.NotFoundError()):
             return True
     return False
-
-
-def _vm_record(entry: records.VmEntry) -> events.VmRecord:
-    return events.VmRecord(
-        entry.name, entry.zone, entry.peer_address, entry.leaving
-    )
