Prove that a halved rate is kept while an account is over it

Cause: a change of rate under way was proved in virtual time only. Conclusion: the new bound is in force within 4 s under load.

--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -42,3 +42,10 @@
     When the only VM of the west is replaced
     And acme sends 4 times its rate through the new VM for 12 seconds
     Then acme never got more than its rate and burst
+
+  Scenario: An operator halves and restores a rate under way
+    Given a fleet that serves
+    When acme sends 4 times its rate through all VMs for 15 seconds
+    And an operator halves the rate of acme meanwhile
+    Then acme never got more than its rate and burst
+    And acme kept to half its rate from 4 seconds after the change
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,19 +1,47 @@
 """Steps of the limits of client accounts."""
 
+import copy
+import time
+
+import attrs
 import gevent
 import pytest_bdd
 from pytest_bdd import parsers
+import tomlkit
 
 from standins import verdicts
 from tests import sending as sending_module
 
 pytest_bdd.scenarios("features/limits.feature")
 
+IN_FORCE_S = 4.0
+
 SETTLING_S = 2.0
 CUT_S = 6.0
 PAUSE_S = 7.0
 
 
+@attrs.frozen
+class Changed:
+    """When the halved rate was accepted, and the old one again, in seconds."""
+
+    halved_s: float
+    restored_s: float
+
+
+def apply_rate(scene, rate_per_s):
+    """Applies another rate of large accounts and returns when it began."""
+    document = copy.deepcopy(scene.fleet.layout.deployment.document)
+    for rule in document["limits"]:
+        if rule["name"] == "large":
+            rule["rate_per_s"] = rate_per_s
+    path = scene.fleet.group.directory / "changed.toml"
+    path.write_text(tomlkit.dumps(document))
+    began_s = time.monotonic()
+    scene.fleet.must("apply", "--replace", str(path))
+    return began_s
+
+
 @pytest_bdd.when(
     parsers.parse(
         "{account} sends {factor:g} times its rate through {which} for "
@@ -41,6 +69,16 @@
     scene.fleet.replace_vm("east-a-vm1")
 
 
+@pytest_bdd.when(
+    "an operator halves the rate of acme meanwhile", target_fixture="changed"
+)
+def when_halved(scene, sending):
+    gevent.sleep(SETTLING_S)
+    halved_s = apply_rate(scene, sending.limit["rate_per_s"] / 2)
+    gevent.sleep(IN_FORCE_S + SETTLING_S)
+    return Changed(halved_s, apply_rate(scene, sending.limit["rate_per_s"]))
+
+
 @pytest_bdd.when("a zone is cut off and healed meanwhile")
 def when_cut(scene):
     gevent.sleep(SETTLING_S)
@@ -69,6 +107,20 @@
     assert over <= 0, f"{account}: {over:.1f} requests too many"
 
 
+@pytest_bdd.then("acme kept to half its rate from 4 seconds after the change")
+def then_halved(sending, changed):
+    begin_s = changed.halved_s + IN_FORCE_S
+    times_s = [
+        time_s
+        for time_s in sending.run_times()
+        if begin_s <= time_s < changed.restored_s
+    ]
+    limit = sending.limit
+    over = verdicts.excess(times_s, limit["rate_per_s"] / 2, limit["burst"])
+    assert times_s
+    assert over <= 0, f"{over:.1f} requests too many"
+
+
 @pytest_bdd.then(
     parsers.parse("{account} got at least {percent:d} percent of its rate")
 )
