Remove code without a caller and read benchmark answers in one place

Cause: a read of the whole change found a field that is written and never read (whether a request waits for a slot), a function of the routing part that nothing calls, and the reading of an answer twice in the benchmarks. Change: the field and the function are gone; bench.http_path reads answers by bench.lookups. Behaviour and assertions stay.

--- a/bench/http_path.py
+++ b/bench/http_path.py
@@ -18,6 +18,7 @@
 import gevent.server
 import gevent.socket
 
+from bench import lookups
 from mulberrydeck.core import effects
 from mulberrydeck.core import gateway as gateways
 from mulberrydeck.frontend import parts
@@ -174,16 +175,7 @@
 
 def _exchange(sock: gevent.socket.socket, request: bytes) -> None:
     sock.sendall(request)
-    data = sock.recv(65536)
-    while b"\r\n\r\n" not in data:
-        data += sock.recv(65536)
-    head, _, body = data.partition(b"\r\n\r\n")
-    if not head.startswith(b"HTTP/1.1 200 "):
-        raise RuntimeError(head.decode())
-    length = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
-    left = length - len(body)
-    while left > 0:
-        left -= len(sock.recv(65536))
+    lookups.read_answer(sock)
 
 
 def _start(role: str, *arguments: str) -> tuple[subprocess.Popen, str]:
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -183,7 +183,6 @@
         case routing_state.Acquired(target, address):
             return produced + _use_slot(state, request, target, address)
         case routing_state.Queued():
-            request.queued = True
             return produced
         case routing_state.Full(retry_after_s):
             return produced + _no_slot(state, request, retry_after_s)
@@ -195,7 +194,6 @@
     request = state.requests.get(event.request_id)
     if request is None:
         return []
-    request.queued = False
     if event.target:
         return _use_slot(state, request, event.target, event.address)
     return _no_slot(state, request, NO_CHOICE_RETRY_S)
--- a/mulberrydeck/core/state.py
+++ b/mulberrydeck/core/state.py
@@ -37,7 +37,6 @@
         target_address: Address of that target.
         relayed_to: VM that the attempt in progress went to, or empty.
         claimed: Whether this VM holds the claim of its single run.
-        queued: Whether it waits for a slot.
     """
 
     request_id: str
@@ -54,7 +53,6 @@
     target_address: str = ""
     relayed_to: str = ""
     claimed: bool = False
-    queued: bool = False
 
 
 @attrs.define
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -296,19 +296,6 @@
     return slots.release(state, now_s, request_id, outcome, status)
 
 
-def is_owner_of(
-    state: routing_state.RoutingState, now_s: float, service: str
-) -> bool:
-    """Returns whether this VM owns a target of a service.
-
-    Args:
-        state: State of the routing part.
-        now_s: Monotonic time, in seconds.
-        service: Name of the service.
-    """
-    return bool(ownership.owned_targets(state, now_s, service))
-
-
 def target_statuses(
     state: routing_state.RoutingState, now_s: float
 ) -> tuple[gateway.TargetStatus, ...]:
