Keep objects at their owner and free restarted quota at once

Now all VMs rank a service's targets for an object; the first takes it while its queue is below one request a slot, and only a target that is half idle takes what it cannot.

Cause, after all VMs restart: 5 s of refusals, since a new process waited until loans of its former one had run out. Heartbeats now name the VMs that the sender holds loans of; when all VMs were heard and none holds any, the own units are used at once.

Adds a stand-in of the users' platform and tests with real processes.

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -267,11 +267,13 @@
         incarnation: Identifier of the sender's process.
         ready: Whether the sender can serve callers.
         leaving: Whether the sender is stopping.
+        lenders: VMs from which the sender holds loans.
     """
 
     incarnation: str
     ready: bool
     leaving: bool
+    lenders: tuple[str, ...] = ()
 
 
 type_by_kind = {
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -189,6 +189,34 @@
     return _give_all_back(resources)
 
 
+def lenders(quota: state.QuotaState) -> tuple[str, ...]:
+    """Returns the VMs from which this one holds loans, sorted."""
+    names = {
+        key.lender
+        for resource in quota.resources.values()
+        for key in resource.borrowed
+    }
+    return tuple(sorted(names))
+
+
+def no_loans_left(quota: state.QuotaState, now_s: float) -> None:
+    """Makes own units usable at once that waited for loans to run out.
+
+    Call it when no other VM holds loans of an earlier process of this VM.
+
+    Args:
+        quota: State of this VM.
+        now_s: Current time, in seconds.
+    """
+    for resource in quota.resources.values():
+        bucket.advance(resource, now_s)
+        resource.maturing = [
+            state.MaturingUnits(part.units, min(part.usable_s, now_s))
+            for part in resource.maturing
+        ]
+        bucket.advance(resource, now_s)
+
+
 def is_dry(quota: state.QuotaState, resource: str) -> bool:
     """Returns whether this VM holds no units of a resource."""
     found = quota.resources.get(resource)
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -25,10 +25,12 @@
         heard_s: When its last heartbeat arrived, in seconds.
         leaving: Whether it said that it is stopping.
         ready: Whether it said that it can serve.
+        incarnation: Its process, or empty before it was heard.
     """
 
     record: registry.VmRecord
     heard_s: float = -math.inf
+    incarnation: str = ""
     leaving: bool = False
     ready: bool = False
 
@@ -43,6 +45,9 @@
         peers: Other VMs by name.
         names: Names of all registered VMs, sorted.
         next_beat_s: When the next heartbeat is due, in seconds.
+        clear: VMs that were heard and hold no loan of this VM's earlier
+            processes.
+        cleared: Whether all registered VMs were found clear once.
     """
 
     settings: settings_module.SteeringSettings
@@ -50,6 +55,8 @@
     peers: dict[str, Peer] = attrs.field(factory=dict)
     names: tuple[str, ...] = ()
     next_beat_s: float = -math.inf
+    clear: set[str] = attrs.field(factory=set)
+    cleared: bool = False
 
     def is_alive(self, peer: Peer, now_s: float) -> bool:
         """Returns whether a VM was heard lately."""
@@ -86,36 +93,66 @@
     return produced
 
 
-def beats(fleet: Fleet, now_s: float, ready: bool, leaving: bool) -> list:
+def beats(
+    fleet: Fleet, now_s: float, beat: messages.SteeringBeat
+) -> list[object]:
     """Returns the heartbeats that are due.
 
     Args:
         fleet: Known VMs.
         now_s: Current time, in seconds.
-        ready: Whether this VM can serve.
-        leaving: Whether this VM is stopping.
+        beat: What this VM says of itself.
     """
     if now_s < fleet.next_beat_s:
         return []
     fleet.next_beat_s = now_s + fleet.settings.beat_interval_s
-    beat = messages.SteeringBeat(fleet.incarnation, ready, leaving)
     return [core_effects.SendMessage(name, beat) for name in fleet.peers]
 
 
 def heard(
-    fleet: Fleet, now_s: float, sender: str, beat: messages.SteeringBeat
+    fleet: Fleet,
+    now_s: float,
+    sender: str,
+    beat: messages.SteeringBeat,
+    own: messages.SteeringBeat,
 ) -> list[object]:
-    """Notes a heartbeat; returns a log line when a VM is regained."""
+    """Notes a heartbeat; a process that was not heard before is answered.
+
+    Args:
+        fleet: Known VMs.
+        now_s: Current time, in seconds.
+        sender: Name of the VM that sent it.
+        beat: What that VM says of itself.
+        own: What this VM says of itself.
+    """
     peer = fleet.peers.get(sender)
     if peer is None:
         return []
-    was_alive = fleet.is_alive(peer, now_s)
+    produced: list[object] = []
+    if peer.incarnation != beat.incarnation:
+        produced.append(core_effects.SendMessage(sender, own))
+    if not fleet.is_alive(peer, now_s):
+        fields = {"vm": sender, "incarnation": beat.incarnation}
+        produced.append(effects.Log("fleet", "A VM is heard.", fields))
+    peer.incarnation = beat.incarnation
     peer.heard_s = now_s
     peer.leaving = beat.leaving
     peer.ready = beat.ready
-    if was_alive:
-        return []
-    return [effects.Log("fleet", "A VM is heard.", {"vm": sender})]
+    if fleet.settings.name not in beat.lenders:
+        fleet.clear.add(sender)
+    return produced
+
+
+def found_clear(fleet: Fleet) -> bool:
+    """Returns whether all VMs have just been found to hold no loans.
+
+    It is true once in the life of a process. Loans that an earlier process
+    made may run on; a VM that was not heard may hold some.
+    """
+    if fleet.cleared or not fleet.names:
+        return False
+    fleet.cleared = fleet.peers.keys() <= fleet.clear
+    return fleet.cleared
 
 
 def own_units(fleet: Fleet) -> int:
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -5,8 +5,6 @@
 whose callers come in waves.
 """
 
-import math
-
 import attrs
 
 from mulberrydeck.routing import hashing
@@ -15,6 +13,9 @@
 
 # Waiting requests per slot up to which a target's own queue is used.
 QUEUE_PER_SLOT = 1.0
+# A target that does not know the object works three times as long on it; only
+# one that is idle otherwise should.
+IDLE_PART = 0.5
 
 
 @attrs.frozen
@@ -70,9 +71,9 @@
 ) -> Chosen | NoneFree:
     """Returns the target for a request.
 
-    All VMs rank the targets of an object alike. The first of the own region
-    with a free slot is taken, then the first of all, then the least loaded
-    one whose queue is short.
+    All VMs rank the targets of an object alike. The first ranked, its owner,
+    knows the object and serves it while its queue is short; then the next one
+    that is nearly idle does.
 
     Args:
         book: Known targets.
@@ -81,18 +82,22 @@
         wanted: What the request asks for.
     """
     ranked = _ranked(book, now_s, wanted)
-    free = [
+    warm = [
         target
         for target in ranked
-        if target.load(now_s) < target.entry.slots
-        and _is_warm_enough(pacer, now_s, target, wanted)
+        if _is_warm_enough(pacer, now_s, target, wanted)
     ]
-    for target in free:
-        if target.region == wanted.region:
-            return Chosen(target, "ranked in region")
-    if free:
-        return Chosen(free[0], "ranked in all regions")
-    return _least_loaded(pacer, now_s, wanted, ranked)
+    if warm and _filled(warm[0], now_s) < 1 + QUEUE_PER_SLOT:
+        return Chosen(warm[0], "owner")
+    for target in warm[1:]:
+        if _filled(target, now_s) < IDLE_PART:
+            return Chosen(target, "idle")
+    return NoneFree(len(ranked))
+
+
+def _filled(target: targets_module.Target, now_s: float) -> float:
+    """Returns the load of a target as a multiple of its slots."""
+    return target.load(now_s) / target.entry.slots
 
 
 def _ranked(
@@ -116,24 +121,6 @@
     return found
 
 
-def _least_loaded(
-    pacer: pacing.ColdPacer,
-    now_s: float,
-    wanted: Wanted,
-    ranked: list[targets_module.Target],
-) -> Chosen | NoneFree:
-    best = None
-    least = math.inf
-    for target in ranked:
-        filled = target.load(now_s) / target.entry.slots
-        if filled < least and _is_warm_enough(pacer, now_s, target, wanted):
-            best = target
-            least = filled
-    if best is None or least >= 1.0 + QUEUE_PER_SLOT:
-        return NoneFree(len(ranked))
-    return Chosen(best, "least loaded")
-
-
 def _is_warm_enough(
     pacer: pacing.ColdPacer,
     now_s: float,
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -112,7 +112,8 @@
         return
     bounds = members.bounds(state.table)
     units = members.own_units(state.fleet)
-    first = state.now_s if state.settings.first_start else float("inf")
+    no_loans = state.settings.first_start or state.fleet.cleared
+    first = state.now_s if no_loans else float("inf")
     quota.configure(
         state.quota,
         state.now_s,
@@ -168,9 +169,12 @@
 
 
 def _ticked(state: states.State) -> Effects:
-    produced = members.beats(
-        state.fleet, state.now_s, lookup.is_ready(state), state.stopping
-    )
+    produced = members.beats(state.fleet, state.now_s, _own_beat(state))
+    if members.found_clear(state.fleet):
+        quota.no_loans_left(state.quota, state.now_s)
+        produced.append(
+            effects.Log("quota", "No loans of an earlier process run.", {})
+        )
     if produced:
         state.pacer.forget(state.now_s)
     quota.set_lenders(
@@ -184,11 +188,24 @@
     return produced
 
 
+def _own_beat(state: states.State) -> messages.SteeringBeat:
+    return messages.SteeringBeat(
+        state.fleet.incarnation,
+        ready=lookup.is_ready(state),
+        leaving=state.stopping,
+        lenders=quota.lenders(state.quota),
+    )
+
+
 def _peer_received(state: states.State, event: events.PeerReceived) -> Effects:
     match event.message:
         case messages.SteeringBeat():
             return members.heard(
-                state.fleet, state.now_s, event.sender, event.message
+                state.fleet,
+                state.now_s,
+                event.sender,
+                event.message,
+                _own_beat(state),
             )
         case (
             messages.QuotaAsk() | messages.QuotaLoan() | messages.QuotaReturn()
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 from mulberrydeck.core import effects as core_effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import reducer as quota
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import lookup
@@ -109,6 +110,60 @@
     assert total == members.UNITS
 
 
+def restarted():
+    accounts = (
+        (tables.Account("acme", rate_per_s=100.0, burst=100.0), ("k",)),
+    )
+    vm = samples.Vm(samples.make_table(accounts=accounts), first_start=False)
+    records = (
+        samples.make_record("coast-a-1", port=1),
+        samples.make_record("coast-b-1", "coast-b", port=2),
+        samples.make_record("lake-a-1", "lake-a", port=3),
+    )
+    vm.reduce(events.VmsListed(vm.now_s, records, 4))
+    return vm
+
+
+def usable_units(vm):
+    vm.now_s += 0.1
+    vm.reduce(events.Ticked(vm.now_s))
+    quota.advance_all(vm.state.quota, vm.now_s)
+    return vm.state.quota.resources["account/acme"].usable_units
+
+
+def test_a_restarted_vm_waits_for_loans_of_its_earlier_process():
+    vm = restarted()
+    hear(vm, "coast-b-1")
+    holds = messages.SteeringBeat("process", True, False, ("coast-a-1",))
+    hear(vm, "lake-a-1", beat=holds)
+    assert usable_units(vm) == 0
+    vm.now_s += 4.6
+    assert usable_units(vm) == 334
+
+
+def test_a_restarted_vm_serves_at_once_when_no_vm_holds_its_loans():
+    vm = restarted()
+    hear(vm, "coast-b-1")
+    assert usable_units(vm) == 0
+    hear(vm, "lake-a-1")
+    assert usable_units(vm) == 334
+
+
+def test_a_process_that_was_not_heard_before_is_answered_at_once():
+    vm, _ = make_fleet()
+    beat = events.PeerReceived(vm.now_s, "coast-b-1", READY)
+    answered = [
+        effect
+        for effect in vm.reduce(beat)
+        if isinstance(effect, core_effects.SendMessage)
+    ]
+    assert [each.to for each in answered] == ["coast-b-1"]
+    assert not any(
+        isinstance(effect, core_effects.SendMessage)
+        for effect in vm.reduce(beat)
+    )
+
+
 def test_a_vm_that_is_not_registered_owns_nothing():
     vm = samples.Vm(name="unknown")
     assert members.own_units(vm.state.fleet) == 0
--- /dev/null
+++ b/standins/users_platform/metadata_store.py
@@ -0,0 +1,161 @@
+"""Stand-in of the metadata store: objects, watches, conditions, faults."""
+
+import copy
+import time
+import urllib.parse
+
+import gevent
+import gevent.event
+
+from standins import serving
+
+PAGE = 500
+
+
+class MetadataStore:
+    """All objects with their history.
+
+    Attributes:
+        revision: Revision of the last change.
+        objects: Objects by kind, then name.
+        history: Changes in order: revision, kind, object, whether deleted.
+        first_known: Oldest revision from which a watch can go on.
+        mode: `on`, `refusing` (503) or `silent`.
+        lose_next: Number of writes whose answers get lost.
+        calls: Calls so far, by method.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict]] = {}
+        self.history: list[tuple[int, str, dict, bool]] = []
+        self.first_known = 0
+        self.mode = "on"
+        self.lose_next = 0
+        self.calls: dict[str, int] = {}
+        self.changed = gevent.event.Event()
+
+    def put(self, kind: str, name: str, spec: object) -> dict:
+        """Writes an object as its owner does, without a call."""
+        found = self.objects.setdefault(kind, {}).get(name)
+        created = found["Metadata"]["Created"] if found else self.revision + 1
+        self.revision += 1
+        stored = {
+            "Metadata": {
+                "Name": name,
+                "Revision": self.revision,
+                "Created": created,
+                "Finalizers": [],
+                "Deleting": False,
+            },
+            "Spec": spec,
+            "Status": None,
+        }
+        self.objects[kind][name] = stored
+        self._note(kind, stored, False)
+        return stored
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object as its owner does, without a call."""
+        stored = self.objects.get(kind, {}).pop(name, None)
+        if stored is None:
+            return
+        self.revision += 1
+        gone = copy.deepcopy(stored)
+        gone["Metadata"]["Revision"] = self.revision
+        self._note(kind, gone, True)
+
+    def forget_history(self) -> None:
+        """Drops all history, so that watches have to start anew."""
+        self.first_known = self.revision + 1
+        self.revision += 1
+        self.history.clear()
+        self._wake()
+
+    def set_mode(self, mode: str) -> None:
+        """Changes how calls are answered."""
+        self.mode = mode
+        self._wake()
+
+    def _note(self, kind: str, stored: dict, deleted: bool) -> None:
+        change = (self.revision, kind, copy.deepcopy(stored), deleted)
+        self.history.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed.clear()
+
+    def __call__(self, environ, start_response):
+        """Serves one call."""
+        method = environ["REQUEST_METHOD"]
+        self.calls[method] = self.calls.get(method, 0) + 1
+        while self.mode == "silent":
+            self.changed.wait(1.0)
+        if self.mode == "refusing":
+            return serving.answer(start_response, "503 Refused")
+        parts = environ["PATH_INFO"].strip("/").split("/")
+        kind = parts[1]
+        name = urllib.parse.unquote(parts[2]) if len(parts) > 2 else ""
+        if method == "GET":
+            return self._read(kind, name, environ, start_response)
+        return self._write(method, kind, name, environ, start_response)
+
+    def _read(self, kind, name, environ, start_response):
+        query = serving.query_of(environ)
+        if name:
+            found = self.objects.get(kind, {}).get(name)
+            if found is None:
+                return serving.answer(start_response, "404 Not Found")
+            return serving.answer_json(start_response, found)
+        if "Watch" in query:
+            return self._watch(kind, query, start_response)
+        names = sorted(self.objects.get(kind, {}))
+        rest = [each for each in names if each > query.get("after", "")]
+        page = {
+            "items": [self.objects[kind][each] for each in rest[:PAGE]],
+            "HasMore": len(rest) > PAGE,
+            "At": self.revision,
+        }
+        return serving.answer_json(start_response, page)
+
+    def _watch(self, kind, query, start_response):
+        since = int(query["Watch"])
+        ends_s = time.monotonic() + int(query["WaitMs"]) / 1000
+        while True:
+            if self.mode == "refusing":
+                return serving.answer(start_response, "503 Refused")
+            if since < self.first_known:
+                return serving.answer(start_response, "410 Gone")
+            events = [
+                {"Object": stored, "Deleted": deleted}
+                for revision, changed, stored, deleted in self.history
+                if revision > since and changed == kind
+            ]
+            left_s = ends_s - time.monotonic()
+            if (events and self.mode == "on") or left_s <= 0:
+                break
+            self.changed.wait(left_s)
+        content = {"events": events, "At": self.revision}
+        return serving.answer_json(start_response, content)
+
+    def _write(self, method, kind, name, environ, start_response):
+        body = serving.read_json(environ)
+        if method == "POST":
+            name = body["Metadata"]["Name"]
+        found = self.objects.get(kind, {}).get(name)
+        wanted = (body.get("Metadata") or {}).get("Revision")
+        if method == "POST" and found is not None:
+            return serving.answer_json(start_response, found, "409 Conflict")
+        if method != "POST" and found is None:
+            return serving.answer(start_response, "404 Not Found")
+        if wanted is not None and wanted != found["Metadata"]["Revision"]:
+            return serving.answer_json(start_response, found, "409 Conflict")
+        if method == "DELETE":
+            self.remove(kind, name)
+            return serving.answer_json(start_response, {})
+        stored = self.put(kind, name, body["Spec"])
+        if self.lose_next:
+            self.lose_next -= 1
+            return serving.answer_dropped(environ, start_response)
+        return serving.answer_json(start_response, stored)
--- /dev/null
+++ b/tests/steering_fleet.py
@@ -0,0 +1,164 @@
+"""Real steering VMs beside the stand-ins of the users' platform."""
+
+import pathlib
+import signal
+import uuid
+
+import tomlkit
+
+from standins import http_client
+from standins import processes
+from standins import serving
+from standins import waiting
+from standins.users_platform import instances
+from standins.users_platform import metadata_store
+
+HOST = "permits.example"
+ZONES = {"coast-a": "coast", "coast-b": "coast", "lake-a": "lake"}
+SERVICE = "status"
+
+
+def route(**changes):
+    """Returns a route as an operator writes it."""
+    values = {
+        "Name": "read",
+        "Host": HOST,
+        "PathPrefix": "/read/",
+        "Kind": "safe",
+        "TimeoutMs": 2000,
+        "TargetLatencyMs": 250,
+        "Priority": 1,
+        "Service": SERVICE,
+        "MaxAttempts": 3,
+        "Public": True,
+        "Sticky": True,
+        "HomeRegions": [],
+    }
+    return {**values, **changes}
+
+
+def configuration(version=1, **changes):
+    """Returns a configuration as an operator writes it."""
+    once = route(
+        Name="once", PathPrefix="/once/", Kind="non_idempotent", MaxAttempts=2
+    )
+    keyed = route(Name="keyed", PathPrefix="/keyed/", Public=False)
+    values = {
+        "Version": f"{version:08x}",
+        "Routes": [route(), once, keyed],
+        "Services": [{"Name": SERVICE, "ColdPerS": 6.9}],
+        "Limits": {"MaxBodyBytes": 4_000_000, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "acme", "ApiKeys": ["key-1"]}],
+    }
+    return {**values, **changes}
+
+
+class SteeringFleet:
+    """Steering VMs as processes, with the platform in this one.
+
+    Attributes:
+        store: The metadata store.
+        targets: Targets by name.
+        group: All processes.
+        vms: Processes of VMs by name.
+        ports: Ports of each VM, by purpose.
+    """
+
+    def __init__(self, directory: pathlib.Path):
+        self.store = metadata_store.MetadataStore()
+        self.server = serving.start("127.0.0.1:0", self.store)
+        self.targets: dict[str, instances.Instance] = {}
+        self.group = processes.ProcessGroup(directory)
+        self.vms: dict[str, processes.Process] = {}
+        self.ports: dict[str, dict[str, str]] = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *details):
+        self.group.kill_all()
+        self.server.stop(timeout=0)
+        for target in self.targets.values():
+            target.server.stop(timeout=0)
+
+    def configure(self, version=1, **changes):
+        """Writes a configuration to the store."""
+        spec = configuration(version, **changes)
+        return self.store.put("config", "main", spec)
+
+    def add_target(self, name, zone="coast-a", **changes):
+        """Starts and registers a target."""
+        target = instances.Instance(name, **changes)
+        self.targets[name] = target
+        self.store.put("servers", name, target.entry(SERVICE, zone))
+        return target
+
+    def start_vm(self, name="coast-a-1", zone="coast-a"):
+        """Starts a VM and waits until it is ready."""
+        if name not in self.ports:
+            self.ports[name] = _free_ports()
+        path = self.group.directory / f"{name}.toml"
+        path.write_text(tomlkit.dumps(self._settings(name, zone)))
+        self.vms[name] = self.group.start_module(
+            f"{name}-{uuid.uuid4().hex[:4]}",
+            "mulberrydeck",
+            "steer",
+            "--settings",
+            str(path),
+        )
+        waiting.until(lambda: self.is_ready(name), f"{name} is ready")
+        return self.vms[name]
+
+    def _settings(self, name, zone):
+        return {
+            "name": name,
+            "zone": zone,
+            "region": ZONES[zone],
+            "platform_address": serving.address_of(self.server),
+            "first_start": True,
+            "stop_timeout_s": 3.0,
+            **self.ports[name],
+            "region_by_zone": ZONES,
+        }
+
+    def is_ready(self, name):
+        """Returns whether a VM says that it is ready."""
+        asked = http_client.call(
+            self.ports[name]["ready_address"], "GET", "/readiness"
+        )
+        return isinstance(asked, http_client.Answer) and asked.status == 200
+
+    def look_up(self, name, region="coast"):
+        """Returns the answer of a VM to a look-up."""
+        path = f"/resolutions?Name={HOST}&Region={region}"
+        address = self.ports[name]["look_up_address"]
+        return http_client.call(address, "GET", path)
+
+    def client(self, name="coast-a-1", **headers):
+        """Returns a keep-alive connection to a VM."""
+        return http_client.Client(
+            self.ports[name]["caller_address"],
+            headers={"Host": HOST, "X-Deadline-Ms": "2000", **headers},
+        )
+
+    def request(self, client, path, method="GET", body=None, **headers):
+        """Sends a request with an identifier of its own."""
+        attempt_id = headers.pop("attempt_id", uuid.uuid4().hex[:16])
+        said = {"X-Attempt-Id": attempt_id, **headers}
+        return attempt_id, client.request(method, path, body, said)
+
+    def stop_vm(self, name="coast-a-1"):
+        """Asks a VM to stop."""
+        self.vms[name].send_signal(signal.SIGTERM)
+
+
+def _free_ports():
+    purposes = ("caller", "ready", "look_up", "peer", "metrics")
+    listening = [serving.start("127.0.0.1:0", None) for _ in purposes]
+    addresses = [serving.address_of(server) for server in listening]
+    for server in listening:
+        server.stop(timeout=0)
+    return {
+        f"{purpose}_address": address
+        for purpose, address in zip(purposes, addresses, strict=True)
+    }
