Probe quiet connections to the store and to targets

The VM had been cut off from 1 s to 13 s; its watch stayed on a connection that had lost track of its other end and returned only when its wait of 20 s and a margin were over, while the other three watches had timed out earlier and were back. Ruled out: the list itself (the other VMs applied the removal at 4.01 s) and the grace for lapsed entries, which ended in time. The kernel now probes quiet connections and gives one up after three seconds, and a connect to the store is given up after 0.5 s.

--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -10,6 +10,12 @@
 MAX_IDLE_PER_ADDRESS = 64
 MS_PER_S = 1000
 
+# A quiet connection is probed after one second, each second, and given up
+# after two probes without an answer: the shortest that the kernel offers.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+
 _IP_BIND_ADDRESS_NO_PORT = 24
 
 
@@ -65,6 +71,7 @@
         idle_timeout_s: float,
         now_s: Callable[[], float],
         unacknowledged_s: float = 0.0,
+        probe: bool = False,
     ) -> None:
         """Creates an empty pool.
 
@@ -76,12 +83,15 @@
             now_s: Monotonic clock, in seconds.
             unacknowledged_s: Data unacknowledged for this long ends a
                 connection, in seconds; 0 to use `idle_timeout_s`.
+            probe: Whether the kernel probes quiet connections, which shows
+                within seconds that something between the ends lost track.
         """
         self.source_ip = source_ip
         self.connect_timeout_s = connect_timeout_s
         self.idle_timeout_s = idle_timeout_s
         self.now_s = now_s
         self.unacknowledged_s = unacknowledged_s or idle_timeout_s
+        self.probe = probe
         self.idle: dict[str, list[Connection]] = {}
 
     def acquire(
@@ -151,6 +161,8 @@
                 socket.TCP_USER_TIMEOUT,
                 int(self.unacknowledged_s * MS_PER_S),
             )
+            if self.probe:
+                _probe_when_quiet(sock)
             if self.source_ip:
                 sock.setsockopt(socket.IPPROTO_IP, _IP_BIND_ADDRESS_NO_PORT, 1)
                 sock.bind((self.source_ip, 0))
@@ -163,3 +175,10 @@
             sock.close()
             raise
         return Connection(address, sock, idle_limit_s=self.idle_timeout_s)
+
+
+def _probe_when_quiet(sock: gevent.socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -27,6 +27,8 @@
 CONNECT_TIMEOUT_S = 0.25  # Six round trips between distant regions.
 TARGET_IDLE_S = 8.0  # For targets that name no timeout of their own.
 TARGET_UNACKNOWLEDGED_S = 1.0
+# Twenty round trips; while a VM is cut off, the next try comes soon after.
+STORE_CONNECT_TIMEOUT_S = 0.5
 STORE_IDLE_S = 30.0
 STORE_UNACKNOWLEDGED_S = 1.5
 SWEEP_INTERVAL_S = 1.0
@@ -73,13 +75,15 @@
             TARGET_IDLE_S,
             now_s,
             TARGET_UNACKNOWLEDGED_S,
+            probe=True,
         )
         store_pool = pools.ConnectionPool(
             source_ip,
-            stores.CALL_TIMEOUT_S,
+            STORE_CONNECT_TIMEOUT_S,
             STORE_IDLE_S,
             now_s,
             STORE_UNACKNOWLEDGED_S,
+            probe=True,
         )
         self.client = stores.StoreClient(settings.platform_address, store_pool)
         self.peers: transport.PeerTransport | None = None
