Reload settings, leave the registry on a planned stop, restart failed parts

A stopping VM returns its loans and removes its record, so that the others take over its part of account limits. SIGHUP, or a changed file, loads the settings anew; bad ones are told and left out of force. An error in one message or one part is logged and no longer ends the part.

--- a/mulberrydeck/cli/steer_command.py
+++ b/mulberrydeck/cli/steer_command.py
@@ -27,9 +27,8 @@
         )
     # Operators' commands need none of the server's libraries.
     from mulberrydeck.steering import assembly
-    from mulberrydeck.steering import settings
 
-    ctx.exit(assembly.run(settings.load(pathlib.Path(named))))
+    ctx.exit(assembly.run(pathlib.Path(named)))
 
 
 commands = (steer,)
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -1,12 +1,16 @@
 """Constructs the parts of a steering VM and wires them."""
 
+from collections.abc import Callable
+import pathlib
 import signal
 import time
+import traceback
 import uuid
 
 import gevent
 import gevent.event
 
+from mulberrydeck import errors
 from mulberrydeck.core import effects as core_effects
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import requests
@@ -32,6 +36,11 @@
 STORE_IDLE_S = 30.0
 STORE_UNACKNOWLEDGED_S = 1.5
 SWEEP_INTERVAL_S = 1.0
+# The settings file may change without a signal.
+SETTINGS_CHECK_INTERVAL_S = 2.0
+# Keeps a part that fails again and again from using the processor up.
+RESTART_DELAY_S = 1.0
+DEREGISTER_TIMEOUT_S = 0.3  # A stopping VM must not wait for the store.
 # Parts of the time until the kill: callers still come with old look-ups at
 # first, and what runs needs the rest.
 ACCEPT_PART = 0.5
@@ -59,8 +68,14 @@
         stop_requested: Set when the process must stop gracefully.
     """
 
-    def __init__(self, settings: settings_module.SteeringSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.SteeringSettings,
+        settings_path: pathlib.Path,
+    ) -> None:
         self.settings = settings
+        self.settings_path = settings_path
+        self.settings_seen = _modified_ns(settings_path)
         self.stop_requested = gevent.event.Event()
         self.incarnation = uuid.uuid4().hex
         self.reports = reporting.Reports(now_s)
@@ -131,21 +146,36 @@
         """Opens the listeners and begins to follow the store."""
         for listener in (self.callers, *self.questions, self.metrics):
             listener.start()
-        gevent.spawn(self._tick)
-        gevent.spawn(self._sweep)
-        gevent.spawn(self._join)
+        for part in (self._tick, self._sweep, self._join):
+            self._spawn(part)
         self.reports.write(
             "steer", "Started.", vm=self.settings.name, zone=self.settings.zone
         )
 
+    def _spawn(self, part: Callable[[], None]) -> None:
+        """Runs a part that must not end by an error of its own."""
+
+        def run() -> None:
+            while True:
+                try:
+                    part()
+                    return
+                except Exception:
+                    self._report_failure(part.__qualname__)
+                    gevent.sleep(RESTART_DELAY_S)
+
+        gevent.spawn(run)
+
+    def _report_failure(self, part: str) -> None:
+        error = traceback.format_exc()
+        self.reports.write("steer", "A part failed.", of=part, error=error)
+
     def _join(self) -> None:
         """Joins the fleet, then follows the store."""
         followers = syncing.Sources(self.reports).all()
         for followed in followers[:3]:
             self._follow(followed)
-        registration = syncing.Registration(
-            self.client, self._record(), self.reports
-        )
+        registration = self._registration()
         self.peers = transport.PeerTransport(
             self.settings.name,
             self.settings.peer_address,
@@ -158,11 +188,14 @@
         registration.register()
         self._follow(followers[3])
 
+    def _registration(self) -> syncing.Registration:
+        return syncing.Registration(self.client, self._record(), self.reports)
+
     def _follow(self, followed: syncing.Followed) -> None:
         follower = syncing.Follower(
             followed, self.client, self.loop, self.reports
         )
-        gevent.spawn(follower.run)
+        self._spawn(follower.run)
 
     def _record(self) -> registry.VmRecord:
         settings = self.settings
@@ -176,7 +209,11 @@
         )
 
     def _deliver(self, sender: str, message: object) -> None:
-        self.loop.submit(events.PeerReceived(now_s(), sender, message))
+        try:
+            self.loop.submit(events.PeerReceived(now_s(), sender, message))
+        except Exception:
+            # The transport's reader must go on with the next message.
+            self._report_failure("peer messages")
 
     def _tick(self) -> None:
         while True:
@@ -187,9 +224,34 @@
                 self.callers.keep_alive_s = table.limits.idle_timeout_s
 
     def _sweep(self) -> None:
+        checked_s = now_s()
         while True:
             gevent.sleep(SWEEP_INTERVAL_S)
             self.targets_pool.expire()
+            if now_s() >= checked_s + SETTINGS_CHECK_INTERVAL_S:
+                checked_s = now_s()
+                self._check_settings()
+
+    def _check_settings(self) -> None:
+        if _modified_ns(self.settings_path) != self.settings_seen:
+            self.reload()
+
+    def reload(self) -> None:
+        """Reads the settings again; bad ones are left out of force."""
+        self.settings_seen = _modified_ns(self.settings_path)
+        try:
+            loaded = settings_module.load(self.settings_path)
+        except errors.SettingsError as error:
+            self.reports.write("steer", "Bad settings.", reason=str(error))
+            return
+        changed = settings_module.fixed_changes(self.settings, loaded)
+        if changed:
+            self.reports.write(
+                "steer", "Changed settings need a restart.", names=changed
+            )
+            return
+        self.settings = loaded
+        self.loop.submit(events.SettingsReloaded(now_s(), loaded))
 
     def stop(self) -> None:
         """Stops gracefully: what runs is finished before the kill."""
@@ -207,6 +269,10 @@
         ):
             self.callers.close_idle()
             gevent.sleep(serving.STOP_POLL_S)
+        self.loop.submit(events.StopFinished(now_s()))
+        if now_s() < finish_by_s:
+            with gevent.Timeout(DEREGISTER_TIMEOUT_S, False):
+                self._registration().deregister()
         self.reports.write(
             "steer",
             "Stopped.",
@@ -215,13 +281,29 @@
         )
 
 
-def run(settings: settings_module.SteeringSettings) -> int:
-    """Runs a steering VM until SIGTERM or SIGINT; returns the exit code."""
+def _modified_ns(path: pathlib.Path) -> int:
+    """Returns when a file was last changed; 0 if it is missing."""
+    try:
+        return path.stat().st_mtime_ns
+    except FileNotFoundError:
+        return 0
+
+
+def run(path: pathlib.Path) -> int:
+    """Runs a steering VM until SIGTERM or SIGINT; returns the exit code.
+
+    Args:
+        path: Settings file.
+
+    Raises:
+        errors.SettingsError: The settings are missing or bad.
+    """
+    settings = settings_module.load(path)
     logs.start_bounded()
-    vm = SteeringVm(settings)
+    vm = SteeringVm(settings, path)
     gevent.signal_handler(signal.SIGTERM, vm.stop_requested.set)
     gevent.signal_handler(signal.SIGINT, vm.stop_requested.set)
-    gevent.signal_handler(signal.SIGHUP, vm.reports.write, "steer", "Hangup.")
+    gevent.signal_handler(signal.SIGHUP, vm.reload)
     vm.start()
     vm.stop_requested.wait()
     vm.stop()
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -9,6 +9,7 @@
 import attrs
 
 from mulberrydeck.steering import registry
+from mulberrydeck.steering import settings as settings_module
 from mulberrydeck.steering import tables
 
 
@@ -181,3 +182,22 @@
     """The process must stop gracefully."""
 
     at_s: float
+
+
+@attrs.frozen
+class StopFinished:
+    """No request is in progress any more."""
+
+    at_s: float
+
+
+@attrs.frozen
+class SettingsReloaded:
+    """The settings were read again.
+
+    Attributes:
+        settings: The settings; addresses and places are those of the start.
+    """
+
+    at_s: float
+    settings: settings_module.SteeringSettings
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -61,6 +61,10 @@
             return _peer_received(state, event)
         case events.StopRequested():
             return _stop(state)
+        case events.StopFinished():
+            return list(quota.release_all(state.quota, state.now_s))
+        case events.SettingsReloaded():
+            return _settings_reloaded(state, event)
     return _store_event(state, event)
 
 
@@ -224,3 +228,15 @@
     state.fleet.next_beat_s = state.now_s
     fields = {"in_flight": len(state.requests)}
     return [effects.Log("steer", "A planned stop began.", fields)]
+
+
+def _settings_reloaded(
+    state: states.State, event: events.SettingsReloaded
+) -> Effects:
+    state.settings = event.settings
+    state.fleet.settings = event.settings
+    state.quota.settings = event.settings
+    state.pacer.overage = event.settings.cold_overage
+    state.pacer.extra = event.settings.cold_extra
+    state.retry_budgets.clear()
+    return [effects.Log("steer", "The settings are in force.", {})]
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -113,3 +113,33 @@
             f"{path}: zone {loaded.zone!r} is missing in region_by_zone; add "
             "it with its region."
         )
+
+
+# What a running process cannot change: its listeners and its place.
+FIXED = (
+    "name",
+    "zone",
+    "region",
+    "caller_address",
+    "ready_address",
+    "look_up_address",
+    "peer_address",
+    "metrics_address",
+    "platform_address",
+)
+
+
+def fixed_changes(
+    running: SteeringSettings, loaded: SteeringSettings
+) -> tuple[str, ...]:
+    """Returns the names of changed settings that need a restart.
+
+    Args:
+        running: Settings of the running process.
+        loaded: Settings as read again.
+    """
+    return tuple(
+        name
+        for name in FIXED
+        if getattr(running, name) != getattr(loaded, name)
+    )
--- a/mulberrydeck/steering/syncing.py
+++ b/mulberrydeck/steering/syncing.py
@@ -317,6 +317,16 @@
             failures += 1
             self._wait("register", failures, written.failure())
 
+    def deregister(self) -> None:
+        """Removes the record of this VM, so that others take its part over.
+
+        A failure only leaves the part unused until the VM is back.
+        """
+        removed = self.client.delete(documents.VMS_KIND, self.record.name)
+        if isinstance(removed, result.Failure):
+            reason = str(removed.failure())
+            self.reports.write("fleet", "The record stays.", reason=reason)
+
     def fleet_secret(self) -> str:
         """Returns the secret that all VMs share; the first VM creates it."""
         kind, name = documents.FLEET_KIND, "secret"
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1,5 +1,6 @@
 """Promises of steering VMs as processes, beside the users' platform."""
 
+import signal
 import socket
 import time
 
@@ -270,6 +271,33 @@
     assert answers[-1].headers.get("connection") == "close"
 
 
+def test_a_stopped_vm_leaves_its_part_of_limits_to_the_others(fleet):
+    fleet.start_vm("coast-b-1", "coast-b")
+    assert len(fleet.store.objects["mulberrydeck-vms"]) == 2
+    fleet.stop_vm("coast-b-1")
+    assert fleet.vms["coast-b-1"].wait_end() == 0
+    assert list(fleet.store.objects["mulberrydeck-vms"]) == ["coast-a-1"]
+
+
+def test_changed_settings_come_into_force_without_a_signal(fleet):
+    path = fleet.group.directory / "coast-a-1.toml"
+    path.write_text(path.read_text() + "\n")
+    _wait_logged(fleet, "The settings are in force.")
+
+
+def test_bad_settings_are_told_and_left_out_of_force(fleet):
+    path = fleet.group.directory / "coast-a-1.toml"
+    path.write_text("retry_ratio = 'much'\n")
+    fleet.vms["coast-a-1"].send_signal(signal.SIGHUP)
+    _wait_logged(fleet, "Bad settings.")
+    assert _serves(fleet)
+
+
+def _wait_logged(fleet, text):
+    process = fleet.vms["coast-a-1"]
+    waiting.until(lambda: text in process.log(), f"it logs {text!r}")
+
+
 def test_look_ups_follow_the_vms_of_a_region(fleet):
     fleet.start_vm("coast-b-1", "coast-b")
 
