Log the inputs of each choice of a target

Lines of attempts and of requests name service, account, configuration version, the target's estimated load and the age of its report, so that a failed request can be followed from its id to its cause.

--- a/mulberrydeck/steering/effects.py
+++ b/mulberrydeck/steering/effects.py
@@ -17,6 +17,7 @@
         account: Client account, or empty.
         ends_s: When the final answer is due, in seconds.
         repeatable: Whether the request may run more than once.
+        inputs: What decided it, with ages or versions, for logs.
     """
 
     request_id: str
@@ -26,6 +27,7 @@
     account: str
     ends_s: float
     repeatable: bool
+    inputs: dict[str, object] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -103,25 +103,39 @@
             outcome=attempt.outcome.value,
             status=attempt.status,
             reason=attempt.reason,
+            **decision.inputs,
         )
 
     def request_ended(
         self,
         request: requests.Request,
         decision: effects.Decision | None,
+        last: effects.Forward | None,
         taken_s: float,
     ) -> None:
-        """Reports the end of a request."""
+        """Reports the end of a request.
+
+        Args:
+            request: The request.
+            decision: How it ended; None if the caller left.
+            last: Its last attempt, or None.
+            taken_s: Time since its arrival, in seconds.
+        """
         fields = {
             "request_id": request.request_id,
             "path": request.path,
             "status": request.answer.status,
             "taken_s": round(taken_s, 4),
         }
+        if last is not None:
+            fields |= {"target": last.target, "attempts": last.attempt}
+            fields |= last.inputs
         match decision:
             case effects.Refuse(kind=kind, inputs=inputs):
                 self.latency.labels(kind).observe(taken_s)
-                self.write("request", "Refused.", kind=kind, **fields, **inputs)
+                self.write(
+                    "request", "Refused.", kind=kind, **(fields | inputs)
+                )
             case None:
                 self.latency.labels("abandoned").observe(taken_s)
                 self.write("request", "The caller left.", **fields)
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -149,8 +149,8 @@
                 request, 503, "no-capacity", FULL_RETRY_S, inputs
             )
             return [refusal]
-        case placement.Chosen(target, _):
-            return [_send(state, request, target, cold_rate_per_s)]
+        case placement.Chosen(target, reason):
+            return [_send(state, request, target, cold_rate_per_s, reason)]
 
 
 def _send(
@@ -158,10 +158,19 @@
     request: states.Request,
     target: targets.Target,
     cold_rate_per_s: float,
+    reason: str,
 ) -> effects.Forward:
     if target.is_cold(state.now_s):
         state.pacer.sent(state.now_s, target.entry.name, cold_rate_per_s)
     request.target = target
+    inputs = {
+        "why": reason,
+        "service": request.service,
+        "account": request.account_name,
+        "version": state.table.version,
+        "load": round(target.load(state.now_s), 1),
+        "load_age_s": round(min(99.0, state.now_s - target.reported_s), 2),
+    }
     request.sent += 1
     request.tried.add(target.entry.name)
     target.in_flight += 1
@@ -173,6 +182,7 @@
         account=request.account_name,
         ends_s=request.ends_s,
         repeatable=request.repeatable,
+        inputs=inputs,
     )
 
 
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -87,6 +87,19 @@
             handler.end_when_idle()
 
 
+@attrs.define
+class Progress:
+    """How far a request came.
+
+    Attributes:
+        decision: How it ended; None while it runs or if the caller left.
+        last: Its last attempt, or None.
+    """
+
+    decision: effects.Decision | None = None
+    last: effects.Forward | None = None
+
+
 @attrs.define(eq=False)
 class Steering:
     """Answers callers' requests.
@@ -118,15 +131,17 @@
             body_bytes=request.head.length or 0,
         )
         self._load_body(request)
-        decision: effects.Decision | None = None
+        progress = Progress()
         try:
-            decision = self._carry_out(request, said, event)
+            self._carry_out(request, said, event, progress)
         finally:
             self.loop.submit(
                 events.RequestClosed(self.loop.now_s(), event.request_id)
             )
             taken_s = self.loop.now_s() - arrived_s
-            self.reports.request_ended(request, decision, taken_s)
+            self.reports.request_ended(
+                request, progress.decision, progress.last, taken_s
+            )
 
     def _load_body(self, request: requests.Request) -> None:
         body = request.body
@@ -141,11 +156,13 @@
         request: requests.Request,
         said: headers.CallerFields,
         event: events.RequestArrived,
-    ) -> effects.Decision:
+        progress: "Progress",
+    ) -> None:
         passed = headers.passed_on(request.head)
         decision = self.loop.decide(event)
         attempt: exchange.Attempt | None = None
         while isinstance(decision, effects.Forward):
+            progress.last = decision
             hop = self._hop(request, said, passed, decision)
             running = exchange.TargetExchange(
                 self.pool, hop, request.body, self.loop.now_s
@@ -155,14 +172,14 @@
             ended = self._ended(request, decision, attempt)
             if attempt.begun:
                 self.loop.submit(ended)
-                return decision
+                break
             decision = self.loop.decide(ended)
         match decision:
             case effects.Deliver():
                 deliver(request, attempt.answer)
             case effects.Refuse():
                 refuse(request, decision)
-        return decision
+        progress.decision = decision
 
     def _hop(
         self,
