--- a/mulberrydeck/cli/main.py
+++ b/mulberrydeck/cli/main.py
@@ -20,6 +20,7 @@
     "explain": "status_commands",
     "ask": "caller_commands",
     "call": "caller_commands",
+    "emulate": "emulate_command",
 }
 
 
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -5,6 +5,8 @@
 whose callers come in waves.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from mulberrydeck.routing import hashing
@@ -63,6 +65,12 @@
     usable: int
 
 
+Choose = Callable[
+    [targets_module.TargetBook, pacing.ColdPacer, float, Wanted],
+    Chosen | NoneFree,
+]
+
+
 def choose(
     book: targets_module.TargetBook,
     pacer: pacing.ColdPacer,
@@ -100,10 +108,11 @@
     return target.load(now_s) / target.entry.slots
 
 
-def _ranked(
+def usable(
     book: targets_module.TargetBook, now_s: float, wanted: Wanted
 ) -> list[targets_module.Target]:
-    found = [
+    """Returns the targets that may take a request, were they not full."""
+    return [
         target
         for target in book.by_service.get(wanted.service, ())
         if targets_module.is_usable(book, target, now_s)
@@ -113,8 +122,14 @@
             or target.region in wanted.allowed_regions
         )
     ]
+
+
+def _ranked(
+    book: targets_module.TargetBook, now_s: float, wanted: Wanted
+) -> list[targets_module.Target]:
+    found = usable(book, now_s, wanted)
     if wanted.object_digest is None:
-        found.sort(key=lambda target: target.load(now_s) / target.entry.slots)
+        found.sort(key=lambda target: _filled(target, now_s))
     else:
         digest = wanted.object_digest
         found.sort(key=lambda target: hashing.combine(digest, target.digest))
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -129,7 +129,7 @@
         return [_failure(request, 504, "deadline-exceeded", None)]
     service = state.table.services.get(request.service)
     cold_rate_per_s = service.cold_rate_per_s if service else 0.0
-    choice = placement.choose(
+    choice = state.choose(
         state.book,
         state.pacer,
         state.now_s,
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -8,6 +8,7 @@
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import members
 from mulberrydeck.steering import pacing
+from mulberrydeck.steering import placement
 from mulberrydeck.steering import settings as settings_module
 from mulberrydeck.steering import tables
 from mulberrydeck.steering import targets
@@ -77,6 +78,7 @@
         lost_kinds: Kinds of objects that cannot be followed, with the time
             since when, in seconds.
         stopping: Whether a planned stop has begun.
+        choose: Choice of a target for a request.
     """
 
     settings: settings_module.SteeringSettings
@@ -92,6 +94,7 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     lost_kinds: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
+    choose: placement.Choose = placement.choose
 
 
 def create(
