Join sooner after a restart and spill only to nearly idle targets

VMs knew each other 0.15 s after their start, but sent the next heartbeat a second later, and units wait for one from everybody. A VM that waits for the others now beats each 0.2 s.

Single runs reuse only connections that were idle for up to 0.5 s, since a target may forget an idle one without notice.

--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -95,7 +95,11 @@
         self.idle: dict[str, list[Connection]] = {}
 
     def acquire(
-        self, address: str, timeout_s: float, fresh: bool = False
+        self,
+        address: str,
+        timeout_s: float,
+        fresh: bool = False,
+        max_idle_s: float = math.inf,
     ) -> Connection:
         """Returns an idle connection, or opens one.
 
@@ -103,13 +107,14 @@
             address: `host:port` of the peer.
             timeout_s: Upper bound of the time to connect, in seconds.
             fresh: Whether to open a new connection in any case.
+            max_idle_s: Longest that a reused connection was idle, in seconds.
 
         Raises:
             ConnectError: The peer could not be reached.
         """
         waiting = None if fresh else self.idle.get(address)
         now_s = self.now_s()
-        while waiting:
+        while waiting and now_s - waiting[-1].idle_since_s <= max_idle_s:
             connection = waiting.pop()
             if not connection.is_expired(now_s) and connection.is_quiet():
                 connection.reused = True
--- a/mulberrydeck/forward/tests/test_pool.py
+++ b/mulberrydeck/forward/tests/test_pool.py
@@ -46,3 +46,13 @@
     pool.release(connection)
     now_s = 4.0
     assert pool.acquire(address, 1.0) is not connection
+
+
+def test_single_runs_get_only_connections_that_were_just_used(address):
+    now_s = 0.0
+    pool = pools.ConnectionPool("", 1.0, 30.0, lambda: now_s)
+    connection = pool.acquire(address, 1.0)
+    pool.release(connection)
+    now_s = 0.6
+    assert pool.acquire(address, 1.0, max_idle_s=0.5) is not connection
+    assert pool.acquire(address, 1.0) is connection
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 
 import attrs
 from geventhttpclient import response
@@ -24,6 +25,9 @@
 MIN_WAIT_S = 0.001
 # A target closes idle connections on its own clock; leave it some room.
 KEEP_ALIVE_PART = 0.7
+# A target may forget an idle connection without notice; a single run that is
+# reset there has an unknown outcome.
+MAX_IDLE_SINGLE_RUN_S = 0.5
 
 Outcome = events.Outcome
 
@@ -38,6 +42,7 @@
         method: HTTP method.
         attempt_id: Identifier that the answer must carry; empty for any.
         ends_s: When the final answer is due, in seconds.
+        repeatable: Whether the request may run more than once.
     """
 
     address: str
@@ -45,6 +50,7 @@
     method: str
     attempt_id: str
     ends_s: float
+    repeatable: bool = True
 
 
 @attrs.frozen
@@ -135,7 +141,13 @@
             Exception: The caller's side failed; the attempt was cancelled.
         """
         try:
-            connection = self.pool.acquire(self.hop.address, self._left_s())
+            connection = self.pool.acquire(
+                self.hop.address,
+                self._left_s(),
+                max_idle_s=math.inf
+                if self.hop.repeatable
+                else MAX_IDLE_SINGLE_RUN_S,
+            )
         except pools.ConnectError as error:
             return Attempt(Outcome.NOT_SENT, reason=str(error))
         reusable = False
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -14,6 +14,9 @@
 
 # Each limit is divided into this many units, which VMs own and lend.
 UNITS = 1000
+# Until all VMs were heard, this one cannot use its units; a message to a VM
+# that is not yet connected is lost.
+JOINING_BEAT_INTERVAL_S = 0.2
 
 
 @attrs.define
@@ -45,6 +48,7 @@
         peers: Other VMs by name.
         names: Names of all registered VMs, sorted.
         next_beat_s: When the next heartbeat is due, in seconds.
+        started_s: When this process started, in seconds.
         clear: VMs that were heard and hold no loan of this VM's earlier
             processes.
         cleared: Whether all registered VMs were found clear once.
@@ -55,6 +59,7 @@
     peers: dict[str, Peer] = attrs.field(factory=dict)
     names: tuple[str, ...] = ()
     next_beat_s: float = -math.inf
+    started_s: float = 0.0
     clear: set[str] = attrs.field(factory=set)
     cleared: bool = False
 
@@ -105,7 +110,10 @@
     """
     if now_s < fleet.next_beat_s:
         return []
-    fleet.next_beat_s = now_s + fleet.settings.beat_interval_s
+    interval_s = fleet.settings.beat_interval_s
+    if not fleet.cleared:
+        interval_s = min(interval_s, JOINING_BEAT_INTERVAL_S)
+    fleet.next_beat_s = now_s + interval_s
     return [core_effects.SendMessage(name, beat) for name in fleet.peers]
 
 
@@ -143,15 +151,20 @@
     return produced
 
 
-def found_clear(fleet: Fleet) -> bool:
-    """Returns whether all VMs have just been found to hold no loans.
+def found_clear(fleet: Fleet, now_s: float) -> bool:
+    """Returns whether loans of earlier processes have just become impossible.
 
-    It is true once in the life of a process. Loans that an earlier process
-    made may run on; a VM that was not heard may hold some.
+    It is true once in the life of a process: when all VMs were heard and hold
+    none, or when all have run out.
     """
     if fleet.cleared or not fleet.names:
         return False
-    fleet.cleared = fleet.peers.keys() <= fleet.clear
+    settings = fleet.settings
+    longest_s = settings.quota_lease_s + settings.lease_margin_s
+    fleet.cleared = (
+        fleet.peers.keys() <= fleet.clear
+        or now_s >= fleet.started_s + longest_s
+    )
     return fleet.cleared
 
 
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -17,7 +17,7 @@
 QUEUE_PER_SLOT = 1.0
 # A target that does not know the object works three times as long on it; only
 # one that is idle otherwise should.
-IDLE_PART = 0.5
+IDLE_PART = 0.25
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -174,7 +174,7 @@
 
 def _ticked(state: states.State) -> Effects:
     produced = members.beats(state.fleet, state.now_s, _own_beat(state))
-    if members.found_clear(state.fleet):
+    if members.found_clear(state.fleet, state.now_s):
         quota.no_loans_left(state.quota, state.now_s)
         produced.append(
             effects.Log("quota", "No loans of an earlier process run.", {})
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -208,6 +208,7 @@
             method=head.method,
             attempt_id=said.attempt_id,
             ends_s=decision.ends_s,
+            repeatable=decision.repeatable,
         )
 
     def _ended(
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -116,7 +116,7 @@
         now_s=now_s,
         rng=random.Random(seed),
         book=targets.TargetBook(settings.region_by_zone),
-        fleet=members.Fleet(settings, incarnation),
+        fleet=members.Fleet(settings, incarnation, started_s=now_s),
         quota=quota_state.QuotaState(incarnation, settings),
         pacer=pacing.ColdPacer(
             hashing.digest(settings.name),
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -149,6 +149,18 @@
     assert usable_units(vm) == 334
 
 
+def test_a_vm_that_waits_for_the_others_beats_more_often():
+    vm = restarted()
+    beats = 0
+    for _ in range(10):
+        vm.now_s += 0.1
+        produced = vm.reduce(events.Ticked(vm.now_s))
+        beats += any(
+            isinstance(effect, core_effects.SendMessage) for effect in produced
+        )
+    assert beats >= 4
+
+
 def test_a_process_that_was_not_heard_before_is_answered_at_once():
     vm, _ = make_fleet()
     beat = events.PeerReceived(vm.now_s, "coast-b-1", READY)
