--- a/mulberrydeck/emulator/scenario.py
+++ b/mulberrydeck/emulator/scenario.py
@@ -1,13 +1,10 @@
 """What an emulated day consists of, read from TOML."""
 
 import pathlib
-import tomllib
 
 import attrs
-import cattrs
-import cattrs.errors
 
-from mulberrydeck import errors
+from mulberrydeck.settings import loading
 
 
 @attrs.frozen
@@ -133,14 +130,4 @@
     Raises:
         errors.SettingsError: The file is missing or malformed.
     """
-    try:
-        raw = tomllib.loads(path.read_text())
-        converter = cattrs.Converter(forbid_extra_keys=True)
-        return converter.structure(raw, Scenario)
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise errors.SettingsError(
-            f"{path}: {error}; name a readable TOML file."
-        ) from error
-    except cattrs.errors.BaseValidationError as error:
-        causes = "; ".join(cattrs.transform_error(error))
-        raise errors.SettingsError(f"{path}: {causes}; correct it.") from error
+    return loading.load_as(path, Scenario, "docs/emulator.md")
--- a/mulberrydeck/forward/fields.py
+++ b/mulberrydeck/forward/fields.py
@@ -54,6 +54,21 @@
     ]
 
 
+def end_to_end(fields: Iterable[Field], dropped: frozenset[str]) -> list[Field]:
+    """Returns all fields but those of one connection and some others.
+
+    Args:
+        fields: Fields as received, names in lower case.
+        dropped: Names, in lower case, that are left out besides.
+    """
+    named = _named_in_connection(fields)
+    return [
+        (name, value)
+        for name, value in fields
+        if name not in HOP_BY_HOP and name not in named and name not in dropped
+    ]
+
+
 def of_answer(fields: Iterable[Field]) -> list[Field]:
     """Returns the fields of an answer that may reach the caller.
 
--- /dev/null
+++ b/mulberrydeck/frontend/listeners.py
@@ -0,0 +1,86 @@
+"""A listener whose connections are served one request after another."""
+
+import gevent.pywsgi
+import gevent.socket
+
+from mulberrydeck.frontend import connections
+from mulberrydeck.frontend import hangups
+from mulberrydeck.frontend import requests
+
+DEFAULT_IDLE_TIMEOUT_S = 15.0
+
+
+class HttpListener:
+    """A listener with its connections.
+
+    Attributes:
+        idle_timeout_s: Time allowed between two pieces, in seconds.
+        keep_alive_s: Time allowed between two requests, in seconds.
+        stopping: Whether answers close their connections.
+        in_flight: Number of requests in progress.
+        watch: Watch for callers that hang up.
+        open: Open connections.
+    """
+
+    def __init__(self, address: str, backlog: int | None = None) -> None:
+        """Prepares a listener.
+
+        Args:
+            address: `ip:port` to listen on.
+            backlog: New connections that may wait; None for the default.
+        """
+        host, _, port = address.rpartition(":")
+        self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self.keep_alive_s = connections.KEEP_ALIVE_S
+        self.stopping = False
+        self.in_flight = 0
+        self.watch = hangups.HangupWatch()
+        self.open: set[connections.ConnectionHandler] = set()
+        # Without SERVER_NAME, pywsgi looks the address up in a thread.
+        self.listener = gevent.pywsgi.WSGIServer(
+            (host, int(port)),
+            log=None,
+            error_log=None,
+            backlog=backlog,
+            environ={"SERVER_NAME": host},
+            handler_class=self._handler,
+        )
+
+    @property
+    def address(self) -> str:
+        """Bound address, `ip:port`."""
+        host, port = self.listener.address[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Binds the listener and begins to serve."""
+        self.listener.start()
+        self.watch.start()
+
+    def answer(self, request: requests.Request) -> None:
+        """Answers one request.
+
+        Raises:
+            requests.RefusedError: It is refused before the core is asked.
+        """
+        raise NotImplementedError
+
+    def stop_accepting(self) -> None:
+        """Refuses new connections; those that wait are still served."""
+        self.listener.stop_accepting()
+        while (accepted := self.listener.do_read()) is not None:
+            self.listener.do_handle(*accepted)
+        self.listener.close()
+
+    def close_idle(self) -> None:
+        """Ends the connections on which no request is under way."""
+        for handler in list(self.open):
+            handler.end_when_idle()
+
+    def _handler(
+        self,
+        sock: gevent.socket.socket,
+        address: tuple[str, int],
+        _listener: gevent.pywsgi.WSGIServer,
+    ) -> connections.ConnectionHandler:
+        return connections.ConnectionHandler(sock, address, self)
--- a/mulberrydeck/frontend/server.py
+++ b/mulberrydeck/frontend/server.py
@@ -1,12 +1,9 @@
 """Servers towards callers and towards relaying VMs."""
 
 import gevent
-import gevent.pywsgi
-import gevent.socket
 
 from mulberrydeck.frontend import arrivals
-from mulberrydeck.frontend import connections
-from mulberrydeck.frontend import hangups
+from mulberrydeck.frontend import listeners
 from mulberrydeck.frontend import parts as part_sets
 from mulberrydeck.frontend import paths
 from mulberrydeck.frontend import problems
@@ -19,16 +16,11 @@
 POOL_SWEEP_INTERVAL_S = 1.0
 
 
-class HttpServer:
-    """A listener with its connections.
+class HttpServer(listeners.HttpListener):
+    """A listener of an entry VM.
 
     Attributes:
-        idle_timeout_s: Time allowed between two pieces, in seconds.
-        keep_alive_s: Time allowed between two requests, in seconds.
-        stopping: Whether answers close their connections.
-        in_flight: Number of requests in progress.
-        watch: Watch for callers that hang up.
-        open: Open connections.
+        parts: Parts of this VM.
     """
 
     def __init__(self, address: str, role: str, parts: part_sets.Parts) -> None:
@@ -39,34 +31,10 @@
             role: `caller` or `relay`, for metrics.
             parts: Parts of this VM.
         """
-        host, _, port = address.rpartition(":")
+        super().__init__(address)
         self.parts = parts
         self.idle_timeout_s = parts.settings.idle_timeout_s
-        self.keep_alive_s = connections.KEEP_ALIVE_S
-        self.stopping = False
-        self.in_flight = 0
-        self.watch = hangups.HangupWatch()
-        self.open: set[connections.ConnectionHandler] = set()
         parts.metrics.watch_in_flight(role, lambda: self.in_flight)
-        # Without SERVER_NAME, pywsgi looks the address up in a thread.
-        self.listener = gevent.pywsgi.WSGIServer(
-            (host, int(port)),
-            log=None,
-            error_log=None,
-            environ={"SERVER_NAME": host},
-            handler_class=self._handler,
-        )
-
-    @property
-    def address(self) -> str:
-        """Bound address, `ip:port`."""
-        host, port = self.listener.address[:2]
-        return f"{host}:{port}"
-
-    def start(self) -> None:
-        """Binds the listener and begins to serve."""
-        self.listener.start()
-        self.watch.start()
 
     def stop(self, graceful: bool = True) -> None:
         """Ends the service.
@@ -85,40 +53,20 @@
         self.listener.stop(timeout=0)
         self.watch.stop()
 
-    def answer(self, request: requests.Request) -> None:
-        """Answers one request.
-
-        Raises:
-            requests.RefusedError: It is refused before the core is asked.
-        """
-        raise NotImplementedError
-
     def _wait_idle(self) -> None:
         while self.in_flight:
             gevent.sleep(STOP_POLL_S)
 
     def _accept_rest(self) -> None:
         """Accepts connections that closing the listener would reset."""
-        self.listener.stop_accepting()
-        while (accepted := self.listener.do_read()) is not None:
-            self.listener.do_handle(*accepted)
-        self.listener.close()
+        self.stop_accepting()
         gevent.sleep(FIRST_REQUEST_S)
 
     def _close_idle(self) -> None:
         while self.open:
-            for handler in list(self.open):
-                handler.end_when_idle()
+            self.close_idle()
             gevent.sleep(STOP_POLL_S)
 
-    def _handler(
-        self,
-        sock: gevent.socket.socket,
-        address: tuple[str, int],
-        _listener: gevent.pywsgi.WSGIServer,
-    ) -> connections.ConnectionHandler:
-        return connections.ConnectionHandler(sock, address, self)
-
 
 class CallerServer(HttpServer):
     """Serves callers."""
--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -29,7 +29,17 @@
 WRONG_TARGET_STATUS = 421
 
 _SET_BY_THIS_VM = frozenset(
-    (AUTHORIZATION, ACCOUNT, EXPECTED_TARGET, DEADLINE, SIGNATURE, NOT_RUN)
+    (
+        AUTHORIZATION,
+        ACCOUNT,
+        EXPECTED_TARGET,
+        DEADLINE,
+        SIGNATURE,
+        NOT_RUN,
+        "content-length",
+        "expect",
+        "host",
+    )
 )
 
 
@@ -90,8 +100,7 @@
     Args:
         head: Head as the caller sent it.
     """
-    passed = header_fields.of_request(head.fields, ())
-    kept = [pair for pair in passed if pair[0] not in _SET_BY_THIS_VM]
+    kept = header_fields.end_to_end(head.fields, _SET_BY_THIS_VM)
     return header_fields.encode(kept)
 
 
--- a/mulberrydeck/settings/loading.py
+++ b/mulberrydeck/settings/loading.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import tomllib
+from typing import TypeVar
 
 import attrs
 import cattrs
@@ -10,10 +11,27 @@
 from mulberrydeck import errors
 from mulberrydeck.settings import declarations
 
+T = TypeVar("T")
+
 
 def load(path: pathlib.Path) -> declarations.Settings:
     """Returns the checked settings of a TOML file.
 
+    Raises:
+        errors.SettingsError: The file is missing or malformed, or a value is
+            unknown, of a wrong type or out of range.
+    """
+    return load_as(path, declarations.Settings, "docs/settings.md")
+
+
+def load_as(path: pathlib.Path, declared: type[T], described: str) -> T:
+    """Returns the checked content of a TOML file.
+
+    Args:
+        path: The file.
+        declared: Class that declares its members.
+        described: Page that describes them, for messages.
+
     Raises:
         errors.SettingsError: The file is missing or malformed, or a value is
             unknown, of a wrong type or out of range.
@@ -28,7 +46,7 @@
         raise errors.SettingsError(
             f"{path}: is not valid TOML ({error}); correct the line."
         ) from error
-    return structure(raw, str(path))
+    return structure_as(raw, str(path), declared, described)
 
 
 def structure(raw: dict[str, object], source: str) -> declarations.Settings:
@@ -38,25 +56,42 @@
         raw: Decoded TOML.
         source: Name of the source for messages.
 
+    Raises:
+        errors.SettingsError: A key is unknown or a value is bad.
+    """
+    return structure_as(raw, source, declarations.Settings, "docs/settings.md")
+
+
+def structure_as(
+    raw: dict[str, object], source: str, declared: type[T], described: str
+) -> T:
+    """Returns checked content from decoded TOML.
+
+    Args:
+        raw: Decoded TOML.
+        source: Name of the source for messages.
+        declared: Class that declares its members.
+        described: Page that describes them, for messages.
+
     Raises:
         errors.SettingsError: A key is unknown or a value is bad.
     """
     converter = cattrs.Converter(forbid_extra_keys=True)
     try:
-        loaded = converter.structure(raw, declarations.Settings)
+        loaded = converter.structure(raw, declared)
     except cattrs.errors.BaseValidationError as error:
         causes = "; ".join(cattrs.transform_error(error))
         raise errors.SettingsError(
-            f"{source}: {causes}; see docs/settings.md for keys and types."
+            f"{source}: {causes}; see {described} for keys and types."
         ) from error
     _check_durations(loaded, source)
     return loaded
 
 
-def _check_durations(loaded: declarations.Settings, source: str) -> None:
-    for field in attrs.fields(declarations.Settings):
+def _check_durations(loaded: object, source: str) -> None:
+    for field in attrs.fields(type(loaded)):
         value = getattr(loaded, field.name)
-        if field.metadata["unit"] == "s" and value <= 0:
+        if field.metadata.get("unit") == "s" and value <= 0:
             raise errors.SettingsError(
                 f"{source}: {field.name} = {value} must be above 0; set a "
                 "duration in seconds."
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -109,7 +109,7 @@
         settings = self.settings
         steering = serving.Steering(self.loop, self.targets_pool, self.reports)
         look_ups = serving.LookUps(self.loop)
-        listen = serving.HttpListener
+        listen = serving.Listener
         self.callers = listen(settings.caller_address, steering.serve)
         self.questions = (
             listen(settings.ready_address, look_ups.serve),
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -4,13 +4,9 @@
 import json
 
 import attrs
-import gevent
-import gevent.pywsgi
-import gevent.socket
 
 from mulberrydeck.forward import pool as pools
-from mulberrydeck.frontend import connections
-from mulberrydeck.frontend import hangups
+from mulberrydeck.frontend import listeners
 from mulberrydeck.frontend import requests
 from mulberrydeck.platform import headers
 from mulberrydeck.shell import event_loop
@@ -28,16 +24,11 @@
 FIRST_REQUEST_S = 0.25
 
 
-class HttpListener:
-    """A listener with its connections.
+class Listener(listeners.HttpListener):
+    """A listener that hands its requests to a function.
 
     Attributes:
-        idle_timeout_s: Time allowed between two pieces, in seconds.
-        keep_alive_s: Time allowed between two requests, in seconds.
-        stopping: Whether answers close their connections.
-        in_flight: Number of requests in progress.
-        watch: Watch for callers that hang up.
-        open: Open connections.
+        answer: Answers one request.
     """
 
     def __init__(
@@ -49,42 +40,8 @@
             address: `ip:port` to listen on.
             answer: Answers one request.
         """
-        host, _, port = address.rpartition(":")
+        super().__init__(address, BACKLOG)
         self.answer = answer
-        self.idle_timeout_s = 15.0
-        self.keep_alive_s = connections.KEEP_ALIVE_S
-        self.stopping = False
-        self.in_flight = 0
-        self.watch = hangups.HangupWatch()
-        self.open: set[connections.ConnectionHandler] = set()
-        # Without SERVER_NAME, pywsgi looks the address up in a thread.
-        self.listener = gevent.pywsgi.WSGIServer(
-            (host, int(port)),
-            log=None,
-            error_log=None,
-            backlog=BACKLOG,
-            environ={"SERVER_NAME": host},
-            handler_class=lambda sock, peer, _: connections.ConnectionHandler(
-                sock, peer, self
-            ),
-        )
-
-    def start(self) -> None:
-        """Binds the listener and begins to serve."""
-        self.listener.start()
-        self.watch.start()
-
-    def stop_accepting(self) -> None:
-        """Refuses new connections; those that wait are still served."""
-        self.listener.stop_accepting()
-        while (accepted := self.listener.do_read()) is not None:
-            self.listener.do_handle(*accepted)
-        self.listener.close()
-
-    def close_idle(self) -> None:
-        """Ends the connections on which no request is under way."""
-        for handler in list(self.open):
-            handler.end_when_idle()
 
 
 @attrs.define
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -1,14 +1,12 @@
 """Settings of the process that steers requests, read from TOML."""
 
 import pathlib
-import tomllib
 
 import attrs
-import cattrs
-import cattrs.errors
 
 from mulberrydeck import errors
 from mulberrydeck.settings import declarations
+from mulberrydeck.settings import loading
 
 setting = declarations.setting
 
@@ -80,39 +78,13 @@
         errors.SettingsError: The file is missing or malformed, or a value is
             unknown, of a wrong type or out of range.
     """
-    try:
-        raw = tomllib.loads(path.read_text())
-    except OSError as error:
-        raise errors.SettingsError(
-            f"{path}: cannot be read ({error.strerror}); check the path."
-        ) from error
-    except tomllib.TOMLDecodeError as error:
-        raise errors.SettingsError(
-            f"{path}: is not valid TOML ({error}); correct the line."
-        ) from error
-    converter = cattrs.Converter(forbid_extra_keys=True)
-    try:
-        loaded = converter.structure(raw, SteeringSettings)
-    except cattrs.errors.BaseValidationError as error:
-        causes = "; ".join(cattrs.transform_error(error))
-        raise errors.SettingsError(f"{path}: {causes}; correct it.") from error
-    _check(loaded, path)
-    return loaded
-
-
-def _check(loaded: SteeringSettings, path: pathlib.Path) -> None:
-    for field in attrs.fields(SteeringSettings):
-        value = getattr(loaded, field.name)
-        if field.metadata["unit"] == "s" and value <= 0:
-            raise errors.SettingsError(
-                f"{path}: {field.name} = {value} must be above 0; set a "
-                "duration in seconds."
-            )
+    loaded = loading.load_as(path, SteeringSettings, "docs/settings.md")
     if loaded.zone not in loaded.region_by_zone:
         raise errors.SettingsError(
             f"{path}: zone {loaded.zone!r} is missing in region_by_zone; add "
             "it with its region."
         )
+    return loaded
 
 
 # What a running process cannot change: its listeners and its place.
