Let a failed registration restart without following kinds twice

Found by reading: the part that registers a VM also started its followers, so that an error in it would have started them again. Settings and fields without a reader are removed.

--- a/mulberrydeck/platform/documents.py
+++ b/mulberrydeck/platform/documents.py
@@ -60,7 +60,6 @@
 
 class _Service(_Wire):
     name: str
-    max_connections: int = 0
     # Requests per second that one cold target takes, from all VMs together.
     cold_per_s: float = 0.0
 
@@ -77,7 +76,6 @@
 class _Limits(_Wire):
     max_body_bytes: int = 64 * 1024 * 1024
     idle_timeout_ms: float = 15000.0
-    header_timeout_ms: float = 3000.0
 
 
 class _Configuration(_Wire):
@@ -220,7 +218,7 @@
         version=int(document.version, 16),
         routes=tuple(_route(route) for route in document.routes),
         services=tuple(
-            tables.Service(one.name, one.cold_per_s, one.max_connections)
+            tables.Service(one.name, one.cold_per_s)
             for one in document.services
         ),
         accounts=tuple(
@@ -230,7 +228,6 @@
         limits=tables.CallerLimits(
             document.limits.max_body_bytes,
             document.limits.idle_timeout_ms / MS_PER_S,
-            document.limits.header_timeout_ms / MS_PER_S,
         ),
     )
 
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -101,6 +101,7 @@
             probe=True,
         )
         self.client = stores.StoreClient(settings.platform_address, store_pool)
+        self.sources = syncing.Sources(self.reports)
         self.peers: transport.PeerTransport | None = None
         self._make_listeners()
         self._handle_effects()
@@ -146,6 +147,8 @@
         """Opens the listeners and begins to follow the store."""
         for listener in (self.callers, *self.questions, self.metrics):
             listener.start()
+        for followed in self.sources.work():
+            self._follow(followed)
         for part in (self._tick, self._sweep, self._join):
             self._spawn(part)
         self.reports.write(
@@ -171,22 +174,24 @@
         self.reports.write("steer", "A part failed.", of=part, error=error)
 
     def _join(self) -> None:
-        """Joins the fleet, then follows the store."""
-        followers = syncing.Sources(self.reports).all()
-        for followed in followers[:3]:
-            self._follow(followed)
+        """Registers this VM and follows the list of the others."""
         registration = self._registration()
-        self.peers = transport.PeerTransport(
+        secret = registration.fleet_secret()
+        if self.peers is None:
+            self.peers = self._make_transport(secret)
+            self.peers.start()
+        registration.register()
+        self._follow(self.sources.vms())
+
+    def _make_transport(self, secret: str) -> transport.PeerTransport:
+        return transport.PeerTransport(
             self.settings.name,
             self.settings.peer_address,
             "",
-            registration.fleet_secret(),
+            secret,
             self._deliver,
             self.reports,
         )
-        self.peers.start()
-        registration.register()
-        self._follow(followers[3])
 
     def _registration(self) -> syncing.Registration:
         return syncing.Registration(self.client, self._record(), self.reports)
@@ -222,6 +227,7 @@
             table = self.loop.state.table
             if table is not None:
                 self.callers.keep_alive_s = table.limits.idle_timeout_s
+                self.callers.idle_timeout_s = table.limits.idle_timeout_s
 
     def _sweep(self) -> None:
         checked_s = now_s()
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -27,7 +27,6 @@
     Attributes:
         service: Service that must run it.
         object_digest: Hash of the object that it concerns; None if unknown.
-        region: Region that is near.
         allowed_regions: Regions that may run it; None for all.
         excluded: Names of targets that were tried.
         cold_rate_per_s: Requests per second to a cold target.
@@ -35,7 +34,6 @@
 
     service: str
     object_digest: int | None
-    region: str
     allowed_regions: frozenset[str] | None
     excluded: frozenset[str]
     cold_rate_per_s: float
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -136,7 +136,6 @@
         placement.Wanted(
             service=request.service,
             object_digest=request.object_digest,
-            region=state.settings.region,
             allowed_regions=request.allowed_regions,
             excluded=frozenset(request.tried),
             cold_rate_per_s=cold_rate_per_s,
--- a/mulberrydeck/steering/syncing.py
+++ b/mulberrydeck/steering/syncing.py
@@ -70,7 +70,6 @@
         self.reports = reports
         self.failures = 0
         self.lost_s: float | None = None
-        self.regained = False
 
     def run(self) -> None:
         """Lists, then watches, for ever."""
@@ -159,8 +158,8 @@
     zones: set[str] = attrs.field(factory=set)
     records: dict[str, registry.VmRecord] = attrs.field(factory=dict)
 
-    def all(self) -> tuple[Followed, ...]:
-        """Returns all kinds that are followed."""
+    def work(self) -> tuple[Followed, ...]:
+        """Returns the kinds that requests depend on."""
         return (
             Followed(
                 documents.CONFIGURATION_KIND,
@@ -175,9 +174,12 @@
                 self._evacuations,
                 self._evacuation_changed,
             ),
-            Followed(
-                documents.VMS_KIND, self._vms, self._vm_changed, stale=True
-            ),
+        )
+
+    def vms(self) -> Followed:
+        """Returns the kind that lists the entry VMs."""
+        return Followed(
+            documents.VMS_KIND, self._vms, self._vm_changed, stale=True
         )
 
     def _configurations(
--- a/mulberrydeck/steering/tables.py
+++ b/mulberrydeck/steering/tables.py
@@ -80,12 +80,10 @@
         name: Name of the service.
         cold_rate_per_s: Requests per second that a cold target takes; 0 if
             unlimited.
-        max_connections: Connections that a target accepts from all VMs.
     """
 
     name: str
     cold_rate_per_s: float = 0.0
-    max_connections: int = 0
 
 
 @attrs.frozen
@@ -114,12 +112,10 @@
     Attributes:
         max_body_bytes: Largest request body, in bytes.
         idle_timeout_s: Time that a connection may stay idle, in seconds.
-        head_timeout_s: Time allowed to send a request head, in seconds.
     """
 
     max_body_bytes: int = 64 * 1024 * 1024
     idle_timeout_s: float = 15.0
-    head_timeout_s: float = 3.0
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/tests/test_targets.py
+++ b/mulberrydeck/steering/tests/test_targets.py
@@ -13,7 +13,6 @@
     values = {
         "service": "status",
         "object_digest": 7,
-        "region": "coast",
         "allowed_regions": None,
         "excluded": frozenset(),
         "cold_rate_per_s": 6.9,
