Remove fields without a reader and share what baselines repeat

Found by reading the whole change: two attributes of an attempt, the stored revision of the table and a flag of emulated exchanges were never read; the number of VMs that may send to a cold target was worked out in two places; three baselines of the emulator repeated all but one line. Behaviour is the same.

--- a/mulberrydeck/emulator/baselines.py
+++ b/mulberrydeck/emulator/baselines.py
@@ -1,5 +1,6 @@
 """Choices of a target to compare with, each simpler than the product's."""
 
+from collections.abc import Callable
 import random
 
 from mulberrydeck.routing import hashing
@@ -10,53 +11,56 @@
 _rng = random.Random(1)
 
 
-def uniform(
-    book: targets.TargetBook,
-    pacer: pacing.ColdPacer,
-    now_s: float,
-    wanted: placement.Wanted,
-) -> placement.Chosen | placement.NoneFree:
-    """Returns a target at random."""
-    del pacer
-    usable = placement.usable(book, now_s, wanted)
-    if not usable:
-        return placement.NoneFree(0)
-    return placement.Chosen(_rng.choice(usable), "uniform")
-
-
-def least_loaded(
-    book: targets.TargetBook,
-    pacer: pacing.ColdPacer,
-    now_s: float,
-    wanted: placement.Wanted,
-) -> placement.Chosen | placement.NoneFree:
-    """Returns the target with the fewest requests in flight."""
-    del pacer
-    usable = placement.usable(book, now_s, wanted)
-    if not usable:
-        return placement.NoneFree(0)
-    best = min(usable, key=lambda target: target.load(now_s))
-    return placement.Chosen(best, "least loaded")
-
-
-def plain_hash(
-    book: targets.TargetBook,
-    pacer: pacing.ColdPacer,
-    now_s: float,
-    wanted: placement.Wanted,
-) -> placement.Chosen | placement.NoneFree:
-    """Returns the first ranked target of the object, however loaded."""
-    del pacer
-    usable = placement.usable(book, now_s, wanted)
-    if not usable:
-        return placement.NoneFree(0)
+Pick = Callable[[list[targets.Target], float, placement.Wanted], targets.Target]
+
+
+def _choice(reason: str, pick: Pick) -> placement.Choose:
+    """Returns a choice among all usable targets, however loaded.
+
+    Args:
+        reason: Why a target is chosen, for logs.
+        pick: Picks one of the usable targets.
+    """
+
+    def choose(
+        book: targets.TargetBook,
+        pacer: pacing.ColdPacer,
+        now_s: float,
+        wanted: placement.Wanted,
+    ) -> placement.Chosen | placement.NoneFree:
+        del pacer
+        usable = placement.usable(book, now_s, wanted)
+        if not usable:
+            return placement.NoneFree(0)
+        return placement.Chosen(pick(usable, now_s, wanted), reason)
+
+    return choose
+
+
+def _at_random(
+    usable: list[targets.Target], now_s: float, wanted: placement.Wanted
+) -> targets.Target:
+    del now_s, wanted
+    return _rng.choice(usable)
+
+
+def _fewest_in_flight(
+    usable: list[targets.Target], now_s: float, wanted: placement.Wanted
+) -> targets.Target:
+    del wanted
+    return min(usable, key=lambda target: target.load(now_s))
+
+
+def _first_ranked(
+    usable: list[targets.Target], now_s: float, wanted: placement.Wanted
+) -> targets.Target:
+    del now_s
     digest = wanted.object_digest or 0
-    best = min(usable, key=lambda t: hashing.combine(digest, t.digest))
-    return placement.Chosen(best, "hash")
+    return min(usable, key=lambda t: hashing.combine(digest, t.digest))
 
 
 BY_NAME = {
-    "uniform": uniform,
-    "least-loaded": least_loaded,
-    "plain-hash": plain_hash,
+    "uniform": _choice("uniform", _at_random),
+    "least-loaded": _choice("least loaded", _fewest_in_flight),
+    "plain-hash": _choice("hash", _first_ranked),
 }
--- a/mulberrydeck/emulator/callers.py
+++ b/mulberrydeck/emulator/callers.py
@@ -99,7 +99,6 @@
         self.wish = wish
         self.request_id = f"r{next(_numbers)}"
         self.job: emulated.Job | None = None
-        self.ended = False
         near = [vm for vm in day.vms.values() if vm.region == wish.region]
         self.vm = day.rng.choice(near or list(day.vms.values()))
         day.exchanges[self.request_id] = self
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -79,9 +79,7 @@
         status: HTTP status of the answer, or 0.
         answer: The answer if it was held back, else None.
         begun: Whether the answer was begun towards the caller.
-        whole: Whether the answer was read to its end.
         reported_load: Requests that the target reported to have, or None.
-        cold_s: How long the target says it is cold, in seconds.
         reason: Why it failed, for logs.
     """
 
@@ -89,7 +87,6 @@
     status: int = 0
     answer: Answer | None = None
     begun: bool = False
-    whole: bool = False
     reported_load: int | None = None
     reason: str = ""
 
@@ -285,7 +282,6 @@
             self.parser.get_code(),
             answer,
             begun=self.begun,
-            whole=outcome is Outcome.ANSWERED,
             reported_load=load.running + load.waiting if load else None,
         )
 
--- a/mulberrydeck/steering/pacing.py
+++ b/mulberrydeck/steering/pacing.py
@@ -53,7 +53,7 @@
             return True
         if now_s < self.next_s.get(name, -math.inf):
             return False
-        most = max(1, int((rate_per_s * self.overage + self.extra) * USED_PART))
+        most = self._most_senders(rate_per_s)
         if len(self.vm_digests) <= most:
             return True
         ranked = sorted(
@@ -65,11 +65,16 @@
         """Notes a request to a cold target."""
         if rate_per_s <= 0:
             return
-        most = max(1, int((rate_per_s * self.overage + self.extra) * USED_PART))
+        most = self._most_senders(rate_per_s)
         senders = max(MIN_VMS, min(most, len(self.vm_digests)))
         spacing_s = max(1.0, senders / rate_per_s)
         self.next_s[name] = now_s + spacing_s
 
+    def _most_senders(self, rate_per_s: float) -> int:
+        """Returns how many VMs may send to a target in one second."""
+        bound = rate_per_s * self.overage + self.extra
+        return max(1, int(bound * USED_PART))
+
     def forget(self, now_s: float) -> None:
         """Drops targets whose spacing has passed."""
         self.next_s = {
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -105,7 +105,6 @@
         text = "An older configuration was ignored."
         return [effects.Log("configuration", text, fields)]
     state.table = event.table
-    state.table_revision = event.revision
     _configure_quota(state)
     text = "A configuration is in force."
     return [effects.Log("configuration", text, fields)]
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -68,7 +68,6 @@
         now_s: Time of the event in progress, in seconds.
         rng: Source of random choices.
         table: Configuration in force, or None.
-        table_revision: The store's revision of it.
         book: Known targets.
         fleet: Known entry VMs.
         quota: This VM's part of account limits.
@@ -89,7 +88,6 @@
     quota: quota_state.QuotaState
     pacer: pacing.ColdPacer
     table: tables.RoutingTable | None = None
-    table_revision: int = 0
     retry_budgets: dict[str, pacing.RetryBudget] = attrs.field(factory=dict)
     requests: dict[str, Request] = attrs.field(factory=dict)
     lost_kinds: dict[str, float] = attrs.field(factory=dict)
