Count limits at the time at which a VM sent each run

Cause of the two red tests: requests that a VM sent evenly come in bunches to targets behind the fault proxy of a busy machine, so the count taken there exceeds a limit that was kept. Ruled out: the totals of three trials beside load stayed within rate x span + burst.

VMs now write X-Request-Start, as many load balancers do; relays keep the first VM's.

The entries stay in KNOWN-RED.txt until the tests have passed beside load.

--- a/mulberrydeck/forward/fields.py
+++ b/mulberrydeck/forward/fields.py
@@ -7,6 +7,8 @@
 Field = tuple[str, str]
 
 OWN_PREFIX = "mulberrydeck-"
+# Seconds since the epoch as `t=...`; a usual name among load balancers.
+REQUEST_START = "x-request-start"
 
 HOP_BY_HOP = frozenset(
     (
@@ -26,6 +28,7 @@
     "expect",
     "host",
     "traceparent",
+    REQUEST_START,
 }
 _REWRITTEN_ANSWER = HOP_BY_HOP | {"content-length"}
 
--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -1,6 +1,7 @@
 """Encodes request heads for targets and other VMs."""
 
 from collections.abc import Callable
+import time
 import urllib.parse
 
 import attrs
@@ -24,6 +25,7 @@
         request_id: Identifier that the caller sees.
         run_id: Identifier of a single run, or empty.
         traceparent: W3C trace context as received, or empty.
+        started: When another VM sent it first, as that VM wrote it, or empty.
     """
 
     method: str
@@ -34,6 +36,15 @@
     request_id: str
     run_id: str
     traceparent: str = ""
+    started: str = ""
+
+    def start_field(self) -> tuple[str, str]:
+        """Returns the field that tells when the first VM sent the request.
+
+        Targets tell from it how long a request was on its way.
+        """
+        started = self.started or f"t={time.time():.6f}"
+        return header_fields.REQUEST_START, started
 
 
 def to_target(
@@ -49,6 +60,7 @@
     own = [
         ("mulberrydeck-request-id", outgoing.request_id),
         ("mulberrydeck-deadline", f"{decision.remaining_s:.3f}"),
+        outgoing.start_field(),
     ]
     if outgoing.run_id:
         own.append(("mulberrydeck-run-id", outgoing.run_id))
@@ -94,7 +106,7 @@
     )
     path = outgoing.relay_path
     value = relaying.encode(relay, secret, outgoing.method, path)
-    own = [(relaying.FIELD, value)]
+    own = [(relaying.FIELD, value), outgoing.start_field()]
     if traceparent:
         own.append(("traceparent", traceparent))
     return exchange.Hop(
--- a/mulberrydeck/frontend/progress.py
+++ b/mulberrydeck/frontend/progress.py
@@ -111,6 +111,9 @@
 ) -> hops.Outgoing:
     head = request.head
     passed = header_fields.of_request(head.fields, arrival.secrets)
+    started = ""
+    if arrival.event.relayed_account is not None:
+        started = head.index.get(header_fields.REQUEST_START, "")
     return hops.Outgoing(
         method=head.method,
         path=arrival.split.forwarded,
@@ -120,6 +123,7 @@
         request_id=request.request_id,
         run_id=arrival.event.run_id,
         traceparent=traces.accepted(head.index.get("traceparent", "")),
+        started=started,
     )
 
 
