Send heartbeats within zones and digests between them in large fleets

Up to 16 VMs nothing changes. Beyond, VMs of a zone hear each other, each tells two VMs of every other zone what it heard, and only a VM that has just started asks all others whether they hold its loans. An account's units lie on 16 VMs that all rank alike, which are the only ones asked to lend. Watches rest after changes (0.1 s targets, 1 s VMs), so that a release costs fewer calls.

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -267,13 +267,37 @@
         incarnation: Identifier of the sender's process.
         ready: Whether the sender can serve callers.
         leaving: Whether the sender is stopping.
-        lenders: VMs from which the sender holds loans.
+        holds_loans: Whether the sender holds loans of the receiver.
+        joining: Whether the sender has just started and wants an answer.
     """
 
     incarnation: str
     ready: bool
     leaving: bool
-    lenders: tuple[str, ...] = ()
+    holds_loans: bool = False
+    joining: bool = False
+
+
+@attrs.frozen
+class HeardBeat:
+    """A heartbeat that is passed on; it says nothing of loans.
+
+    Attributes:
+        vm: Name of the VM that sent it.
+        age_s: Time since it was heard.
+        beat: The heartbeat.
+    """
+
+    vm: str
+    age_s: float
+    beat: SteeringBeat
+
+
+@attrs.frozen
+class SteeringDigest:
+    """What a VM heard of its zone, itself included."""
+
+    heard: tuple[HeardBeat, ...]
 
 
 type_by_kind = {
@@ -287,4 +311,5 @@
     8: TargetRelease,
     9: TargetClaim,
     10: SteeringBeat,
+    11: SteeringDigest,
 }
--- a/mulberrydeck/quota/choosing.py
+++ b/mulberrydeck/quota/choosing.py
@@ -23,7 +23,7 @@
     if is_spread(quota, resource):
         return [
             name
-            for name in _lender_names(quota)
+            for name in _lender_names(quota, resource)
             if now_s >= _ready_s(_view(resource, name))
         ]
     if quota.zone_holder:
@@ -34,7 +34,7 @@
             return []
     return [
         name
-        for name in quota.other_holders
+        for name in _others(quota, resource)
         if now_s >= _ready_s(_view(resource, name))
     ]
 
@@ -60,7 +60,7 @@
 
 def is_spread(quota: state.QuotaState, resource: state.ResourceState) -> bool:
     """Returns whether a zone holds too few tokens to be asked alone."""
-    zones = len(quota.other_holders) + 1
+    zones = len(_others(quota, resource)) + 1
     return resource.bound.burst / zones < SPREAD_BELOW_TOKENS
 
 
@@ -116,7 +116,8 @@
 ) -> float:
     """Returns the time until a lender may be asked again, in seconds."""
     waits_s = [
-        _ready_s(_view(resource, name)) - now_s for name in _lender_names(quota)
+        _ready_s(_view(resource, name)) - now_s
+        for name in _lender_names(quota, resource)
     ]
     return max(0.0, min(waits_s, default=math.inf))
 
@@ -131,7 +132,7 @@
     """
     if is_answer_due(resource, now_s):
         return 0.0
-    views = [_view(resource, name) for name in _lender_names(quota)]
+    views = [_view(resource, name) for name in _lender_names(quota, resource)]
     waits_s = [
         _ready_s(view) - now_s for view in views if view.retry_s <= now_s
     ]
@@ -155,7 +156,7 @@
     now_s: float,
     lender: str,
 ) -> float:
-    zones = len(quota.other_holders) + 1
+    zones = len(_others(quota, resource)) + 1
     view = _view(resource, lender)
     gain_per_s = resource.bound.rate_per_s / zones
     gained = (now_s - view.answered_s) * gain_per_s
@@ -166,10 +167,21 @@
     return resource.lenders.get(lender) or state.LenderView()
 
 
-def _lender_names(quota: state.QuotaState) -> tuple[str, ...]:
-    if quota.zone_holder:
-        return (quota.zone_holder, *quota.other_holders)
-    return quota.other_holders
+def _lender_names(
+    quota: state.QuotaState, resource: state.ResourceState
+) -> tuple[str, ...]:
+    others = _others(quota, resource)
+    return (quota.zone_holder, *others) if quota.zone_holder else others
+
+
+def _others(
+    quota: state.QuotaState, resource: state.ResourceState
+) -> tuple[str, ...]:
+    """Returns the holders of other zones that own units of a resource."""
+    owners = quota.owners.get(resource.bound.resource)
+    if owners is None:
+        return quota.other_holders
+    return tuple(name for name in quota.other_holders if name in owners)
 
 
 def _ready_s(view: state.LenderView) -> float:
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -189,14 +189,13 @@
     return _give_all_back(resources)
 
 
-def lenders(quota: state.QuotaState) -> tuple[str, ...]:
-    """Returns the VMs from which this one holds loans, sorted."""
-    names = {
+def lenders(quota: state.QuotaState) -> frozenset[str]:
+    """Returns the VMs from which this one holds loans."""
+    return frozenset(
         key.lender
         for resource in quota.resources.values()
         for key in resource.borrowed
-    }
-    return tuple(sorted(names))
+    )
 
 
 def no_loans_left(quota: state.QuotaState, now_s: float) -> None:
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -274,6 +274,7 @@
         active: Resources that `tick` has to look at.
         zone_holder: Holder of this VM's zone; empty if itself or unknown.
         other_holders: Holders of the other zones.
+        owners: VMs that own units of a resource; all holders if not named.
         waiting: Resource of each waiting request.
         released: Waiting requests whose bound was removed.
         asks: Unanswered asks by identifier.
@@ -290,6 +291,7 @@
     active: set[str] = attrs.field(factory=set)
     zone_holder: str = ""
     other_holders: tuple[str, ...] = ()
+    owners: dict[str, frozenset[str]] = attrs.field(factory=dict)
     waiting: dict[str, str] = attrs.field(factory=dict)
     released: list[str] = attrs.field(factory=list)
     asks: dict[int, SentAsk] = attrs.field(factory=dict)
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from mulberrydeck.core import effects as core_effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import state as quota_state
+from mulberrydeck.routing import hashing
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import registry
 from mulberrydeck.steering import settings as settings_module
@@ -14,9 +14,9 @@
 
 # Each limit is divided into this many units, which VMs own and lend.
 UNITS = 1000
-# Until all VMs were heard, this one cannot use its units; a message to a VM
-# that is not yet connected is lost.
-JOINING_BEAT_INTERVAL_S = 0.2
+# An account's units are dispersed over this many VMs at most: asking many
+# lenders costs a message each, and one that fails takes its part with it.
+MOST_HOLDERS = 16
 
 
 @attrs.define
@@ -47,7 +47,6 @@
         incarnation: Identifier of this process.
         peers: Other VMs by name.
         names: Names of all registered VMs, sorted.
-        next_beat_s: When the next heartbeat is due, in seconds.
         started_s: When this process started, in seconds.
         clear: VMs that were heard and hold no loan of this VM's earlier
             processes.
@@ -58,7 +57,6 @@
     incarnation: str
     peers: dict[str, Peer] = attrs.field(factory=dict)
     names: tuple[str, ...] = ()
-    next_beat_s: float = -math.inf
     started_s: float = 0.0
     clear: set[str] = attrs.field(factory=set)
     cleared: bool = False
@@ -98,56 +96,53 @@
     return produced
 
 
-def beats(
-    fleet: Fleet, now_s: float, beat: messages.SteeringBeat
+def heard(
+    fleet: Fleet, now_s: float, sender: str, beat: messages.SteeringBeat
 ) -> list[object]:
-    """Returns the heartbeats that are due.
+    """Notes a heartbeat that its sender sent to this VM.
 
     Args:
         fleet: Known VMs.
         now_s: Current time, in seconds.
-        beat: What this VM says of itself.
+        sender: Name of the VM that sent it.
+        beat: What that VM says of itself.
     """
-    if now_s < fleet.next_beat_s:
+    peer = fleet.peers.get(sender)
+    if peer is None:
         return []
-    interval_s = fleet.settings.beat_interval_s
-    if not fleet.cleared:
-        interval_s = min(interval_s, JOINING_BEAT_INTERVAL_S)
-    fleet.next_beat_s = now_s + interval_s
-    return [core_effects.SendMessage(name, beat) for name in fleet.peers]
+    if not beat.holds_loans:
+        fleet.clear.add(sender)
+    return _note(fleet, now_s, peer, now_s, beat)
 
 
-def heard(
+def heard_of(
+    fleet: Fleet, now_s: float, digest: messages.SteeringDigest
+) -> list[object]:
+    """Notes heartbeats that another VM passed on, where they are newer."""
+    produced: list[object] = []
+    for one in digest.heard:
+        peer = fleet.peers.get(one.vm)
+        heard_s = now_s - one.age_s
+        if peer is not None and heard_s > peer.heard_s:
+            produced += _note(fleet, now_s, peer, heard_s, one.beat)
+    return produced
+
+
+def _note(
     fleet: Fleet,
     now_s: float,
-    sender: str,
+    peer: Peer,
+    heard_s: float,
     beat: messages.SteeringBeat,
-    own: messages.SteeringBeat,
 ) -> list[object]:
-    """Notes a heartbeat; a process that was not heard before is answered.
-
-    Args:
-        fleet: Known VMs.
-        now_s: Current time, in seconds.
-        sender: Name of the VM that sent it.
-        beat: What that VM says of itself.
-        own: What this VM says of itself.
-    """
-    peer = fleet.peers.get(sender)
-    if peer is None:
-        return []
     produced: list[object] = []
-    if peer.incarnation != beat.incarnation:
-        produced.append(core_effects.SendMessage(sender, own))
     if not fleet.is_alive(peer, now_s):
-        fields = {"vm": sender, "incarnation": beat.incarnation}
+        fields = {"vm": peer.record.name, "incarnation": beat.incarnation}
         produced.append(effects.Log("fleet", "A VM is heard.", fields))
     peer.incarnation = beat.incarnation
-    peer.heard_s = now_s
+    peer.heard_s = heard_s
     peer.leaving = beat.leaving
     peer.ready = beat.ready
-    if fleet.settings.name not in beat.lenders:
-        fleet.clear.add(sender)
     return produced
 
 
@@ -168,15 +163,31 @@
     return fleet.cleared
 
 
-def own_units(fleet: Fleet) -> int:
-    """Returns this VM's units of each limit.
+def holders(fleet: Fleet, account: str) -> tuple[str, ...]:
+    """Returns the registered VMs that own the units of an account's limit.
+
+    All VMs rank them alike, so that few change when a VM is added or removed.
+    """
+    if len(fleet.names) <= MOST_HOLDERS:
+        return fleet.names
+    digest = hashing.digest(account)
+    ranked = sorted(
+        fleet.names,
+        key=lambda name: hashing.combine(hashing.digest(name), digest),
+    )
+    return tuple(sorted(ranked[:MOST_HOLDERS]))
+
+
+def own_units(fleet: Fleet, account: str) -> int:
+    """Returns this VM's units of an account's limit.
 
     The parts of all registered VMs add up to all units.
     """
-    if fleet.settings.name not in fleet.names:
+    owning = holders(fleet, account)
+    if fleet.settings.name not in owning:
         return 0
-    index = fleet.names.index(fleet.settings.name)
-    base, rest = divmod(UNITS, len(fleet.names))
+    index = owning.index(fleet.settings.name)
+    base, rest = divmod(UNITS, len(owning))
     return base + (index < rest)
 
 
@@ -200,7 +211,7 @@
 
 
 def lenders(fleet: Fleet, now_s: float) -> tuple[str, ...]:
-    """Returns the VMs that may lend, those of the own region first."""
+    """Returns the VMs that may lend, those of the own zone and region first."""
     alive = [
         peer
         for peer in fleet.peers.values()
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -10,6 +10,7 @@
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import lookup
 from mulberrydeck.steering import members
 from mulberrydeck.steering import requests
@@ -114,14 +115,20 @@
     if state.table is None:
         return
     bounds = members.bounds(state.table)
-    units = members.own_units(state.fleet)
+    units: dict[str, int] = {}
+    state.quota.owners = {}
+    for name in state.table.accounts:
+        resource = members.resource_of(name)
+        units[resource] = members.own_units(state.fleet, name)
+        owners = frozenset(members.holders(state.fleet, name))
+        state.quota.owners[resource] = owners
     no_loans = state.settings.first_start or state.fleet.cleared
     first = state.now_s if no_loans else float("inf")
     quota.configure(
         state.quota,
         state.now_s,
         bounds,
-        {bound.resource: units for bound in bounds},
+        units,
         first,
     )
 
@@ -172,7 +179,7 @@
 
 
 def _ticked(state: states.State) -> Effects:
-    produced = members.beats(state.fleet, state.now_s, _own_beat(state))
+    produced = _heartbeat(state)
     if members.found_clear(state.fleet, state.now_s):
         quota.no_loans_left(state.quota, state.now_s)
         produced.append(
@@ -191,25 +198,50 @@
     return produced
 
 
+def _heartbeat(state: states.State) -> Effects:
+    if not heartbeats.is_due(state.beat_schedule, state.now_s):
+        return []
+    return heartbeats.send(
+        state.beat_schedule,
+        state.fleet,
+        state.now_s,
+        _own_beat(state),
+        quota.lenders(state.quota),
+    )
+
+
 def _own_beat(state: states.State) -> messages.SteeringBeat:
     return messages.SteeringBeat(
         state.fleet.incarnation,
         ready=lookup.is_ready(state),
         leaving=state.stopping,
-        lenders=quota.lenders(state.quota),
+        joining=not state.fleet.cleared,
     )
 
 
+def _heard(
+    state: states.State, sender: str, beat: messages.SteeringBeat
+) -> Effects:
+    peer = state.fleet.peers.get(sender)
+    if peer is None:
+        return []
+    answered = heartbeats.answer(
+        sender,
+        peer.incarnation,
+        beat,
+        _own_beat(state),
+        quota.lenders(state.quota),
+    )
+    noted = members.heard(state.fleet, state.now_s, sender, beat)
+    return [*answered, *noted]
+
+
 def _peer_received(state: states.State, event: events.PeerReceived) -> Effects:
     match event.message:
         case messages.SteeringBeat():
-            return members.heard(
-                state.fleet,
-                state.now_s,
-                event.sender,
-                event.message,
-                _own_beat(state),
-            )
+            return _heard(state, event.sender, event.message)
+        case messages.SteeringDigest():
+            return members.heard_of(state.fleet, state.now_s, event.message)
         case (
             messages.QuotaAsk() | messages.QuotaLoan() | messages.QuotaReturn()
         ):
@@ -224,7 +256,7 @@
 def _stop(state: states.State) -> Effects:
     state.stopping = True
     # Peers and look-ups must leave this VM out at once.
-    state.fleet.next_beat_s = state.now_s
+    heartbeats.announce(state.beat_schedule)
     fields = {"in_flight": len(state.requests)}
     return [effects.Log("steer", "A planned stop began.", fields)]
 
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -6,6 +6,7 @@
 
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import hashing
+from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import members
 from mulberrydeck.steering import pacing
 from mulberrydeck.steering import placement
@@ -70,6 +71,7 @@
         table: Configuration in force, or None.
         book: Known targets.
         fleet: Known entry VMs.
+        beat_schedule: When and to whom heartbeats go.
         quota: This VM's part of account limits.
         pacer: Spaces requests to cold targets.
         retry_budgets: This VM's part of each service's retries.
@@ -92,6 +94,9 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     lost_kinds: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
+    beat_schedule: heartbeats.Schedule = attrs.field(
+        factory=heartbeats.Schedule
+    )
     choose: placement.Choose = placement.choose
 
 
--- a/mulberrydeck/steering/syncing.py
+++ b/mulberrydeck/steering/syncing.py
@@ -22,6 +22,11 @@
 # connection find a dead store sooner than the end of the wait does.
 WATCH_WAIT_S = 20.0
 SECRET_BYTES = 24
+# Changes that come close together, as in a release, cost one call. Well below
+# the seconds that a target has until it must be left.
+TARGETS_REST_S = 0.1
+# Fleets start and restart within seconds; nothing is urgent in their list.
+VMS_REST_S = 1.0
 
 
 def retry_delay_s(failures: int) -> float:
@@ -42,12 +47,14 @@
         listed: Returns the events of a complete list.
         changed: Returns the events of one change.
         stale: Whether data may be seconds old, which is cheaper.
+        rest_s: Pause after changes, in seconds.
     """
 
     kind: str
     listed: Callable[[float, stores.Listing], list[object]]
     changed: Callable[[float, stores.Change], list[object]]
     stale: bool = False
+    rest_s: float = 0.0
 
 
 class Follower:
@@ -102,6 +109,8 @@
                 for change in changes.changes:
                     self._submit(self.followed.changed(now_s, change))
                 self._report_unreadable(changes.unreadable)
+                if changes.changes:
+                    gevent.sleep(self.followed.rest_s)
                 return max(revision, changes.revision)
         error = watched.failure()
         if isinstance(error, stores.HistoryLostError):
@@ -167,7 +176,10 @@
                 self._configuration_changed,
             ),
             Followed(
-                documents.TARGETS_KIND, self._targets, self._target_changed
+                documents.TARGETS_KIND,
+                self._targets,
+                self._target_changed,
+                rest_s=TARGETS_REST_S,
             ),
             Followed(
                 documents.EVACUATIONS_KIND,
@@ -179,7 +191,11 @@
     def vms(self) -> Followed:
         """Returns the kind that lists the entry VMs."""
         return Followed(
-            documents.VMS_KIND, self._vms, self._vm_changed, stale=True
+            documents.VMS_KIND,
+            self._vms,
+            self._vm_changed,
+            stale=True,
+            rest_s=VMS_REST_S,
         )
 
     def _configurations(
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -106,7 +106,7 @@
     for name in names:
         vm = samples.Vm(name=name)
         vm.reduce(events.VmsListed(vm.now_s, records, 4))
-        total += members.own_units(vm.state.fleet)
+        total += members.own_units(vm.state.fleet, "acme")
     assert total == members.UNITS
 
 
@@ -134,7 +134,7 @@
 def test_a_restarted_vm_waits_for_loans_of_its_earlier_process():
     vm = restarted()
     hear(vm, "coast-b-1")
-    holds = messages.SteeringBeat("process", True, False, ("coast-a-1",))
+    holds = messages.SteeringBeat("process", True, False, holds_loans=True)
     hear(vm, "lake-a-1", beat=holds)
     assert usable_units(vm) == 0
     vm.now_s += 4.6
@@ -178,7 +178,7 @@
 
 def test_a_vm_that_is_not_registered_owns_nothing():
     vm = samples.Vm(name="unknown")
-    assert members.own_units(vm.state.fleet) == 0
+    assert members.own_units(vm.state.fleet, "acme") == 0
 
 
 def test_accounts_without_a_rate_have_no_bound():
