--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -21,6 +21,7 @@
 from mulberrydeck.core import events
 from mulberrydeck.frontend import parts
 from mulberrydeck.frontend import server
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.shell import core_gateway
 from mulberrydeck.shell import runtime as runtimes
 
@@ -86,7 +87,7 @@
     )
     vm.serve()
     runtime = runtimes.Runtime(vm.state)
-    for effect in (effects.SendMessage, effects.ConnectPeer):
+    for effect in (quota_effects.SendMessage, effects.ConnectPeer):
         runtime.handlers[effect] = lambda _: None
     runtime.handlers[effects.DisconnectPeer] = lambda _: None
     runtime.handlers[effects.PollTarget] = lambda poll: runtime.submit(
--- a/bench/reducer_cost.py
+++ b/bench/reducer_cost.py
@@ -13,6 +13,7 @@
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import reports
+from mulberrydeck.forward import outcomes
 from mulberrydeck.observability import metrics as metric_sets
 
 REPEATS = 5
@@ -63,7 +64,7 @@
                 vm.now_s,
                 request_id,
                 decided.attempt,
-                events.AttemptOutcome.ANSWERED,
+                outcomes.AttemptOutcome.ANSWERED,
                 200,
             )
         )
--- a/mulberrydeck/core/control.py
+++ b/mulberrydeck/core/control.py
@@ -14,6 +14,7 @@
 from mulberrydeck.model import compiled
 from mulberrydeck.model import loading
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.routing import peer_index
 from mulberrydeck.routing import reducer as routing
@@ -284,7 +285,7 @@
     for peer in state.members.peers.values():
         echo_s = peer.heartbeat.sent_s if peer.heartbeat else -1.0
         beat = attrs.evolve(common, echo_s=echo_s)
-        produced.append(effects.SendMessage(peer.name, beat))
+        produced.append(quota_effects.SendMessage(peer.name, beat))
     return produced
 
 
--- a/mulberrydeck/core/documents.py
+++ b/mulberrydeck/core/documents.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 
 REQUEST_INTERVAL_S = 0.5
 NAMES = ("config", "keys")
@@ -96,7 +96,7 @@
     now_s: float,
     sender: str,
     reported: tuple[messages.DocumentVersion, ...],
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Asks a peer for documents that it holds in a newer version."""
     produced = []
     for document in reported:
@@ -108,7 +108,7 @@
         if behind and now_s - held.asked_at_s >= REQUEST_INTERVAL_S:
             held.asked_at_s = now_s
             request = messages.DocumentRequest(document.name, held.version)
-            produced.append(effects.SendMessage(sender, request))
+            produced.append(quota_effects.SendMessage(sender, request))
     return produced
 
 
@@ -117,7 +117,7 @@
     now_s: float,
     sender: str,
     request: messages.DocumentRequest,
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Sends a document that is newer than the one the peer knows."""
     held = state.by_name.get(request.name)
     if held is None or held.version <= request.known_version:
@@ -125,4 +125,4 @@
     message = messages.DocumentReply(
         held.name, held.version, held.content, now_s - held.confirmed_at_s
     )
-    return [effects.SendMessage(sender, message)]
+    return [quota_effects.SendMessage(sender, message)]
--- a/mulberrydeck/core/effects.py
+++ b/mulberrydeck/core/effects.py
@@ -6,19 +6,6 @@
 from mulberrydeck.core import events
 
 
-@attrs.frozen
-class SendMessage:
-    """Send a message to a peer.
-
-    Attributes:
-        to: Name of the VM.
-        message: One of the types in `peers.messages`.
-    """
-
-    to: str
-    message: object
-
-
 @attrs.frozen
 class ConnectPeer:
     """Open a connection to a peer.
@@ -183,13 +170,6 @@
     text: str
 
 
-@attrs.frozen
-class Raise:
-    """Feed an event back into the reducer at once."""
-
-    event: object
-
-
 @attrs.frozen
 class Exit:
     """All work is done; the process may end."""
--- a/mulberrydeck/core/events.py
+++ b/mulberrydeck/core/events.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from mulberrydeck.forward import outcomes
 from mulberrydeck.platformapi import records
 
 
@@ -150,18 +151,6 @@
     relayed_attempt: int = 0
 
 
-class AttemptOutcome(enum.Enum):
-    """How one attempt of a request ended.
-
-    `NOT_RUN`: no byte can have reached a target, or the target said so.
-    `UNKNOWN`: a target may have run it, wholly or in part.
-    """
-
-    ANSWERED = "answered"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
 @attrs.frozen
 class AttemptEnded:
     """An attempt of a request ended.
@@ -178,7 +167,7 @@
     at_s: float
     request_id: str
     attempt: int
-    outcome: AttemptOutcome
+    outcome: outcomes.AttemptOutcome
     status: int = 0
     latency_s: float = 0.0
     replayable: bool = False
@@ -218,16 +207,6 @@
     report: TargetReport | None
 
 
-@attrs.frozen
-class QuotaDecided:
-    """A request that waited for quota was decided (raised internally)."""
-
-    at_s: float
-    request_id: str
-    admitted: bool
-    retry_after_s: float = 0.0
-
-
 @attrs.frozen
 class SlotDecided:
     """A request that waited for a slot was decided (raised internally).
--- a/mulberrydeck/core/reducer.py
+++ b/mulberrydeck/core/reducer.py
@@ -8,10 +8,10 @@
 import collections
 
 from mulberrydeck.core import control
-from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import requests
 from mulberrydeck.core import state as core_state
+from mulberrydeck.quota import effects as quota_effects
 
 
 def reduce(state: core_state.State, event: object) -> list[object]:
@@ -30,7 +30,7 @@
         current = pending.popleft()
         state.now_s = max(state.now_s, current.at_s)
         for effect in _dispatch(state, current):
-            if isinstance(effect, effects.Raise):
+            if isinstance(effect, quota_effects.Raise):
                 pending.append(effect.event)
             else:
                 produced.append(effect)
@@ -47,7 +47,7 @@
             return requests.closed(state, event)
         case events.ClaimAnswered():
             return requests.claim_answered(state, event)
-        case events.QuotaDecided():
+        case quota_effects.QuotaDecided():
             return requests.quota_decided(state, event)
         case events.SlotDecided():
             return requests.slot_decided(state, event)
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -13,7 +13,9 @@
 from mulberrydeck.core import problems
 from mulberrydeck.core import settlement
 from mulberrydeck.core import state as core_state
+from mulberrydeck.forward import outcomes
 from mulberrydeck.model import configuration
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import choice
@@ -88,7 +90,7 @@
 
 
 def quota_decided(
-    state: core_state.State, event: events.QuotaDecided
+    state: core_state.State, event: quota_effects.QuotaDecided
 ) -> Effects:
     """Continues a request that waited for quota."""
     request = state.requests.get(event.request_id)
@@ -299,12 +301,12 @@
     if request is None or event.attempt != request.attempts:
         return []
     produced = settlement.settle(state, request, event)
-    if event.outcome is events.AttemptOutcome.ANSWERED:
+    if event.outcome is outcomes.AttemptOutcome.ANSWERED:
         return produced
     if not _may_retry(state, request, event):
         problem = _final_problem(state, event)
         return produced + _refuse(state, request, problem)
-    if event.outcome is events.AttemptOutcome.UNKNOWN:
+    if event.outcome is outcomes.AttemptOutcome.UNKNOWN:
         return produced + _limit(state, request)
     return produced + _choose(state, request)
 
@@ -316,7 +318,7 @@
 ) -> bool:
     if request.relayed_attempt or not event.replayable:
         return False
-    if event.outcome is events.AttemptOutcome.UNKNOWN:
+    if event.outcome is outcomes.AttemptOutcome.UNKNOWN:
         if not request.route.repeatable:
             return False
         return state.retries.spend()
@@ -327,7 +329,7 @@
     state: core_state.State, event: events.AttemptEnded
 ) -> errors.Problem:
     request = state.requests[event.request_id]
-    if event.outcome is events.AttemptOutcome.UNKNOWN:
+    if event.outcome is outcomes.AttemptOutcome.UNKNOWN:
         if state.now_s >= request.deadline_at_s:
             return problems.deadline_exceeded("unknown")
         return problems.outcome_unknown()
--- a/mulberrydeck/core/settlement.py
+++ b/mulberrydeck/core/settlement.py
@@ -3,6 +3,7 @@
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import state as core_state
+from mulberrydeck.forward import outcomes
 from mulberrydeck.routing import reducer as routing
 
 Effects = list[object]
@@ -20,11 +21,11 @@
     if not request.claimed:
         return produced
     match event.outcome:
-        case events.AttemptOutcome.ANSWERED:
+        case outcomes.AttemptOutcome.ANSWERED:
             status = event.status
-        case events.AttemptOutcome.NOT_RUN:
+        case outcomes.AttemptOutcome.NOT_RUN:
             status = 0
-        case events.AttemptOutcome.UNKNOWN:
+        case outcomes.AttemptOutcome.UNKNOWN:
             return produced
     request.claimed = False
     return [*produced, _record(request, status)]
--- a/mulberrydeck/emulator/day.py
+++ b/mulberrydeck/emulator/day.py
@@ -5,12 +5,12 @@
 
 import attrs
 
-from mulberrydeck.core import effects as core_effects
 from mulberrydeck.emulator import callers
 from mulberrydeck.emulator import clock as clocks
 from mulberrydeck.emulator import results as result_sets
 from mulberrydeck.emulator import scenario as scenarios
 from mulberrydeck.emulator import targets as emulated
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import placement
@@ -95,7 +95,7 @@
         """Feeds an event to a VM and carries out its effects."""
         for effect in reducer.reduce(vm.state, event):
             match effect:
-                case core_effects.SendMessage(name, message):
+                case quota_effects.SendMessage(name, message):
                     self._send(vm, name, message)
                 case effects.Forward() | effects.Deliver() | effects.Refuse():
                     self.exchanges[effect.request_id].decided(effect)
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -8,8 +8,8 @@
 from geventhttpclient import response
 
 from mulberrydeck import errors
-from mulberrydeck.core import events
 from mulberrydeck.forward import answers
+from mulberrydeck.forward import outcomes
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.forward import refusals
 from mulberrydeck.forward import uploads
@@ -80,7 +80,7 @@
         problem: Refusal that another VM gave, or None.
     """
 
-    outcome: events.AttemptOutcome
+    outcome: outcomes.AttemptOutcome
     status: int = 0
     latency_s: float = 0.0
     begun: bool = False
@@ -254,24 +254,24 @@
     def answered(self) -> Attempt:
         """Returns the attempt whose answer was begun."""
         return Attempt(
-            events.AttemptOutcome.ANSWERED,
+            outcomes.AttemptOutcome.ANSWERED,
             self.parser.get_code(),
             self.latency_s,
             begun=True,
         )
 
     def _not_run(self, problem: errors.Problem | None) -> Attempt:
-        outcome = events.AttemptOutcome.UNKNOWN
+        outcome = outcomes.AttemptOutcome.UNKNOWN
         if self.parser.first(RAN_FIELD) == "no":
-            outcome = events.AttemptOutcome.NOT_RUN
+            outcome = outcomes.AttemptOutcome.NOT_RUN
         return Attempt(
             outcome, self.parser.get_code(), self.latency_s, problem=problem
         )
 
     def _failed(self, reason: str) -> Attempt:
-        outcome = events.AttemptOutcome.UNKNOWN
+        outcome = outcomes.AttemptOutcome.UNKNOWN
         if not self.upload.sent_any:
-            outcome = events.AttemptOutcome.NOT_RUN
+            outcome = outcomes.AttemptOutcome.NOT_RUN
         return Attempt(
             outcome,
             latency_s=self.latency_s,
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -10,6 +10,7 @@
 from mulberrydeck.core import gateway as gateways
 from mulberrydeck.forward import exchange
 from mulberrydeck.forward import hops
+from mulberrydeck.forward import outcomes
 from mulberrydeck.frontend import arrivals
 from mulberrydeck.frontend import bodies
 from mulberrydeck.frontend import heads
@@ -101,7 +102,7 @@
                 self._cancelled(progress, decision, running)
             progresses.end_attempt_span(span, decision, attempt)
         progress.peer_problem = attempt.problem
-        if attempt.outcome is events.AttemptOutcome.UNKNOWN:
+        if attempt.outcome is outcomes.AttemptOutcome.UNKNOWN:
             progress.may_have_run = True
         return attempt
 
--- a/mulberrydeck/frontend/tests/test_path.py
+++ b/mulberrydeck/frontend/tests/test_path.py
@@ -6,6 +6,7 @@
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import gateway as gateways
+from mulberrydeck.forward import outcomes
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
 
@@ -33,7 +34,7 @@
     arrived = gateway.arrived()[0]
     assert (arrived.service, arrived.path) == ("s", "/x")
     assert arrived.key == "mdk_secret12"
-    assert gateway.ended()[0].outcome is events.AttemptOutcome.ANSWERED
+    assert gateway.ended()[0].outcome is outcomes.AttemptOutcome.ANSWERED
     assert isinstance(gateway.events[-1], events.RequestClosed)
 
 
@@ -95,7 +96,7 @@
     first = fakes.FakeGateway(hop, fakes.refuse())
     request = fakes.get("/v1/services/s/x", "Connection: close")
     answer = fakes.ask(serve(first).address, request)
-    assert first.ended()[0].outcome is events.AttemptOutcome.UNKNOWN
+    assert first.ended()[0].outcome is outcomes.AttemptOutcome.UNKNOWN
     assert b"mulberrydeck-ran: unknown" in answer
     assert second.closed.wait(fakes.WAIT_S)
     assert isinstance(second.events[-1], events.RequestClosed)
@@ -114,7 +115,7 @@
     assert fakes.ask(caller.address, post).endswith(b"hello")
     assert target.requests[0].endswith(b"\r\n\r\nbody")
     first, second = gateway.ended()
-    assert first.outcome is events.AttemptOutcome.NOT_RUN
+    assert first.outcome is outcomes.AttemptOutcome.NOT_RUN
     assert first.replayable
     assert (second.attempt, second.status) == (2, 200)
 
--- a/mulberrydeck/frontend/tests/test_streaming.py
+++ b/mulberrydeck/frontend/tests/test_streaming.py
@@ -7,7 +7,7 @@
 import gevent.event
 import pytest
 
-from mulberrydeck.core import events
+from mulberrydeck.forward import outcomes
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
 
@@ -16,9 +16,9 @@
 LARGE = 48 * MIB
 PIECE = b"x" * (256 * 1024)
 POST = b"POST /v1/services/s/x HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n"
-UNKNOWN = events.AttemptOutcome.UNKNOWN
-ANSWERED = events.AttemptOutcome.ANSWERED
-NOT_RUN = events.AttemptOutcome.NOT_RUN
+UNKNOWN = outcomes.AttemptOutcome.UNKNOWN
+ANSWERED = outcomes.AttemptOutcome.ANSWERED
+NOT_RUN = outcomes.AttemptOutcome.NOT_RUN
 
 
 def push(sock, size):
--- a/mulberrydeck/frontend/tests/test_whole_answers.py
+++ b/mulberrydeck/frontend/tests/test_whole_answers.py
@@ -8,13 +8,13 @@
 import pytest
 
 from mulberrydeck import errors
-from mulberrydeck.core import events
+from mulberrydeck.forward import outcomes
 from mulberrydeck.frontend import server
 from mulberrydeck.frontend.tests import fakes
 
-UNKNOWN = events.AttemptOutcome.UNKNOWN
-NOT_RUN = events.AttemptOutcome.NOT_RUN
-ANSWERED = events.AttemptOutcome.ANSWERED
+UNKNOWN = outcomes.AttemptOutcome.UNKNOWN
+NOT_RUN = outcomes.AttemptOutcome.NOT_RUN
+ANSWERED = outcomes.AttemptOutcome.ANSWERED
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/mulberrydeck/peers/transport.py
+++ b/mulberrydeck/peers/transport.py
@@ -7,13 +7,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Protocol
 
 import gevent
 import zmq
 import zmq.green
 
 from mulberrydeck import errors
-from mulberrydeck.observability import metrics as metric_sets
 from mulberrydeck.peers import codec
 from mulberrydeck.peers import envelope
 
@@ -26,6 +26,16 @@
 MOST_AT_ONCE = 50  # Messages read before requests get their turn.
 
 
+class Counters(Protocol):
+    """Counts what passes through a transport."""
+
+    def peer_message(self, direction: str, size: int) -> None:
+        """Counts a message that came `in` or went `out`."""
+
+    def peer_malformed(self) -> None:
+        """Counts a message that cannot be read."""
+
+
 class PeerTransport:
     """Sends and receives peer messages."""
 
@@ -36,7 +46,7 @@
         source_ip: str,
         secret: str,
         deliver: Callable[[str, object], None],
-        metrics: metric_sets.Metrics,
+        metrics: Counters,
     ) -> None:
         """Prepares the transport without opening sockets.
 
--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -4,10 +4,9 @@
 
 import attrs
 
-from mulberrydeck.core import effects
-from mulberrydeck.core import events
 from mulberrydeck.quota import bucket
 from mulberrydeck.quota import choosing
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import state
 
 MAX_QUEUE_LENGTH = 1000
@@ -120,8 +119,8 @@
 def as_effects(now_s: float, decisions: list[Decision]) -> list[object]:
     """Returns the effects that report decisions."""
     return [
-        effects.Raise(
-            events.QuotaDecided(
+        quota_effects.Raise(
+            quota_effects.QuotaDecided(
                 at_s=now_s,
                 request_id=decision.request_id,
                 admitted=decision.admitted,
--- a/mulberrydeck/quota/borrowing.py
+++ b/mulberrydeck/quota/borrowing.py
@@ -2,10 +2,10 @@
 
 import math
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import bucket
 from mulberrydeck.quota import choosing
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import needs
 from mulberrydeck.quota import state
 
@@ -177,7 +177,7 @@
     now_s: float,
     lender: str,
     requests: tuple[messages.QuotaRequest, ...],
-) -> effects.SendMessage:
+) -> quota_effects.SendMessage:
     ask_id = quota.next_ask_id
     quota.next_ask_id += 1
     quota.asks[ask_id] = state.SentAsk(lender, now_s, requests)
@@ -189,7 +189,7 @@
         view.asked_units = request.units
         view.asked_tokens = request.tokens
     ask = messages.QuotaAsk(ask_id, quota.incarnation, now_s, requests)
-    return effects.SendMessage(lender, ask)
+    return quota_effects.SendMessage(lender, ask)
 
 
 def _apply(
--- a/mulberrydeck/quota/lending.py
+++ b/mulberrydeck/quota/lending.py
@@ -1,8 +1,8 @@
 """The lender's side: loans, their extension and their return."""
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import bucket
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import needs
 from mulberrydeck.quota import state
 
@@ -37,7 +37,7 @@
         sent_s=ask.sent_s,
         grants=tuple(grants),
     )
-    return [effects.SendMessage(sender, loan)]
+    return [quota_effects.SendMessage(sender, loan)]
 
 
 def forget_answered(quota: state.QuotaState, now_s: float) -> None:
--- a/mulberrydeck/quota/returning.py
+++ b/mulberrydeck/quota/returning.py
@@ -1,8 +1,8 @@
 """The borrower's side: loans given back before they expire."""
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import bucket
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import needs
 from mulberrydeck.quota import state
 
@@ -71,7 +71,7 @@
         process = (key.lender, key.lender_incarnation)
         by_lender.setdefault(process, []).append(returned)
     return [
-        effects.SendMessage(
+        quota_effects.SendMessage(
             lender, messages.QuotaReturn(incarnation, tuple(loans))
         )
         for (lender, incarnation), loans in by_lender.items()
--- a/mulberrydeck/quota/tests/fleet.py
+++ b/mulberrydeck/quota/tests/fleet.py
@@ -7,9 +7,8 @@
 
 import attrs
 
-from mulberrydeck.core import effects
-from mulberrydeck.core import events
 from mulberrydeck.quota import division
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer
 from mulberrydeck.quota import state
 from mulberrydeck.settings import declarations
@@ -174,10 +173,12 @@
     def carry_out(self, vm, done):
         for effect in done:
             match effect:
-                case effects.SendMessage(to, message):
+                case quota_effects.SendMessage(to, message):
                     vm.sent += 1
                     self.send(vm.name, to, message)
-                case effects.Raise(events.QuotaDecided() as decided):
+                case quota_effects.Raise(
+                    quota_effects.QuotaDecided() as decided
+                ):
                     outcome = self.pending.pop(decided.request_id, None)
                     if outcome is not None:
                         self.outcomes.append(
--- a/mulberrydeck/quota/tests/test_messages.py
+++ b/mulberrydeck/quota/tests/test_messages.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer
 from mulberrydeck.quota import state
 from mulberrydeck.quota.tests import fleet
@@ -132,7 +132,7 @@
     loan = exchange(lender, borrower)
     reducer.release_all(borrower, 10.0)
     for done in reducer.receive(borrower, 10.0, "a", loan):
-        if isinstance(done, effects.SendMessage):
+        if isinstance(done, quota_effects.SendMessage):
             reducer.receive(lender, 10.0, "b", done.message)
     assert balance(borrower).borrowed_units == 0
     assert balance(lender).lent_units == 0
--- a/mulberrydeck/routing/health.py
+++ b/mulberrydeck/routing/health.py
@@ -1,6 +1,6 @@
 """Health of targets from the outcomes of requests."""
 
-from mulberrydeck.core import events
+from mulberrydeck.forward import outcomes
 from mulberrydeck.routing import detectors
 from mulberrydeck.routing import ownership
 from mulberrydeck.routing import peer_index
@@ -20,7 +20,7 @@
     state: routing_state.RoutingState,
     now_s: float,
     target: target_state.TargetState,
-    outcome: events.AttemptOutcome | None,
+    outcome: outcomes.AttemptOutcome | None,
     status: int,
 ) -> None:
     """Judges a target by the outcome of one request.
@@ -35,10 +35,10 @@
     """
     if outcome is None:
         return
-    if outcome is events.AttemptOutcome.NOT_RUN and status:
+    if outcome is outcomes.AttemptOutcome.NOT_RUN and status:
         _shed(target, now_s)
         return
-    answered = outcome is events.AttemptOutcome.ANSWERED
+    answered = outcome is outcomes.AttemptOutcome.ANSWERED
     failed = not answered or status >= FIRST_SERVER_ERROR
     if target.ejected_until_s is not None:
         _observe_probation(target, now_s, failed)
--- a/mulberrydeck/routing/ownership.py
+++ b/mulberrydeck/routing/ownership.py
@@ -7,8 +7,8 @@
 
 import math
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.routing import state as routing_state
 from mulberrydeck.routing import target_state
 
@@ -237,7 +237,7 @@
 
 def release_idle(
     grants: routing_state.Grants, now_s: float, busy: frozenset[str]
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Returns the release of withdrawn targets that this VM no longer uses.
 
     It is sent again after each grant until the withdrawn grants have expired,
@@ -260,7 +260,7 @@
         return []
     grants.released.update(idle)
     release = messages.TargetRelease(grants.epoch, grants.sequence, idle)
-    return [effects.SendMessage(grants.holder, release)]
+    return [quota_effects.SendMessage(grants.holder, release)]
 
 
 def withdraw_all(grants: routing_state.Grants) -> None:
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -3,7 +3,9 @@
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
 from mulberrydeck.core import gateway
+from mulberrydeck.forward import outcomes
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import holder
 from mulberrydeck.routing import ownership
@@ -53,7 +55,7 @@
     now_s: float,
     epoch: int,
     members: tuple[routing_state.ZoneMember, ...],
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Plans and renews the ownership of the zone's targets; holder only.
 
     Grants go out for each new heartbeat of a VM, and at once for a change. May
@@ -73,7 +75,7 @@
         if vm == state.vm_name:
             receive_grant(state, now_s, vm, grant)
         else:
-            sent.append(effects.SendMessage(vm, grant))
+            sent.append(quota_effects.SendMessage(vm, grant))
     return sent
 
 
@@ -82,7 +84,7 @@
     now_s: float,
     holder_name: str,
     epoch: int,
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Notes that a VM of this zone is its holder in an epoch.
 
     Grants of earlier epochs are ignored from now on, and a new holder is told
@@ -101,7 +103,7 @@
     if not owned or holder_name == state.vm_name:
         return []
     claim = messages.TargetClaim(epoch, owned)
-    return [effects.SendMessage(holder_name, claim)]
+    return [quota_effects.SendMessage(holder_name, claim)]
 
 
 def receive(
@@ -111,7 +113,7 @@
     message: messages.TargetGrant
     | messages.TargetRelease
     | messages.TargetClaim,
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Takes in a message about the ownership of targets.
 
     Args:
@@ -139,7 +141,7 @@
     now_s: float,
     sender: str,
     grant: messages.TargetGrant,
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Takes in a grant of the zone holder.
 
     Args:
@@ -163,7 +165,7 @@
 
 def stop(
     state: routing_state.RoutingState, now_s: float
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     """Gives all targets back, for a planned stop.
 
     Targets in use go back when their last request has ended.
@@ -179,7 +181,7 @@
 
 def tick(
     state: routing_state.RoutingState, now_s: float
-) -> list[effects.PollTarget | effects.Raise | effects.SendMessage]:
+) -> list[effects.PollTarget | quota_effects.Raise | quota_effects.SendMessage]:
     """Polls owned targets, ends waits and serves queues.
 
     Args:
@@ -207,7 +209,7 @@
 
 def polled(
     state: routing_state.RoutingState, now_s: float, event: events.TargetPolled
-) -> list[effects.Raise]:
+) -> list[quota_effects.Raise]:
     """Takes in the result of a poll and serves the queue.
 
     Args:
@@ -250,7 +252,7 @@
     request_id: str,
 ) -> tuple[
     routing_state.Acquired | routing_state.Queued | routing_state.Full,
-    list[effects.Raise],
+    list[quota_effects.Raise],
 ]:
     """Takes a slot of an owned target; see `slots.acquire`."""
     return slots.acquire(state, now_s, service, account, request_id)
@@ -258,7 +260,7 @@
 
 def forget(
     state: routing_state.RoutingState, now_s: float, request_id: str
-) -> list[effects.Raise]:
+) -> list[quota_effects.Raise]:
     """Drops a request that went away.
 
     Args:
@@ -275,10 +277,10 @@
     state: routing_state.RoutingState,
     now_s: float,
     request_id: str,
-    outcome: events.AttemptOutcome | None,
+    outcome: outcomes.AttemptOutcome | None,
     status: int,
     latency_s: float,
-) -> list[effects.Raise]:
+) -> list[quota_effects.Raise]:
     """Ends the use of a slot or a relayed request.
 
     Args:
@@ -290,7 +292,7 @@
         latency_s: Time from start to answer head, in seconds.
     """
     del latency_s  # Slots are held until the whole answer has passed.
-    refused = outcome is events.AttemptOutcome.NOT_RUN
+    refused = outcome is outcomes.AttemptOutcome.NOT_RUN
     if choice.end_relay(state, now_s, request_id, refused):
         return []
     return slots.release(state, now_s, request_id, outcome, status)
@@ -326,7 +328,7 @@
 
 def _release_idle(
     state: routing_state.RoutingState, now_s: float
-) -> list[effects.SendMessage]:
+) -> list[quota_effects.SendMessage]:
     if not state.grants.withdrawn:
         return []
     busy = frozenset(
--- a/mulberrydeck/routing/slots.py
+++ b/mulberrydeck/routing/slots.py
@@ -1,7 +1,8 @@
 """Admission of requests to the slots of owned targets."""
 
-from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.forward import outcomes
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.routing import health
 from mulberrydeck.routing import ownership
 from mulberrydeck.routing import queueing
@@ -14,6 +15,8 @@
 NO_OWNER_RETRY_AFTER_S = 1.0
 HOLD_TIME_SMOOTHING = 0.1
 
+Raised = list[quota_effects.Raise]
+
 
 def acquire(
     state: routing_state.RoutingState,
@@ -23,7 +26,7 @@
     request_id: str,
 ) -> tuple[
     routing_state.Acquired | routing_state.Queued | routing_state.Full,
-    list[effects.Raise],
+    Raised,
 ]:
     """Takes a slot of an owned target, or waits for one.
 
@@ -53,7 +56,7 @@
 
 def dispatch(
     state: routing_state.RoutingState, now_s: float, service: str
-) -> list[effects.Raise]:
+) -> Raised:
     """Gives free slots to waiting requests, one client account after another.
 
     Args:
@@ -73,7 +76,7 @@
         decided = events.SlotDecided(
             now_s, waiter.request_id, target.target.name, target.address
         )
-        raised.append(effects.Raise(decided))
+        raised.append(quota_effects.Raise(decided))
     return raised
 
 
@@ -81,9 +84,9 @@
     state: routing_state.RoutingState,
     now_s: float,
     request_id: str,
-    outcome: events.AttemptOutcome | None,
+    outcome: outcomes.AttemptOutcome | None,
     status: int,
-) -> list[effects.Raise]:
+) -> Raised:
     """Frees the slot of a request, judges its target and serves the queue.
 
     Args:
@@ -101,7 +104,7 @@
         return []
     target.used -= 1
     service = target.target.service
-    if outcome is events.AttemptOutcome.ANSWERED:
+    if outcome is outcomes.AttemptOutcome.ANSWERED:
         kept = routing_state.service_state(state, service)
         held_s = now_s - use.since_s
         kept.hold_s += HOLD_TIME_SMOOTHING * (held_s - kept.hold_s)
@@ -111,7 +114,7 @@
 
 def forget(
     state: routing_state.RoutingState, now_s: float, request_id: str
-) -> list[effects.Raise]:
+) -> Raised:
     """Drops a request that went away, whether it waits or has a slot.
 
     Args:
@@ -222,7 +225,7 @@
     account: str,
     request_id: str,
     usable: int,
-) -> tuple[routing_state.Queued | routing_state.Full, list[effects.Raise]]:
+) -> tuple[routing_state.Queued | routing_state.Full, Raised]:
     kept = routing_state.service_state(state, service)
     capacity = max(LEAST_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * usable)
     waiter = queueing.Waiter(
@@ -258,7 +261,7 @@
 
 def _expire(
     state: routing_state.RoutingState, now_s: float, queue: queueing.FairQueue
-) -> list[effects.Raise]:
+) -> Raised:
     return [
         _refuse(state, now_s, waiter)
         for waiter in queueing.expire(queue, now_s)
@@ -267,10 +270,10 @@
 
 def _refuse(
     state: routing_state.RoutingState, now_s: float, waiter: queueing.Waiter
-) -> effects.Raise:
+) -> quota_effects.Raise:
     del state.waiting[waiter.request_id]
     _account(state, waiter.account).refused += 1
-    return effects.Raise(events.SlotDecided(now_s, waiter.request_id))
+    return quota_effects.Raise(events.SlotDecided(now_s, waiter.request_id))
 
 
 def _account(
--- a/mulberrydeck/routing/tests/test_choice.py
+++ b/mulberrydeck/routing/tests/test_choice.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from mulberrydeck.core import events
 from mulberrydeck.core import gateway
+from mulberrydeck.forward import outcomes
 from mulberrydeck.peers import messages
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import lookup
@@ -84,7 +84,7 @@
     assert choice.choose(state, 1.0, "s") == choice.Remote("b")
     choice.record_relay(state, 1.1, "s", "b", "r")
     assert choice.choose(state, 1.2, "s") == choice.Remote("c")
-    answered = events.AttemptOutcome.ANSWERED
+    answered = outcomes.AttemptOutcome.ANSWERED
     reducer.release(state, 1.3, "r", answered, 200, 0.0)
     assert choice.choose(state, 1.4, "s") == choice.Remote("b")
     choice.record_relay(state, 1.5, "s", "b", "r2")
@@ -97,7 +97,7 @@
     hear(state, "b", "z1", 4, reported_s=1.0)
     hear(state, "c", "z2", 9, reported_s=1.0)
     choice.record_relay(state, 1.1, "s", "b", "r")
-    not_run = events.AttemptOutcome.NOT_RUN
+    not_run = outcomes.AttemptOutcome.NOT_RUN
     reducer.release(state, 1.2, "r", not_run, 503, 0.0)
     assert choice.choose(state, 1.3, "s") == choice.Remote("c")
 
--- a/mulberrydeck/routing/tests/test_ownership.py
+++ b/mulberrydeck/routing/tests/test_ownership.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 import pytest
 
-from mulberrydeck.core import effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.routing import ownership
 from mulberrydeck.routing import placement
 from mulberrydeck.routing import reducer
@@ -122,7 +122,7 @@
 
     def emit(self, vm, produced):
         for effect in produced:
-            if isinstance(effect, effects.SendMessage):
+            if isinstance(effect, quota_effects.SendMessage):
                 self.send(vm.name, effect.to, effect.message)
 
     def step(self, action, number=0):
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -5,6 +5,8 @@
 
 from mulberrydeck.core import effects
 from mulberrydeck.core import events
+from mulberrydeck.forward import outcomes
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.routing import choice
 from mulberrydeck.routing import queueing
 from mulberrydeck.routing import reducer
@@ -13,9 +15,9 @@
 from mulberrydeck.routing import target_state
 from mulberrydeck.routing.tests import fakes
 
-ANSWERED = events.AttemptOutcome.ANSWERED
-NOT_RUN = events.AttemptOutcome.NOT_RUN
-UNKNOWN = events.AttemptOutcome.UNKNOWN
+ANSWERED = outcomes.AttemptOutcome.ANSWERED
+NOT_RUN = outcomes.AttemptOutcome.NOT_RUN
+UNKNOWN = outcomes.AttemptOutcome.UNKNOWN
 
 
 def fill(state, now_s, count, account="a", prefix="r"):
@@ -33,7 +35,7 @@
     assert isinstance(answer, routing_state.Queued)
     raised = reducer.release(state, 100.1, "r0", ANSWERED, 200, 0.1)
     decided = events.SlotDecided(100.1, "late", "t", "127.0.0.1:80")
-    assert raised == [effects.Raise(decided)]
+    assert raised == [quota_effects.Raise(decided)]
     assert state.targets["t"].used == 3
 
 
@@ -45,9 +47,9 @@
     refused = [
         item
         for item in reducer.tick(state, 100.3)
-        if isinstance(item, effects.Raise)
+        if isinstance(item, quota_effects.Raise)
     ]
-    assert refused == [effects.Raise(events.SlotDecided(100.3, "late"))]
+    assert refused == [quota_effects.Raise(events.SlotDecided(100.3, "late"))]
 
 
 def test_a_lapsed_grant_admits_nothing():
--- a/mulberrydeck/shell/runtime.py
+++ b/mulberrydeck/shell/runtime.py
@@ -11,6 +11,7 @@
 from mulberrydeck.core import state as core_state
 from mulberrydeck.observability import logs
 from mulberrydeck.peers import transport
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.shell import event_loop
 
 
@@ -44,7 +45,7 @@
 def connect_peers(runtime: Runtime, peers: transport.PeerTransport) -> None:
     """Lets the transport carry out effects that concern peers."""
 
-    def send(effect: effects.SendMessage) -> None:
+    def send(effect: quota_effects.SendMessage) -> None:
         peers.send(effect.to, effect.message)
 
     def connect(effect: effects.ConnectPeer) -> None:
@@ -53,6 +54,6 @@
     def disconnect(effect: effects.DisconnectPeer) -> None:
         peers.disconnect(effect.name)
 
-    runtime.handlers[effects.SendMessage] = send
+    runtime.handlers[quota_effects.SendMessage] = send
     runtime.handlers[effects.ConnectPeer] = connect
     runtime.handlers[effects.DisconnectPeer] = disconnect
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -11,13 +11,13 @@
 import gevent.event
 
 from mulberrydeck import errors
-from mulberrydeck.core import effects as core_effects
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import requests
 from mulberrydeck.observability import logs
 from mulberrydeck.peers import messages
 from mulberrydeck.peers import transport
 from mulberrydeck.platform import store as stores
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.shell import event_loop
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
@@ -131,7 +131,7 @@
         for kind in (effects.Forward, effects.Deliver, effects.Refuse):
             handlers[kind] = self.loop.resolve
         handlers[effects.Log] = self.reports.log
-        handlers[core_effects.SendMessage] = self._send
+        handlers[quota_effects.SendMessage] = self._send
         handlers[effects.FollowStore] = self.following.apply
         handlers[effects.ConnectPeer] = self._connect
         handlers[effects.DisconnectPeer] = self._disconnect
@@ -141,7 +141,7 @@
         fields = [("content-type", "text/plain; version=0.0.4")]
         request.answer.send_whole(200, fields, body)
 
-    def _send(self, effect: core_effects.SendMessage) -> None:
+    def _send(self, effect: quota_effects.SendMessage) -> None:
         self._send_message(effect.to, effect.message)
 
     def _send_message(self, to: str, message: object) -> None:
--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from mulberrydeck.core import effects as core_effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.steering import members
 
 # Until all VMs have answered, this one cannot use its units; a message to a VM
@@ -75,7 +75,7 @@
     schedule.next_s = now_s + _interval_s(fleet, is_mesh)
     schedule.rounds += 1
     produced: list[object] = [
-        core_effects.SendMessage(
+        quota_effects.SendMessage(
             name, attrs.evolve(own, holds_loans=name in lenders)
         )
         for name in _receivers(schedule, fleet, is_mesh)
@@ -83,7 +83,7 @@
     if not is_mesh:
         digest = _digest(fleet, now_s, own)
         produced += [
-            core_effects.SendMessage(name, digest)
+            quota_effects.SendMessage(name, digest)
             for name in _digest_receivers(schedule, fleet)
         ]
     schedule.to_all = False
@@ -109,7 +109,7 @@
     if not beat.joining and known_incarnation == beat.incarnation:
         return []
     answered = attrs.evolve(own, holds_loans=sender in lenders, joining=False)
-    return [core_effects.SendMessage(sender, answered)]
+    return [quota_effects.SendMessage(sender, answered)]
 
 
 def _interval_s(fleet: members.Fleet, is_mesh: bool) -> float:
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -3,9 +3,8 @@
 It does no I/O and reads no clock; its state changes in place.
 """
 
-from mulberrydeck.core import effects as core_effects
-from mulberrydeck.core import events as core_events
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import effects
@@ -33,7 +32,7 @@
     settled: Effects = []
     while produced:
         effect = produced.pop(0)
-        if isinstance(effect, core_effects.Raise):
+        if isinstance(effect, quota_effects.Raise):
             produced = [*_raised(state, effect.event), *produced]
         else:
             settled.append(effect)
@@ -42,7 +41,7 @@
 
 def _raised(state: states.State, event: object) -> Effects:
     match event:
-        case core_events.QuotaDecided():
+        case quota_effects.QuotaDecided():
             return requests.quota_decided(
                 state, event.request_id, event.admitted, event.retry_after_s
             )
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """Entry VMs: look-ups, heartbeats, parts of account limits."""
 
-from mulberrydeck.core import effects as core_effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
@@ -41,7 +41,7 @@
     beats = [
         effect
         for effect in vm.reduce(events.Ticked(vm.now_s))
-        if isinstance(effect, core_effects.SendMessage)
+        if isinstance(effect, quota_effects.SendMessage)
     ]
     assert {beat.to for beat in beats} == {"coast-b-1", "lake-a-1"}
 
@@ -162,7 +162,7 @@
         vm.now_s += 0.1
         produced = vm.reduce(events.Ticked(vm.now_s))
         beats += any(
-            isinstance(effect, core_effects.SendMessage) for effect in produced
+            isinstance(effect, quota_effects.SendMessage) for effect in produced
         )
     assert beats >= 4
 
@@ -173,11 +173,11 @@
     answered = [
         effect
         for effect in vm.reduce(beat)
-        if isinstance(effect, core_effects.SendMessage)
+        if isinstance(effect, quota_effects.SendMessage)
     ]
     assert [each.to for each in answered] == ["coast-b-1"]
     assert not any(
-        isinstance(effect, core_effects.SendMessage)
+        isinstance(effect, quota_effects.SendMessage)
         for effect in vm.reduce(beat)
     )
 
--- a/mulberrydeck/steering/tests/test_heartbeats.py
+++ b/mulberrydeck/steering/tests/test_heartbeats.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from mulberrydeck.core import effects as core_effects
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import lookup
@@ -80,7 +80,7 @@
 
     def submit(self, name, vm, event):
         for effect in vm.reduce(event):
-            if isinstance(effect, core_effects.SendMessage):
+            if isinstance(effect, quota_effects.SendMessage):
                 self.sent[name, type(effect.message)] += 1
                 arrives_s = event.at_s + DELAY_S
                 heapq.heappush(
