Give the token of a request back that no target had room for

An account's rate was used up by requests that were refused at once for lack of room, so a full service made its accounts look over their rate as well (429 in place of 503 once room was back). The test failed before.

--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -92,6 +92,13 @@
     return list(produced)
 
 
+def _give_token_back(state: states.State, request: states.Request) -> None:
+    """Leaves an account what a request that no target was sent did not use."""
+    if request.sent == 0 and request.account is not None:
+        resource = members.resource_of(request.account.name)
+        quota.refund(state.quota, state.now_s, resource)
+
+
 def _over_rate(
     state: states.State, request: states.Request, retry_after_s: float
 ) -> effects.Refuse:
@@ -143,6 +150,7 @@
     )
     match choice:
         case placement.NoneFree(usable):
+            _give_token_back(state, request)
             inputs = {"usable_targets": usable}
             refusal = _failure(
                 request, 503, "no-capacity", FULL_RETRY_S, inputs
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -207,6 +207,21 @@
     assert all(r.status == 429 and r.retry_after_s > 0 for r in refused)
 
 
+def test_a_request_that_no_target_has_room_for_costs_no_token():
+    table = keyed_table()
+    full = entries(1, slots=1)
+    vm = samples.Vm(table, full)
+    vm.now_s += 5.0
+    held = vm.state.quota.resources["account/acme"]
+    for _ in range(2):
+        assert isinstance(vm.arrive(key="secret"), effects.Forward)
+    before = held.tokens
+    for _ in range(10):
+        decision = vm.arrive(key="secret")
+        assert decision.kind == "no-capacity"
+    assert held.tokens == before
+
+
 def test_slots_are_free_again_when_the_caller_leaves():
     vm = samples.Vm(entries=entries(1, slots=1))
     vm.arrive()
