Soak steering VMs under overlapping series of faults

soak/ plays a seed: four VMs as processes, behind a fault proxy to the store and four targets; kills, stops, pauses, reloads, cut, delayed, silent and one-way links, a store that refuses, hangs, forgets or loses answers, bad answers, slow, draining and missing targets, evacuations, new versions; twelve callers on open connections. Checked: single runs, true refusals, own answers, no call lost, keys unseen, drains, evacuations, the account's limit, stops, versions.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,91 @@
+"""Callers that use the VMs while faults come."""
+
+import random
+import time
+import uuid
+
+import attrs
+import gevent
+
+from soak import faults
+from soak import world as worlds
+from standins import http_client
+
+CALLERS_A_VM = 3
+PAUSE_S = 0.08
+LATE_S = 12.0  # A caller gives up then; the deadline that it names is 2 s.
+
+
+@attrs.frozen
+class Call:
+    """A request and what came of it.
+
+    Attributes:
+        attempt_id: Its identifier.
+        vm: VM that it was sent to.
+        single: Whether it may run only once.
+        sent_s: When it was sent, on the monotonic clock, in seconds.
+        ended_s: When its answer was whole, or was known not to come.
+        answer: The answer, or why there is none.
+    """
+
+    attempt_id: str
+    vm: str
+    single: bool
+    sent_s: float
+    ended_s: float
+    answer: http_client.Answer | http_client.NoAnswer
+
+
+class Callers:
+    """Callers with open connections to all VMs.
+
+    Attributes:
+        calls: What was sent so far.
+        stopping: Set to make the callers end.
+    """
+
+    def __init__(self, world: worlds.World, seed: int):
+        self.world = world
+        self.calls: list[Call] = []
+        self.stopping = False
+        self.greenlets = [
+            gevent.spawn(self._run, vm, random.Random(f"{seed}/{vm}/{number}"))
+            for vm in faults.VMS
+            for number in range(CALLERS_A_VM)
+        ]
+
+    def finish(self) -> None:
+        """Ends the callers once their last answers are there."""
+        self.stopping = True
+        gevent.joinall(self.greenlets)
+
+    def _run(self, vm: str, rng: random.Random) -> None:
+        client = self.world.client(vm)
+        client.timeout_s = LATE_S
+        while not self.stopping:
+            kind = rng.choice(("read", "once", "keyed"))
+            self.calls.append(self._call(client, vm, kind, rng))
+            gevent.sleep(rng.uniform(0, 2 * PAUSE_S))
+        client.close()
+
+    def _call(self, client, vm: str, kind: str, rng: random.Random) -> Call:
+        path = f"/{kind}/{rng.randrange(20)}"
+        attempt_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
+        fields = {"X-Affinity-Key": path}
+        if kind == "keyed":
+            fields["Authorization"] = f"Bearer {worlds.KEY}"
+        body = None
+        if kind == "once":
+            body = rng.randbytes(rng.choice((10, 3000, 90000)))
+        sent_s = time.monotonic()
+        _, answer = self.world.request(
+            client,
+            path,
+            "POST" if body else "GET",
+            body,
+            attempt_id=attempt_id,
+            **fields,
+        )
+        single = kind == "once"
+        return Call(attempt_id, vm, single, sent_s, time.monotonic(), answer)
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,234 @@
+"""Promises that a soak checks, from what callers and targets saw."""
+
+import collections
+from collections.abc import Iterator
+import json
+import math
+
+from soak import callers
+from soak import faults
+from soak import world as worlds
+from standins import http_client
+
+# Statuses with which a VM says that a request has not run.
+NOT_RUN = (401, 404, 413, 429, 503)
+# Bounds of the users' platform.
+DRAIN_S = 3.0
+EVACUATION_S = 5.0
+APPLIED_S = 3.0
+LIMIT_WINDOW_S = 5.0
+LIMIT_FACTOR = 1.1
+LIMIT_EXTRA = 20
+
+Call = callers.Call
+
+
+def broken(world: worlds.World, calls: list[Call]) -> list[str]:
+    """Returns a line for each broken promise."""
+    checks = (
+        _run_once,
+        _true_refusals,
+        _own_answers,
+        _no_call_lost,
+        _keys_unseen,
+        _drained,
+        _evacuated,
+        _limited,
+        _stopped,
+        _configured,
+    )
+    return [line for check in checks for line in check(world, calls)]
+
+
+def _runs(world: worlds.World) -> collections.Counter[str]:
+    return collections.Counter(
+        run.fields.get("x-attempt-id", "")
+        for target in world.targets.values()
+        for run in target.runs
+    )
+
+
+def _run_once(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    runs = _runs(world)
+    for call in calls:
+        if call.single and runs[call.attempt_id] > 1:
+            yield f"{call.attempt_id} ran {runs[call.attempt_id]} times"
+
+
+def _true_refusals(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    runs = _runs(world)
+    for call in calls:
+        status = getattr(call.answer, "status", 0)
+        if status in NOT_RUN and runs[call.attempt_id]:
+            yield f"{call.attempt_id} got {status} and ran"
+
+
+def _own_answers(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    del world
+    for call in calls:
+        answer = call.answer
+        own = call.attempt_id.encode()
+        if getattr(answer, "status", 0) == 200 and not answer.body.startswith(
+            own
+        ):
+            yield f"{call.attempt_id} got the answer {answer.body[:40]!r}"
+
+
+def _no_call_lost(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    """A VM answers what it accepted, unless it was killed or stood still."""
+    for call in calls:
+        if isinstance(call.answer, http_client.Answer):
+            continue
+        refused = call.answer.reason.startswith("ConnectionRefused")
+        if not any(
+            _may_lose(one, call, refused, _back_s(one, calls))
+            for one in world.happened
+        ):
+            yield f"{call.attempt_id} at {call.vm}: {call.answer.reason}"
+
+
+def _may_lose(
+    one: worlds.Happened, call: Call, refused: bool, back_s: float
+) -> bool:
+    match one.fault:
+        case faults.Kill(vm) | faults.Pause(vm):
+            allowed = vm == call.vm
+        case faults.Stop(vm):
+            allowed = vm == call.vm and refused
+        case _:
+            allowed = False
+    return allowed and one.begun_s <= call.ended_s and call.sent_s <= back_s
+
+
+def _back_s(one: worlds.Happened, calls: list[Call]) -> float:
+    """Returns when a VM first answered after a fault, in seconds."""
+    vm = getattr(one.fault, "vm", "")
+    return min(
+        (
+            call.ended_s
+            for call in calls
+            if call.vm == vm
+            and call.sent_s > one.ended_s
+            and isinstance(call.answer, http_client.Answer)
+        ),
+        default=math.inf,
+    )
+
+
+def _keys_unseen(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    del calls
+    for target in world.targets.values():
+        for run in target.runs:
+            if worlds.KEY in str(run.fields):
+                yield f"{target.name} saw the key"
+
+
+def _drained(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    del calls
+    for one in world.happened:
+        match one.fault:
+            case faults.Drain(name) | faults.Remove(name):
+                late = _late(world, one, {name}, DRAIN_S)
+                if late:
+                    yield f"{name}: {late} runs late after {one.fault}"
+
+
+def _evacuated(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    del calls
+    for one in world.happened:
+        match one.fault:
+            case faults.Evacuate(zone):
+                names = {n for n, at in faults.TARGETS.items() if at == zone}
+                late = _late(world, one, names, EVACUATION_S)
+                if late:
+                    yield f"{zone}: {late} runs late after {one.fault}"
+
+
+def _late(
+    world: worlds.World, one: worlds.Happened, names: set[str], bound_s: float
+) -> int:
+    """Returns runs later than a bound, where all VMs were in touch."""
+    begin_s = one.begun_s + bound_s
+    touched = any(
+        isinstance(other.fault, faults.Store | faults.Link | faults.Pause)
+        and other.begun_s <= one.ended_s
+        and one.begun_s <= other.ended_s + bound_s
+        for other in world.happened
+    )
+    others = [
+        other
+        for other in world.happened
+        if other is not one
+        and type(other.fault) is type(one.fault)
+        and other.ended_s <= one.ended_s
+        and other.ended_s >= one.begun_s
+    ]
+    # An end of the same fault before takes the state back for both.
+    if touched or others:
+        return 0
+    return sum(
+        begin_s < run.arrived_s < one.ended_s
+        for name in names
+        for run in world.targets[name].runs
+    )
+
+
+def _limited(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    """Counts windows under the highest rate in force shortly before."""
+    del calls
+    times = sorted(
+        run.arrived_s
+        for target in world.targets.values()
+        for run in target.runs
+        if run.fields.get("x-tenant") == "acme"
+    )
+    for first, begin_s in enumerate(times):
+        until_s = begin_s + LIMIT_WINDOW_S
+        count = sum(time_s <= until_s for time_s in times[first:])
+        rate_per_s = _highest_rate(world, begin_s, until_s)
+        most = rate_per_s * LIMIT_WINDOW_S + worlds.BURST
+        if count > most * LIMIT_FACTOR + LIMIT_EXTRA:
+            yield f"acme: {count} runs in {LIMIT_WINDOW_S} s at {rate_per_s}/s"
+            return
+
+
+def _highest_rate(world: worlds.World, begin_s: float, until_s: float) -> float:
+    """Returns the highest rate that may be in force in a window."""
+    out_of_touch = any(
+        isinstance(one.fault, faults.Store | faults.Link | faults.Pause)
+        and one.begun_s < until_s
+        and one.ended_s + LIMIT_WINDOW_S + APPLIED_S > begin_s
+        for one in world.happened
+    )
+    if out_of_touch:
+        return max(rate for _, rate in world.rates)
+    latest = [rate for at_s, rate in world.rates if at_s <= until_s]
+    before_s = begin_s - LIMIT_WINDOW_S - APPLIED_S
+    lasting = sum(at_s <= before_s for at_s, _ in world.rates)
+    return max(latest[max(0, lasting - 1) :])
+
+
+def _stopped(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    del calls
+    for vm, code, taken_s in world.exits:
+        if code != 0:
+            yield f"{vm} ended with {code} after {taken_s:.1f} s"
+    for name, process in world.vms.items():
+        if not process.is_running():
+            yield f"{name} has ended by itself"
+
+
+def _configured(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    del calls
+    for process in world.group.processes:
+        versions = [
+            line["version"]
+            for line in map(json.loads, _lines(process))
+            if line["text"].endswith("A configuration is in force.")
+        ]
+        if versions != sorted(versions):
+            yield f"{process.name} applied the versions {versions}"
+
+
+def _lines(process) -> Iterator[str]:
+    return (line for line in process.log().splitlines() if line[:1] == "{")
--- /dev/null
+++ b/soak/runs.py
@@ -0,0 +1,71 @@
+"""Plays one seed of the soak."""
+
+import pathlib
+import time
+
+import attrs
+import gevent
+
+from soak import callers as caller_sets
+from soak import checks
+from soak import faults
+from soak import world as worlds
+from standins import waiting
+
+ALL_MESH = 16
+ZONES_FROM = 2
+
+
+@attrs.frozen
+class Played:
+    """What came of one seed.
+
+    Attributes:
+        summary: Calls, and how many were answered with 200.
+        broken: A line for each broken promise.
+        series: The faults as they were injected, from the beginning.
+    """
+
+    summary: str
+    broken: tuple[str, ...]
+    series: tuple[str, ...]
+
+
+def play(
+    seed: int, duration_s: float, directory: pathlib.Path, mesh: bool
+) -> Played:
+    """Plays the faults of a seed beside callers and checks what was seen.
+
+    Args:
+        seed: Seed of faults and callers.
+        duration_s: Time in which faults begin.
+        directory: Where logs are written.
+        mesh: Whether all VMs hear each other, as in a small fleet.
+    """
+    mesh_vms = ALL_MESH if mesh else ZONES_FROM
+    broken: list[str] = []
+    with worlds.World(directory, mesh_vms=mesh_vms) as world:
+        world.start()
+        began_s = time.monotonic()
+        callers = caller_sets.Callers(world, seed)
+        for fault in [
+            gevent.spawn_later(planned.at_s, world.inject, planned)
+            for planned in faults.plan(seed, duration_s)
+        ]:
+            fault.get()
+        try:
+            world.wait_all_serve()
+        except waiting.ConditionError as error:
+            broken.append(str(error))
+        callers.finish()
+        broken += checks.broken(world, callers.calls)
+    served = sum(
+        getattr(call.answer, "status", 0) == 200 for call in callers.calls
+    )
+    series = tuple(
+        f"{one.begun_s - began_s:.2f} to {one.ended_s - began_s:.2f} s: "
+        f"{one.fault}"
+        for one in sorted(world.happened, key=lambda one: one.begun_s)
+    )
+    summary = f"{served} of {len(callers.calls)} calls served"
+    return Played(summary, tuple(broken), series)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,232 @@
+"""The real programs of a soak, what surrounds them, and how faults reach it."""
+
+import contextlib
+import pathlib
+import signal
+import time
+
+import attrs
+import gevent
+
+from soak import faults
+from standins import waiting
+from standins.fault_proxy import proxy as proxies
+from standins.fault_proxy import rules
+from standins.fault_proxy import specification
+from standins.users_platform import fleet as fleets
+from standins.users_platform import instances
+
+FIRST_LINK_PORT = 8700
+STOP_TIMEOUT_S = 6.0  # That of the users' platform.
+DELAY_S = 0.15
+SLOW_WORK_S = 1.5
+KEY = "key-1"
+BURST = 10
+
+
+@attrs.frozen
+class Happened:
+    """A fault as it was injected.
+
+    Attributes:
+        fault: The fault.
+        begun_s: Its beginning on the monotonic clock, in seconds.
+        ended_s: Its end, in seconds.
+    """
+
+    fault: faults.Fault
+    begun_s: float
+    ended_s: float
+
+
+class World(fleets.SteeringFleet):
+    """Steering VMs whose connections pass a fault proxy.
+
+    Attributes:
+        happened: Faults so far.
+        exits: Exit codes of VMs that were asked to stop, with the time taken.
+        version: Version of the configuration.
+        rates: Rate in force from a time on, in seconds and requests a second.
+    """
+
+    def __init__(self, directory: pathlib.Path, **settings: object):
+        super().__init__(directory, stop_timeout_s=STOP_TIMEOUT_S, **settings)
+        self.happened: list[Happened] = []
+        self.exits: list[tuple[str, int, float]] = []
+        self.version = 0
+        self.rates: list[tuple[float, int]] = []
+        self.links: dict[str, str] = {}
+        self.busy: set[str] = set()
+        self.away = 0
+        self.proxy = self._make_proxy()
+
+    def _make_proxy(self) -> proxies.Proxy:
+        upstreams = {"store": self.platform_address}
+        for name in faults.TARGETS:
+            self.targets[name] = instances.Instance(name, work_s=0.01)
+            upstreams[name] = self.targets[name].address
+        places = [specification.Place(name) for name in upstreams]
+        places += [
+            specification.Place(name, zone, ip=self.add_ports(name))
+            for name, zone in faults.VMS.items()
+        ]
+        ip = self.subnet.ip(2, 1)
+        self.links = {
+            name: f"{ip}:{FIRST_LINK_PORT + number}"
+            for number, name in enumerate(upstreams)
+        }
+        links = [
+            specification.Link(self.links[name], upstream, name, "link")
+            for name, upstream in upstreams.items()
+        ]
+        self.platform_address = self.links["store"]
+        wanted = specification.Specification("", tuple(places), tuple(links))
+        return proxies.Proxy(wanted)
+
+    def __exit__(self, *details):
+        super().__exit__(*details)
+        for server in self.proxy.servers:
+            server.stop(timeout=0)
+
+    def start(self) -> None:
+        """Starts all programs and waits until they serve."""
+        self.reconfigure(20)
+        for name in faults.TARGETS:
+            self.register(name)
+        for name, zone in faults.VMS.items():
+            self.start_vm(name, zone)
+
+    def reconfigure(self, rate_per_s: int) -> None:
+        """Writes a new version with a limit of the account."""
+        self.version += 1
+        account = {
+            "Name": "acme",
+            "ApiKeys": [KEY],
+            "RatePerS": rate_per_s,
+            "Burst": BURST,
+        }
+        self.configure(self.version, Tenants=[account])
+        self.rates.append((time.monotonic(), rate_per_s))
+
+    def register(self, name: str, **status: object) -> None:
+        """Writes a target's entry, behind the proxy."""
+        zone = faults.TARGETS[name]
+        entry = self.targets[name].entry(fleets.SERVICE, zone, **status)
+        entry["Address"] = self.links[name]
+        self.store.put("servers", name, entry)
+
+    def inject(self, planned: faults.Planned) -> None:
+        """Carries one fault out, from its beginning to its end."""
+        begun_s = time.monotonic()
+        with contextlib.ExitStack() as undone:
+            self._begin(planned.fault, undone)
+            gevent.sleep(planned.for_s)
+        ended_s = time.monotonic()
+        self.happened.append(Happened(planned.fault, begun_s, ended_s))
+
+    def _begin(self, fault: faults.Fault, undone: contextlib.ExitStack) -> None:
+        match fault:
+            case faults.Kill(vm) | faults.Stop(vm) | faults.Pause(vm):
+                if vm not in self.busy:
+                    self.busy.add(vm)
+                    undone.callback(self.busy.discard, vm)
+                    self._begin_at_vm(fault, vm, undone)
+            case faults.Reload(vm, signalled):
+                path = self.group.directory / f"{vm}.toml"
+                path.write_text(path.read_text() + "\n")
+                if signalled:
+                    self.vms[vm].send_signal(signal.SIGHUP)
+            case faults.Link():
+                rule = self.proxy.add(_rule(fault))
+                undone.callback(self.proxy.rules.remove, rule.id)
+            case faults.Store(how):
+                self._begin_at_store(how, undone)
+            case faults.Configure(rate_per_s):
+                self.reconfigure(rate_per_s)
+            case faults.Evacuate(zone):
+                self.store.put("evacuations", zone, {})
+                undone.callback(self._take_back, zone)
+            case _:
+                self._begin_at_target(fault, undone)
+
+    def _begin_at_vm(self, fault, vm: str, undone) -> None:
+        process = self.vms[vm]
+        match fault:
+            case faults.Kill():
+                process.kill()
+                undone.callback(self._start_again, vm)
+            case faults.Stop():
+                asked_s = time.monotonic()
+                process.send_signal(signal.SIGTERM)
+                code = process.wait_end(STOP_TIMEOUT_S)
+                taken_s = time.monotonic() - asked_s
+                self.exits.append((vm, code, taken_s))
+                undone.callback(self._start_again, vm)
+            case faults.Pause():
+                process.send_signal(signal.SIGSTOP)
+                undone.callback(process.send_signal, signal.SIGCONT)
+
+    def _start_again(self, vm: str) -> None:
+        self.launch_vm(vm, faults.VMS[vm], first_start=False)
+
+    def _begin_at_store(self, how: str, undone) -> None:
+        match how:
+            case "forgets":
+                self.store.forget_history()
+            case "loses":
+                self.store.lose_next += 1
+            case _:
+                self.away += 1
+                self.store.set_mode(how)
+                undone.callback(self._store_back)
+
+    def _store_back(self) -> None:
+        self.away -= 1
+        if not self.away:
+            self.store.set_mode("on")
+
+    def _take_back(self, zone: str) -> None:
+        if zone in self.store.objects.get("evacuations", {}):
+            self.store.remove("evacuations", zone)
+
+    def _begin_at_target(self, fault, undone) -> None:
+        match fault:
+            case faults.Answers(target, bad):
+                self.targets[target].script.extend(bad)
+            case faults.Hang(target):
+                self.targets[target].work_s = SLOW_WORK_S
+                undone.callback(setattr, self.targets[target], "work_s", 0.01)
+            case faults.Drain(target):
+                self.register(target, State="draining")
+                undone.callback(self.register, target)
+            case faults.Remove(target):
+                if target in self.store.objects["servers"]:
+                    self.store.remove("servers", target)
+                undone.callback(self.register, target)
+
+    def wait_all_serve(self) -> None:
+        """Waits until each VM serves a request after the last fault."""
+        for target in self.targets.values():
+            target.script.clear()
+        for name in faults.VMS:
+            waiting.until(
+                lambda name=name: self._serves(name),
+                f"{name} serves after the faults",
+            )
+
+    def _serves(self, name: str) -> bool:
+        _, answer = self.request(self.client(name), "/read/1")
+        return getattr(answer, "status", 0) == 200
+
+
+def _rule(fault: faults.Link) -> rules.Rule:
+    source = f"name:{fault.vm}" if fault.vm else "any"
+    place = f"name:{fault.place}"
+    match fault.how:
+        case "cut":
+            return rules.Rule(source, place, cut=True)
+        case "delay":
+            return rules.Rule(source, place, delay_s=DELAY_S)
+        case "silent":
+            return rules.Rule(source, place, silence_existing=True)
+    return rules.Rule(place, source, both_ways=False, freeze=True)
--- a/tests/steering_fleet.py
+++ b/standins/users_platform/fleet.py
@@ -62,6 +62,7 @@
     Attributes:
         settings: Settings of all VMs that differ from the defaults.
         store: The metadata store.
+        platform_address: Where VMs reach it.
         targets: Targets by name.
         group: All processes.
         vms: Processes of VMs by name.
@@ -72,6 +73,7 @@
         self.settings = settings
         self.store = metadata_store.MetadataStore()
         self.server = serving.start("127.0.0.1:0", self.store)
+        self.platform_address = serving.address_of(self.server)
         self.targets: dict[str, instances.Instance] = {}
         self.group = processes.ProcessGroup(directory)
         self.vms: dict[str, processes.Process] = {}
@@ -102,14 +104,21 @@
 
     def start_vm(self, name="coast-a-1", zone="coast-a"):
         """Starts a VM and waits until it is ready."""
-        if name not in self.ports:
-            ip = self.subnet.ip(1, len(self.ports) + 1)
-            self.ports[name] = {
-                f"{purpose}_address": f"{ip}:{FIRST_PORT + number}"
-                for number, purpose in enumerate(PURPOSES)
-            }
+        self.launch_vm(name, zone)
+        waiting.until(lambda: self.is_ready(name), f"{name} is ready")
+        return self.vms[name]
+
+    def launch_vm(self, name, zone, **changes):
+        """Starts a VM without a wait.
+
+        Args:
+            name: Name of the VM.
+            zone: Its availability zone.
+            **changes: Settings that differ from those of the others.
+        """
+        self.add_ports(name)
         path = self.group.directory / f"{name}.toml"
-        path.write_text(tomlkit.dumps(self._settings(name, zone)))
+        path.write_text(tomlkit.dumps(self._settings(name, zone) | changes))
         self.vms[name] = self.group.start_module(
             f"{name}-{uuid.uuid4().hex[:4]}",
             "mulberrydeck",
@@ -117,15 +126,23 @@
             "--settings",
             str(path),
         )
-        waiting.until(lambda: self.is_ready(name), f"{name} is ready")
-        return self.vms[name]
+
+    def add_ports(self, name):
+        """Gives a VM its addresses, on an IP of its own; returns the IP."""
+        if name not in self.ports:
+            ip = self.subnet.ip(1, len(self.ports) + 1)
+            self.ports[name] = {
+                f"{purpose}_address": f"{ip}:{FIRST_PORT + number}"
+                for number, purpose in enumerate(PURPOSES)
+            }
+        return self.ports[name]["caller_address"].partition(":")[0]
 
     def _settings(self, name, zone):
         return {
             "name": name,
             "zone": zone,
             "region": ZONES[zone],
-            "platform_address": serving.address_of(self.server),
+            "platform_address": self.platform_address,
             "first_start": True,
             "stop_timeout_s": 3.0,
             **self.settings,
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -1,7 +1,9 @@
 """Stand-in of a target: slots, rejections and broken answers."""
 
 import collections
+import contextlib
 import socket
+import time
 
 import attrs
 import gevent
@@ -22,12 +24,14 @@
         path: Path and query.
         fields: Header fields by lower-case name.
         body: Whole body.
+        arrived_s: When it had arrived, on the monotonic clock, in seconds.
     """
 
     method: str
     path: str
     fields: dict[str, str]
     body: bytes
+    arrived_s: float = attrs.field(factory=time.monotonic)
 
 
 class Instance:
@@ -80,13 +84,15 @@
     def _serve(self, sock, _address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connections += 1
+        with contextlib.suppress(OSError):
+            self._serve_requests(sock)
+
+    def _serve_requests(self, sock) -> None:
+        """Answers requests; `OSError` is how a caller's end shows."""
         rest = b""
         while True:
             while END_OF_HEAD not in rest:
-                data = sock.recv(RECEIVE_BYTES)
-                if not data:
-                    return
-                rest += data
+                rest += _receive(sock)
             head, _, rest = rest.partition(END_OF_HEAD)
             received, rest = self._read(sock, head, rest)
             fault = self.script.popleft() if self.script else ""
@@ -103,11 +109,11 @@
             fields[name.lower()] = value.strip()
         if fields.get("transfer-encoding") == "chunked":
             while not rest.endswith(b"0\r\n\r\n"):
-                rest += sock.recv(RECEIVE_BYTES)
+                rest += _receive(sock)
             return Received(method, path, fields, _unchunked(rest)), b""
         length = int(fields.get("content-length", 0))
         while len(rest) < length:
-            rest += sock.recv(RECEIVE_BYTES)
+            rest += _receive(sock)
         return Received(method, path, fields, rest[:length]), rest[length:]
 
     def _answer(self, sock, received: Received, fault: str) -> bool:
@@ -202,6 +208,18 @@
         return True
 
 
+def _receive(sock) -> bytes:
+    """Returns some bytes.
+
+    Raises:
+        ConnectionError: The other end has closed the connection.
+    """
+    data = sock.recv(RECEIVE_BYTES)
+    if not data:
+        raise ConnectionError("The caller has left.")
+    return data
+
+
 def _unchunked(data: bytes) -> bytes:
     pieces = []
     while True:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -9,7 +9,7 @@
 
 from standins import http_client
 from standins import waiting
-from tests import steering_fleet
+from standins.users_platform import fleet as steering_fleet
 
 
 @pytest.fixture(name="fleet")
--- a/tests/test_store_feeds.py
+++ b/tests/test_store_feeds.py
@@ -6,7 +6,7 @@
 
 from standins import http_client
 from standins import waiting
-from tests import steering_fleet
+from standins.users_platform import fleet as steering_fleet
 
 VMS = ("coast-a-1", "coast-a-2", "coast-a-3")
 SOURCE = VMS[0]
