--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,7 @@
 DRAIN_S = 3.0
 EVACUATION_S = 5.0
 APPLIED_S = 3.0
+LOSS_SLACK_S = 0.2
 LIMIT_WINDOW_S = 5.0
 LIMIT_FACTOR = 1.1
 LIMIT_EXTRA = 20
@@ -76,25 +77,38 @@
 
 def _no_call_lost(world: worlds.World, calls: list[Call]) -> Iterator[str]:
     """A VM answers what it accepted, unless it was killed or stood still."""
+    runs = _runs(world)
     for call in calls:
         if isinstance(call.answer, http_client.Answer):
             continue
-        refused = call.answer.reason.startswith("ConnectionRefused")
+        untaken = call.answer.reason.startswith("ConnectionRefused") or (
+            not runs[call.attempt_id]
+            and call.ended_s - call.sent_s <= LOSS_SLACK_S
+        )
         if not any(
-            _may_lose(one, call, refused, _back_s(one, calls))
+            _may_lose(one, call, untaken, _back_s(one, calls))
             for one in world.happened
         ):
             yield f"{call.attempt_id} at {call.vm}: {call.answer.reason}"
 
 
 def _may_lose(
-    one: worlds.Happened, call: Call, refused: bool, back_s: float
+    one: worlds.Happened, call: Call, untaken: bool, back_s: float
 ) -> bool:
+    """Returns whether a fault explains a call without an answer.
+
+    Args:
+        one: The fault.
+        call: The call.
+        untaken: Whether it met a VM that is gone, or crossed the close of an
+            idle connection and was not passed on.
+        back_s: When the VM first answered after the fault.
+    """
     match one.fault:
         case faults.Kill(vm) | faults.Pause(vm):
             allowed = vm == call.vm
         case faults.Stop(vm):
-            allowed = vm == call.vm and refused
+            allowed = vm == call.vm and untaken
         case _:
             allowed = False
     return allowed and one.begun_s <= call.ended_s and call.sent_s <= back_s
