Leave targets that take several times as long as others

Ruled out: a shorter queue (measured before: same), reported load (it is full either way). A VM now keeps the mean time of each route and each target's time beside it; targets above 2.5 times are passed over for 4 s while others have room.

--- a/mulberrydeck/emulator/day.py
+++ b/mulberrydeck/emulator/day.py
@@ -82,6 +82,8 @@
         """Plays the day and returns what callers got."""
         for vm in self.vms.values():
             self._tick(vm)
+        for slowdown in self.scenario.slowdowns:
+            self._plan_slowdown(slowdown)
         self.clock.run(LEAD_S)
         callers.start(self)
         last_s = max(one.deadline_s for one in self.scenario.classes)
@@ -119,6 +121,23 @@
         self.submit(vm, events.Ticked(self.clock.now_s))
         self.clock.after(TICK_S, lambda: self._tick(vm))
 
+    def _plan_slowdown(self, slowdown: scenarios.Slowdown) -> None:
+        """Plans the times at which targets become slow, and are so no more."""
+
+        def set_slowness(slowness: float) -> None:
+            for target in chosen:
+                target.slowness = slowness
+
+        chosen = [
+            target
+            for number, target in enumerate(self.targets.values())
+            if (number * slowdown.part) % 1.0 + slowdown.part >= 1.0
+        ]
+        begin_s = LEAD_S + slowdown.at_s
+        self.clock.after(begin_s, lambda: set_slowness(slowdown.factor))
+        end_s = begin_s + slowdown.for_s
+        self.clock.after(end_s, lambda: set_slowness(1.0))
+
     def _make_targets(self) -> dict[str, emulated.EmulatedTarget]:
         made = {}
         for group in self.scenario.targets:
--- a/mulberrydeck/emulator/scenario.py
+++ b/mulberrydeck/emulator/scenario.py
@@ -91,6 +91,23 @@
     account: str = ""
 
 
+@attrs.frozen
+class Slowdown:
+    """Makes some targets of each service slow for a while.
+
+    Attributes:
+        at_s: Its beginning, in seconds.
+        for_s: Its duration, in seconds.
+        part: Part of the targets of each service and zone.
+        factor: Times the usual work.
+    """
+
+    at_s: float
+    for_s: float
+    part: float
+    factor: float
+
+
 @attrs.frozen
 class Scenario:
     """A day of load.
@@ -103,6 +120,7 @@
         classes: All kinds of requests.
         accounts: All client accounts.
         surges: Deviations from the usual load.
+        slowdowns: Times in which targets are slow.
         wave: Relative swing of each region's load.
         wave_period_s: Period of the waves, in seconds.
         near_s: One way between zones of a region, in seconds.
@@ -117,6 +135,7 @@
     classes: tuple[RequestClass, ...]
     accounts: tuple[AccountPlan, ...] = (AccountPlan("acme"),)
     surges: tuple[Surge, ...] = ()
+    slowdowns: tuple[Slowdown, ...] = ()
     wave: float = 0.5
     wave_period_s: float = 36.0
     near_s: float = 0.0005
--- a/mulberrydeck/emulator/targets.py
+++ b/mulberrydeck/emulator/targets.py
@@ -40,6 +40,7 @@
         work_s: Work done so far, in seconds.
         unknown: Requests for objects that it did not remember.
         runs: Requests that were run.
+        slowness: Times the usual work that it needs now.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.work_s = 0.0
         self.unknown = 0
         self.runs = 0
+        self.slowness = 1.0
 
     @property
     def load(self) -> int:
@@ -90,7 +92,7 @@
         if len(self.known) > self.group.remembered:
             self.known.popitem(last=False)
         spread = max(0.2, self.rng.gauss(1.0, WORK_SPREAD))
-        work_s = job.wanted.work_s * factor * spread
+        work_s = job.wanted.work_s * factor * spread * self.slowness
         self.work_s += work_s
         self.clock.after(work_s, lambda: self._end(job))
 
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -79,7 +79,8 @@
 
     All VMs rank the targets of an object alike. The first ranked, its owner,
     knows the object and serves it while its queue is short; then the next one
-    that is nearly idle does.
+    that is nearly idle does. Slow targets get requests only when no other one
+    takes them.
 
     Args:
         book: Known targets.
@@ -93,6 +94,10 @@
         for target in ranked
         if _is_warm_enough(pacer, now_s, target, wanted)
     ]
+    slow = [target for target in warm if target.pace.is_slow(now_s)]
+    if slow:
+        warm = [target for target in warm if target not in slow]
+        warm += slow
     if warm and _filled(warm[0], now_s) < 1 + QUEUE_PER_SLOT:
         return Chosen(warm[0], "owner")
     for target in warm[1:]:
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -6,6 +6,7 @@
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import members
+from mulberrydeck.steering import paces
 from mulberrydeck.steering import pacing
 from mulberrydeck.steering import placement
 from mulberrydeck.steering import state as states
@@ -170,6 +171,7 @@
     if target.is_cold(state.now_s):
         state.pacer.sent(state.now_s, target.entry.name, cold_rate_per_s)
     request.target = target
+    request.attempt_s = state.now_s
     inputs = {
         "why": reason,
         "service": request.service,
@@ -201,6 +203,7 @@
     target = request.target
     request.target = None
     target.in_flight -= 1
+    _observe_pace(state, request, target, event)
     produced = _observe(state, target, event)
     final = _final_answer(state, request, event)
     if final is not None:
@@ -241,6 +244,20 @@
     return None if _may_retry(state, request, event) else final
 
 
+def _observe_pace(
+    state: states.State,
+    request: states.Request,
+    target: targets.Target,
+    event: events.AttemptEnded,
+) -> None:
+    """Notes how long an attempt took, if the target worked on it."""
+    if event.outcome not in (Outcome.ANSWERED, Outcome.EXPIRED):
+        return
+    taken_s = state.now_s - request.attempt_s
+    relative = state.route_times.relative(request.route.name, taken_s)
+    paces.observe(target.pace, state.now_s, relative)
+
+
 def _observe(
     state: states.State, target: targets.Target, event: events.AttemptEnded
 ) -> Effects:
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -9,6 +9,7 @@
 from mulberrydeck.steering import feeding
 from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import members
+from mulberrydeck.steering import paces
 from mulberrydeck.steering import pacing
 from mulberrydeck.steering import placement
 from mulberrydeck.steering import settings as settings_module
@@ -31,6 +32,7 @@
         arrived_s: When its head was read, in seconds.
         ends_s: When the final answer is due, in seconds.
         target: Target of the running attempt, or None.
+        attempt_s: When that attempt began, in seconds.
         sent: Attempts sent so far.
         tried: Names of targets that were tried.
         may_have_run: Whether an attempt ended with an unknown outcome.
@@ -46,6 +48,7 @@
     arrived_s: float
     ends_s: float
     target: targets.Target | None = None
+    attempt_s: float = 0.0
     sent: int = 0
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
@@ -77,6 +80,7 @@
         quota: This VM's part of account limits.
         pacer: Spaces requests to cold targets.
         retry_budgets: This VM's part of each service's retries.
+        route_times: Mean times of requests.
         requests: Requests in progress by identifier.
         lost_kinds: Kinds of objects that cannot be followed, with the time
             since when, in seconds.
@@ -93,6 +97,7 @@
     pacer: pacing.ColdPacer
     table: tables.RoutingTable | None = None
     retry_budgets: dict[str, pacing.RetryBudget] = attrs.field(factory=dict)
+    route_times: paces.RouteTimes = attrs.field(factory=paces.RouteTimes)
     requests: dict[str, Request] = attrs.field(factory=dict)
     lost_kinds: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -8,6 +8,7 @@
 
 from mulberrydeck.routing import detectors
 from mulberrydeck.routing import hashing
+from mulberrydeck.steering import paces
 from mulberrydeck.steering import registry
 
 # A third of the usual work of a request: others' requests fade from the
@@ -41,6 +42,7 @@
         failures: Failed connections in a row.
         outcomes: Latest outcomes of requests.
         missing_since_s: When its entry was found missing, in seconds.
+        pace: How long its requests take, beside those of others.
     """
 
     entry: registry.TargetEntry
@@ -56,6 +58,7 @@
         factory=detectors.FailureWindow
     )
     missing_since_s: float | None = None
+    pace: paces.Pace = attrs.field(factory=paces.Pace)
 
     def load(self, now_s: float) -> float:
         """Returns the estimated number of requests at the target."""
