Deliver a failed answer that no target can better

Cause: only attempts without an answer were noted as «may have run», and the answer that was there was dropped. It is delivered now; once another attempt has replaced it, the refusal says that the outcome is unknown. Both tests failed before.

--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -208,7 +208,15 @@
     final = _final_answer(state, request, event)
     if final is not None:
         return [*produced, final]
-    return [*produced, *_place(state, request)]
+    placed = _place(state, request)
+    if event.outcome is Outcome.ANSWERED and _is_refused(placed):
+        # No target can better the failed answer that is there.
+        placed = [effects.Deliver(request.request_id)]
+    return [*produced, *placed]
+
+
+def _is_refused(produced: Effects) -> bool:
+    return any(isinstance(one, effects.Refuse) for one in produced)
 
 
 def _final_answer(
@@ -218,6 +226,7 @@
     match event.outcome:
         case Outcome.ANSWERED:
             if event.status >= SERVER_ERROR and request.repeatable:
+                request.may_have_run = True
                 return _unless_retried(
                     state, request, event, effects.Deliver(request.request_id)
                 )
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -135,6 +135,21 @@
     assert isinstance(delivered, effects.Deliver)
 
 
+def test_a_failed_answer_that_no_target_can_better_is_delivered():
+    vm = samples.Vm(entries=entries(1))
+    vm.arrive()
+    decision = vm.end("r1", Outcome.ANSWERED, status=500)
+    assert isinstance(decision, effects.Deliver)
+
+
+def test_after_a_failed_answer_nothing_is_called_not_run():
+    vm = samples.Vm(entries=entries(2))
+    vm.arrive()
+    vm.end("r1", Outcome.ANSWERED, status=500)
+    decision = vm.end("r1", Outcome.REJECTED, status=503)
+    assert decision.kind == "outcome-unknown"
+
+
 def test_a_failed_answer_of_a_single_run_is_delivered():
     vm = samples.Vm(once_table(), entries())
     vm.arrive()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,8 @@
     (21, False),
     # A request crossed the close of an idle connection at a planned stop.
     (11, True),
+    # A failed answer that was to be bettered was replaced by "not run".
+    (128, False),
 )
 
 
