--- a/soak/world.py
+++ b/soak/world.py
@@ -9,6 +9,7 @@
 import gevent
 
 from soak import faults
+from standins import processes
 from standins import waiting
 from standins.fault_proxy import proxy as proxies
 from standins.fault_proxy import rules
@@ -135,6 +136,7 @@
                 path = self.group.directory / f"{vm}.toml"
                 path.write_text(path.read_text() + "\n")
                 if signalled:
+                    _wait_heeded(self.vms[vm])
                     self.vms[vm].send_signal(signal.SIGHUP)
             case faults.Link():
                 rule = self.proxy.add(_rule(fault))
@@ -151,6 +153,7 @@
 
     def _begin_at_vm(self, fault, vm: str, undone) -> None:
         process = self.vms[vm]
+        _wait_heeded(process)
         match fault:
             case faults.Kill():
                 process.kill()
@@ -219,6 +222,26 @@
         return getattr(answer, "status", 0) == 200
 
 
+def _wait_heeded(process: processes.Process) -> None:
+    """Waits until a process has taken charge of its signals, or has ended.
+
+    No program can heed a signal that comes before its first line.
+    """
+    waiting.until(
+        lambda: not process.is_running() or _heeds_signals(process.pid),
+        f"{process.name} heeds signals",
+    )
+
+
+def _heeds_signals(pid: int) -> bool:
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    heeded = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+    return all(
+        heeded >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM)
+    )
+
+
 def _rule(fault: faults.Link) -> rules.Rule:
     source = f"name:{fault.vm}" if fault.vm else "any"
     place = f"name:{fault.place}"
