Close the transport before a stopped process ends

Cause: the messaging library's context was left to the interpreter's end, which waits for its sockets while others still send. Ruled out: a request in progress (none was left).

--- a/mulberrydeck/peers/transport.py
+++ b/mulberrydeck/peers/transport.py
@@ -64,15 +64,15 @@
         self.secret = secret.encode()
         self.deliver = deliver
         self.metrics = metrics
-        self._context = zmq.green.Context()
-        self._plain_context = zmq.Context(self._context)
+        self.context = zmq.green.Context()
+        self._plain_context = zmq.Context(self.context)
         self._pull = None
         self._push_by_peer: dict[str, zmq.Socket] = {}
         self._reader = None
 
     def start(self) -> None:
         """Binds the listening socket and starts reading."""
-        self._pull = self._context.socket(zmq.PULL)
+        self._pull = self.context.socket(zmq.PULL)
         self._configure(self._pull)
         self._pull.setsockopt(zmq.MAXMSGSIZE, 2 * codec.MAX_MESSAGE_BYTES)
         self._pull.bind(f"tcp://{self.listen_address}")
@@ -86,6 +86,8 @@
             self.disconnect(name, linger_ms=200)
         if self._pull is not None:
             self._pull.close(linger=0)
+        # Left to the interpreter's end, this takes seconds while others send.
+        self.context.term()
 
     def connect(self, name: str, address: str) -> None:
         """Opens a connection to a peer, replacing an earlier one."""
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -293,6 +293,8 @@
         if now_s() < finish_by_s:
             with gevent.Timeout(DEREGISTER_TIMEOUT_S, False):
                 self._registration().deregister()
+        if self.peers is not None:
+            self.peers.stop()
         self.reports.write(
             "steer",
             "Stopped.",
