Split the part that follows the store by its three jobs

They are following, sources and registration now, and the pause between failed calls stands in backoff, which two of them use. The two checks of a failed call's error are one. Behaviour is as it was.

--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -21,13 +21,15 @@
 from mulberrydeck.shell import event_loop
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import following
 from mulberrydeck.steering import reducer
+from mulberrydeck.steering import registration
 from mulberrydeck.steering import registry
 from mulberrydeck.steering import reporting
 from mulberrydeck.steering import serving
 from mulberrydeck.steering import settings as settings_module
+from mulberrydeck.steering import sources
 from mulberrydeck.steering import state as states
-from mulberrydeck.steering import syncing
 
 CONNECT_TIMEOUT_S = 0.25  # Six round trips between distant regions.
 TARGET_IDLE_S = 8.0  # For targets that name no timeout of their own.
@@ -102,9 +104,9 @@
             probe=True,
         )
         self.client = stores.StoreClient(settings.platform_address, store_pool)
-        self.sources = syncing.Sources(self.reports)
+        self.sources = sources.Sources(self.reports)
         self.peers: transport.PeerTransport | None = None
-        self.following = syncing.Following(
+        self.following = following.Following(
             self.client,
             self.loop,
             self.reports,
@@ -187,12 +189,12 @@
 
     def _join(self) -> None:
         """Registers this VM and follows the list of the others."""
-        registration = self._registration()
-        secret = registration.fleet_secret()
+        registered = self._registration()
+        secret = registered.fleet_secret()
         if self.peers is None:
             self.peers = self._make_transport(secret)
             self.peers.start()
-        registration.register()
+        registered.register()
         self.following.add(self.sources.vms())
 
     def _make_transport(self, secret: str) -> transport.PeerTransport:
@@ -205,8 +207,10 @@
             self.reports,
         )
 
-    def _registration(self) -> syncing.Registration:
-        return syncing.Registration(self.client, self._record(), self.reports)
+    def _registration(self) -> registration.Registration:
+        return registration.Registration(
+            self.client, self._record(), self.reports
+        )
 
     def _record(self) -> registry.VmRecord:
         settings = self.settings
--- /dev/null
+++ b/mulberrydeck/steering/sources.py
@@ -0,0 +1,189 @@
+"""Turns objects of the store into events, kind by kind."""
+
+from collections.abc import Callable
+
+import attrs
+
+from mulberrydeck.platform import documents
+from mulberrydeck.platform import store as stores
+from mulberrydeck.steering import events
+from mulberrydeck.steering import registry
+from mulberrydeck.steering import reporting
+
+# Changes that come close together, as in a release, cost one call. Well below
+# the seconds that a target has until it must be left.
+TARGETS_REST_S = 0.1
+# Fleets start and restart within seconds; nothing is urgent in their list.
+VMS_REST_S = 1.0
+
+
+@attrs.frozen
+class Followed:
+    """How objects of a kind become events.
+
+    Attributes:
+        kind: Kind of the objects.
+        listed: Returns the events of a complete list.
+        changed: Returns the events of one change.
+        stale: Whether data may be seconds old, which is cheaper.
+        rest_s: Pause after changes, in seconds.
+    """
+
+    kind: str
+    listed: Callable[[float, stores.Listing], list[object]]
+    changed: Callable[[float, stores.Change], list[object]]
+    stale: bool = False
+    rest_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class Sources:
+    """Turns stored objects into events of the reducer.
+
+    Attributes:
+        reports: Log lines of objects that are ignored.
+        zones: Evacuated zones.
+        records: Registered VMs by name.
+    """
+
+    reports: reporting.Reports
+    zones: set[str] = attrs.field(factory=set)
+    records: dict[str, registry.VmRecord] = attrs.field(factory=dict)
+
+    def work(self) -> tuple[Followed, ...]:
+        """Returns the kinds that requests depend on."""
+        return (
+            Followed(
+                documents.CONFIGURATION_KIND,
+                self._configurations,
+                self._configuration_changed,
+            ),
+            Followed(
+                documents.TARGETS_KIND,
+                self._targets,
+                self._target_changed,
+                rest_s=TARGETS_REST_S,
+            ),
+            Followed(
+                documents.EVACUATIONS_KIND,
+                self._evacuations,
+                self._evacuation_changed,
+            ),
+        )
+
+    def vms(self) -> Followed:
+        """Returns the kind that lists the entry VMs."""
+        return Followed(
+            documents.VMS_KIND,
+            self._vms,
+            self._vm_changed,
+            stale=True,
+            rest_s=VMS_REST_S,
+        )
+
+    def _configurations(
+        self, now_s: float, listing: stores.Listing
+    ) -> list[object]:
+        produced: list[object] = []
+        for stored in listing.objects:
+            produced += self._configuration(now_s, stored)
+        return produced
+
+    def _configuration_changed(
+        self, now_s: float, change: stores.Change
+    ) -> list[object]:
+        if change.deleted:
+            return []
+        return self._configuration(now_s, change.stored)
+
+    def _configuration(
+        self, now_s: float, stored: documents.StoredObject
+    ) -> list[object]:
+        if stored.metadata.name != documents.CONFIGURATION_NAME:
+            return []
+        try:
+            table = documents.configuration(stored)
+        except documents.UnreadableError as error:
+            self._ignored(documents.CONFIGURATION_KIND, stored, error)
+            return []
+        revision = stored.metadata.revision
+        return [events.TableLoaded(now_s, table, revision)]
+
+    def _targets(self, now_s: float, listing: stores.Listing) -> list[object]:
+        entries = []
+        for stored in listing.objects:
+            try:
+                entries.append(documents.target(stored))
+            except documents.UnreadableError as error:
+                self._ignored(documents.TARGETS_KIND, stored, error)
+        return [events.TargetsListed(now_s, tuple(entries), listing.revision)]
+
+    def _target_changed(
+        self, now_s: float, change: stores.Change
+    ) -> list[object]:
+        stored = change.stored
+        name = stored.metadata.name
+        revision = stored.metadata.revision
+        if change.deleted:
+            return [events.TargetRemoved(now_s, name, revision)]
+        try:
+            entry = documents.target(stored)
+        except documents.UnreadableError as error:
+            self._ignored(documents.TARGETS_KIND, stored, error)
+            return [events.TargetRemoved(now_s, name, revision)]
+        return [events.TargetChanged(now_s, entry, revision)]
+
+    def _evacuations(
+        self, now_s: float, listing: stores.Listing
+    ) -> list[object]:
+        self.zones = {stored.metadata.name for stored in listing.objects}
+        return [self._evacuated(now_s, listing.revision)]
+
+    def _evacuation_changed(
+        self, now_s: float, change: stores.Change
+    ) -> list[object]:
+        zone = change.stored.metadata.name
+        if change.deleted:
+            self.zones.discard(zone)
+        else:
+            self.zones.add(zone)
+        return [self._evacuated(now_s, change.stored.metadata.revision)]
+
+    def _evacuated(self, now_s: float, revision: int) -> events.ZonesEvacuated:
+        return events.ZonesEvacuated(now_s, frozenset(self.zones), revision)
+
+    def _vms(self, now_s: float, listing: stores.Listing) -> list[object]:
+        self.records = {}
+        for stored in listing.objects:
+            self._note_vm(stored)
+        return [self._vms_listed(now_s, listing.revision)]
+
+    def _vm_changed(self, now_s: float, change: stores.Change) -> list[object]:
+        if change.deleted:
+            self.records.pop(change.stored.metadata.name, None)
+        else:
+            self._note_vm(change.stored)
+        return [self._vms_listed(now_s, change.stored.metadata.revision)]
+
+    def _note_vm(self, stored: documents.StoredObject) -> None:
+        try:
+            record = documents.vm_record(stored)
+        except documents.UnreadableError as error:
+            self._ignored(documents.VMS_KIND, stored, error)
+            return
+        self.records[record.name] = record
+
+    def _vms_listed(self, now_s: float, revision: int) -> events.VmsListed:
+        return events.VmsListed(now_s, tuple(self.records.values()), revision)
+
+    def _ignored(
+        self, kind: str, stored: documents.StoredObject, error: Exception
+    ) -> None:
+        self.reports.write(
+            "store",
+            "An object was ignored.",
+            kind=kind,
+            object=stored.metadata.name,
+            revision=stored.metadata.revision,
+            reason=str(error),
+        )
