--- a/mulberrydeck/emulator/callers.py
+++ b/mulberrydeck/emulator/callers.py
@@ -113,7 +113,6 @@
         event = events.RequestArrived(
             now_s,
             self.request_id,
-            self.request_id,
             self.day.host,
             f"/{self.wish.kind.name}/1",
             self.wish.account,
--- a/mulberrydeck/emulator/day.py
+++ b/mulberrydeck/emulator/day.py
@@ -128,6 +128,7 @@
             for target in chosen:
                 target.slowness = slowness
 
+        # Evenly spaced, so that every service and zone has its part.
         chosen = [
             target
             for number, target in enumerate(self.targets.values())
--- a/mulberrydeck/forward/answers.py
+++ b/mulberrydeck/forward/answers.py
@@ -40,6 +40,11 @@
         """Whether the final answer was parsed to its end."""
         return self.message_complete and self.get_code() >= 200
 
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether the connection can carry another request."""
+        return self.complete and not self.surplus and not self.should_close()
+
     @property
     def declared_length(self) -> int | None:
         """Body length that the head declares, in bytes; None if unknown."""
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -239,9 +239,7 @@
     def _may_reuse(self, attempt: Attempt) -> bool:
         return (
             attempt.status > 0
-            and self.parser.complete
-            and not self.parser.surplus
-            and not self.parser.should_close()
+            and self.parser.keeps_connection
             and self.upload.finished
         )
 
--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -79,13 +79,11 @@
     Attributes:
         address: `ip:port` of the store.
         pool: Source of connections.
-        calls: Calls made so far, for metrics.
     """
 
     def __init__(self, address: str, pool: pools.ConnectionPool) -> None:
         self.address = address
         self.pool = pool
-        self.calls = 0
 
     @_reports
     def list(self, kind: str) -> Listing:
@@ -145,26 +143,26 @@
         self, kind: str, name: str, spec: object
     ) -> documents.StoredObject:
         """Creates an object; fails with `ConflictError` if it exists."""
-        body = {"Metadata": {"Name": name}, "Spec": spec}
-        return documents.stored_object(
-            self._call("POST", _path(kind), body=body)
-        )
+        return self._write("POST", _path(kind), name, spec)
 
     @_reports
     def replace(
         self, kind: str, name: str, spec: object
     ) -> documents.StoredObject:
         """Replaces an object, whatever its revision."""
-        body = {"Metadata": {"Name": name}, "Spec": spec}
-        return documents.stored_object(
-            self._call("PUT", _path(kind, name), body=body)
-        )
+        return self._write("PUT", _path(kind, name), name, spec)
 
     @_reports
     def delete(self, kind: str, name: str) -> None:
         """Removes an object."""
         self._call("DELETE", _path(kind, name))
 
+    def _write(
+        self, method: str, path: str, name: str, spec: object
+    ) -> documents.StoredObject:
+        body = {"Metadata": {"Name": name}, "Spec": spec}
+        return documents.stored_object(self._call(method, path, body=body))
+
     def _call(
         self,
         method: str,
@@ -173,7 +171,6 @@
         body: object = None,
     ) -> bytes:
         """Returns the body of a successful answer."""
-        self.calls += 1
         try:
             connection = self.pool.acquire(self.address, timeout_s)
         except pools.ConnectError as error:
@@ -183,7 +180,7 @@
             connection.sock.settimeout(timeout_s)
             connection.sock.sendall(self._encode(method, path, body))
             parser = self._receive(connection, method, timeout_s)
-            reusable = not parser.surplus and not parser.should_close()
+            reusable = parser.keeps_connection
         except (OSError, answers.response.HTTPParseError) as error:
             reason = str(error) or type(error).__name__
             raise errors.PlatformOutcomeUnknownError(reason) from error
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -141,7 +141,6 @@
 
     Attributes:
         request_id: Unique identifier of this handling.
-        attempt_id: Identifier that the caller gave it.
         host: Host that the caller named.
         path: Path without query.
         key: Key that the caller presented, or empty.
@@ -152,7 +151,6 @@
 
     at_s: float
     request_id: str
-    attempt_id: str
     host: str
     path: str
     key: str
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -18,11 +18,8 @@
 from mulberrydeck.steering import events
 from mulberrydeck.steering import foreign
 
-RECEIVE_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 256 * 1024
 # Answers up to this size are held back until they are whole.
 MAX_HELD_BYTES = 256 * 1024
-MIN_WAIT_S = 0.001
 # A target closes idle connections on its own clock; leave it some room.
 KEEP_ALIVE_PART = 0.7
 # A target may forget an idle connection without notice; a single run that is
@@ -186,7 +183,7 @@
         received = 0
         while not self.parser.head_complete:
             received += self._receive(connection)
-            if received > MAX_HEAD_BYTES:
+            if received > exchanges.MAX_HEAD_BYTES:
                 raise BrokenAnswerError("the answer head is too large")
             if self.parser.get_code() == answers.SWITCHING_PROTOCOLS:
                 raise BrokenAnswerError("unexpected upgrade")
@@ -243,9 +240,9 @@
         left_s = self.hop.ends_s - self.now_s()
         if left_s <= 0:
             raise DeadlineError("the answer was due")
-        connection.sock.settimeout(max(MIN_WAIT_S, left_s))
+        connection.sock.settimeout(max(exchanges.MIN_WAIT_S, left_s))
         try:
-            data = connection.sock.recv(RECEIVE_BYTES)
+            data = connection.sock.recv(exchanges.RECEIVE_BYTES)
         except TimeoutError as error:
             if self.now_s() < self.hop.ends_s:
                 raise  # The kernel gave the connection up.
@@ -256,14 +253,12 @@
         return len(data)
 
     def _left_s(self) -> float:
-        return max(MIN_WAIT_S, self.hop.ends_s - self.now_s())
+        return max(exchanges.MIN_WAIT_S, self.hop.ends_s - self.now_s())
 
     def _may_reuse(self, attempt: Attempt) -> bool:
         return (
             attempt.status > 0
-            and self.parser.complete
-            and not self.parser.surplus
-            and not self.parser.should_close()
+            and self.parser.keeps_connection
             and self.upload.finished
         )
 
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -121,7 +121,7 @@
     Attributes:
         mirrors: What this VM knows of each kind, while it follows the store.
         waiting: Asks that wait for news, by VM.
-        lost_s: Since when the store cannot be followed, in seconds, or None.
+        is_lost: Whether the store cannot be followed.
         regained_s: When it could be followed again, in seconds.
     """
 
@@ -136,7 +136,7 @@
         self.reports = reports
         self.mirrors: dict[str, Mirror] = {}
         self.waiting: dict[str, _Waiting] = {}
-        self.lost_s: float | None = None
+        self.is_lost = False
         self.regained_s = -math.inf
 
     def listed(self, kind: str, listing: stores.Listing) -> None:
@@ -152,15 +152,15 @@
 
     def lost(self) -> None:
         """Tells the followers that the store cannot be followed."""
-        if self.lost_s is None:
-            self.lost_s = self.now_s()
+        if not self.is_lost:
+            self.is_lost = True
             for name in list(self.waiting):
                 self._finish(name)
 
     def regained(self) -> None:
         """Notes that the store can be followed again."""
-        if self.lost_s is not None:
-            self.lost_s = None
+        if self.is_lost:
+            self.is_lost = False
             self.regained_s = self.now_s()
 
     def stop(self) -> None:
@@ -199,7 +199,7 @@
     ) -> None:
         del self.waiting[name]
         answer = messages.FeedAnswer(
-            reaches_store=bool(self.mirrors) and self.lost_s is None,
+            reaches_store=bool(self.mirrors) and not self.is_lost,
             regained_age_s=self.now_s() - self.regained_s,
             parts=parts,
         )
--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -71,16 +71,15 @@
         own: What this VM says of itself.
         lenders: VMs of which it holds loans.
     """
-    is_mesh = fleet.is_mesh
-    schedule.next_s = now_s + _interval_s(fleet, is_mesh)
+    schedule.next_s = now_s + _interval_s(fleet)
     schedule.rounds += 1
     produced: list[object] = [
         quota_effects.SendMessage(
             name, attrs.evolve(own, holds_loans=name in lenders)
         )
-        for name in _receivers(schedule, fleet, is_mesh)
+        for name in _receivers(schedule, fleet)
     ]
-    if not is_mesh:
+    if not fleet.is_mesh:
         digest = _digest(fleet, now_s, own)
         produced += [
             quota_effects.SendMessage(name, digest)
@@ -90,40 +89,41 @@
     return produced
 
 
-def answer(
-    sender: str,
-    known_incarnation: str,
-    beat: messages.SteeringBeat,
-    own: messages.SteeringBeat,
-    lenders: frozenset[str],
-) -> list[object]:
-    """Answers a process that was not heard before, or that asks for it.
+def wants_answer(peer: members.Peer, beat: messages.SteeringBeat) -> bool:
+    """Returns whether a process was not heard before, or asks for an answer.
 
     Args:
-        sender: Name of the VM that sent a heartbeat.
-        known_incarnation: Its process as known before.
+        peer: The VM as known before.
         beat: What it says of itself.
+    """
+    return beat.joining or peer.incarnation != beat.incarnation
+
+
+def answer(
+    sender: str, own: messages.SteeringBeat, lenders: frozenset[str]
+) -> quota_effects.SendMessage:
+    """Returns the answer to a heartbeat.
+
+    Args:
+        sender: Name of the VM that sent it.
         own: What this VM says of itself.
         lenders: VMs of which this one holds loans.
     """
-    if not beat.joining and known_incarnation == beat.incarnation:
-        return []
     answered = attrs.evolve(own, holds_loans=sender in lenders, joining=False)
-    return [quota_effects.SendMessage(sender, answered)]
+    return quota_effects.SendMessage(sender, answered)
 
 
-def _interval_s(fleet: members.Fleet, is_mesh: bool) -> float:
+def _interval_s(fleet: members.Fleet) -> float:
     interval_s = fleet.settings.beat_interval_s
     if fleet.cleared:
         return interval_s
-    joining_s = JOINING_INTERVAL_S if is_mesh else JOINING_IN_ZONES_INTERVAL_S
-    return min(interval_s, joining_s)
+    if fleet.is_mesh:
+        return min(interval_s, JOINING_INTERVAL_S)
+    return min(interval_s, JOINING_IN_ZONES_INTERVAL_S)
 
 
-def _receivers(
-    schedule: Schedule, fleet: members.Fleet, is_mesh: bool
-) -> list[str]:
-    if is_mesh or schedule.to_all:
+def _receivers(schedule: Schedule, fleet: members.Fleet) -> list[str]:
+    if fleet.is_mesh or schedule.to_all:
         return list(fleet.peers)
     zone = fleet.settings.zone
     return [
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -217,6 +217,11 @@
     return base + (index < rest)
 
 
+def limited(table: tables.RoutingTable) -> list[tables.Account]:
+    """Returns the client accounts that have a limit."""
+    return [one for one in table.accounts.values() if one.rate_per_s > 0]
+
+
 def bounds(table: tables.RoutingTable) -> tuple[quota_state.Bound, ...]:
     """Returns the limits of client accounts as bounds over all VMs."""
     return tuple(
@@ -226,8 +231,7 @@
             account.rate_per_s,
             max(1.0, account.burst),
         )
-        for account in table.accounts.values()
-        if account.rate_per_s > 0
+        for account in limited(table)
     )
 
 
--- a/mulberrydeck/steering/paces.py
+++ b/mulberrydeck/steering/paces.py
@@ -41,7 +41,7 @@
 
     def is_slow(self, now_s: float) -> bool:
         """Returns whether requests had better go elsewhere."""
-        return self.at(now_s) > SLOW
+        return self.slowness > SLOW and self.at(now_s) > SLOW
 
 
 @attrs.define
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -94,10 +94,7 @@
         for target in ranked
         if _is_warm_enough(pacer, now_s, target, wanted)
     ]
-    slow = [target for target in warm if target.pace.is_slow(now_s)]
-    if slow:
-        warm = [target for target in warm if target not in slow]
-        warm += slow
+    warm.sort(key=lambda target: target.pace.is_slow(now_s))
     if warm and _filled(warm[0], now_s) < 1 + QUEUE_PER_SLOT:
         return Chosen(warm[0], "owner")
     for target in warm[1:]:
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -126,23 +126,17 @@
 def _configure_quota(state: states.State) -> None:
     if state.table is None:
         return
-    bounds = members.bounds(state.table)
     units: dict[str, int] = {}
     state.quota.owners = {}
-    for account in state.table.accounts.values():
+    for account in members.limited(state.table):
         resource = members.resource_of(account.name)
         owners = members.holders(state.fleet, account)
         units[resource] = members.own_units(state.fleet, owners)
         state.quota.owners[resource] = frozenset(owners)
     no_loans = state.settings.first_start or state.fleet.cleared
     first = state.now_s if no_loans else float("inf")
-    quota.configure(
-        state.quota,
-        state.now_s,
-        bounds,
-        units,
-        first,
-    )
+    bounds = members.bounds(state.table)
+    quota.configure(state.quota, state.now_s, bounds, units, first)
 
 
 def _entry_log(event: events.TargetChanged) -> effects.Log:
@@ -210,7 +204,8 @@
 
 def _ticked(state: states.State) -> Effects:
     is_beat_due = heartbeats.is_due(state.beat_schedule, state.now_s)
-    produced = [*_heartbeat(state), *_follow(state)]
+    produced = _heartbeat(state) if is_beat_due else []
+    produced += _follow(state)
     if members.found_clear(state.fleet, state.now_s):
         quota.no_loans_left(state.quota, state.now_s)
         produced.append(
@@ -231,8 +226,6 @@
 
 
 def _heartbeat(state: states.State) -> Effects:
-    if not heartbeats.is_due(state.beat_schedule, state.now_s):
-        return []
     return heartbeats.send(
         state.beat_schedule,
         state.fleet,
@@ -260,15 +253,11 @@
     peer = state.fleet.peers.get(sender)
     if peer is None:
         return []
-    answered = heartbeats.answer(
-        sender,
-        peer.incarnation,
-        beat,
-        _own_beat(state),
-        quota.lenders(state.quota),
-    )
-    noted = members.heard(state.fleet, state.now_s, sender, beat)
-    return [*answered, *noted]
+    produced: Effects = []
+    if heartbeats.wants_answer(peer, beat):
+        lenders = quota.lenders(state.quota)
+        produced.append(heartbeats.answer(sender, _own_beat(state), lenders))
+    return produced + members.heard(state.fleet, state.now_s, sender, beat)
 
 
 def _peer_received(state: states.State, event: events.PeerReceived) -> Effects:
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -63,7 +63,6 @@
         digest = hashing.digest(f"{route.name}\n{event.object_key}")
     request = states.Request(
         request_id=event.request_id,
-        attempt_id=event.attempt_id,
         route=route,
         account=account,
         service=route.pick_service(state.rng),
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -79,7 +79,6 @@
         event = events.RequestArrived(
             at_s=arrived_s,
             request_id=request.handling_id,
-            attempt_id=said.attempt_id,
             host=said.host,
             path=request.path,
             key=said.key,
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -23,7 +23,6 @@
 
     Attributes:
         request_id: Unique identifier of this handling.
-        attempt_id: Identifier that the caller gave it.
         route: Its route.
         account: Its client account, or None on public routes.
         service: Service that must run it.
@@ -39,7 +38,6 @@
     """
 
     request_id: str
-    attempt_id: str
     route: tables.Route
     account: tables.Account | None
     service: str
--- a/mulberrydeck/steering/tests/samples.py
+++ b/mulberrydeck/steering/tests/samples.py
@@ -98,7 +98,6 @@
         self.requests += 1
         values = {
             "request_id": f"r{self.requests}",
-            "attempt_id": f"a{self.requests}",
             "host": "permits.example",
             "path": path,
             "key": "",
