--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -239,7 +239,9 @@
 
     def _tick(self) -> None:
         while True:
+            due_s = now_s() + self.settings.tick_interval_s
             gevent.sleep(self.settings.tick_interval_s)
+            self.reports.ticked(now_s() - due_s)
             self.loop.submit(events.Ticked(now_s()))
             self.following.feeder.expire()
             table = self.loop.state.table
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -27,9 +27,24 @@
 FEED = "feed"  # Stands for all kinds in events of the store's loss.
 ALL_OBJECTS = -1  # In place of a revision: all objects are named.
 
+STORE = "store"  # Origin of what was not learned from a VM.
+
 Send = Callable[[str, object], None]
 
 
+@attrs.frozen
+class Origin:
+    """Where something was asked for, and when.
+
+    Attributes:
+        name: `store`, or the VM that was asked.
+        asked_s: When it was asked, in seconds.
+    """
+
+    name: str
+    asked_s: float
+
+
 @attrs.define
 class Mirror:
     """Objects of one kind, with their latest changes.
@@ -224,7 +239,7 @@
         self,
         loop: event_loop.EventLoop,
         send: Send,
-        apply: Callable[[messages.FeedPart], None],
+        apply: Callable[[messages.FeedPart, Origin], None],
         positions: dict[str, int],
     ) -> None:
         self.loop = loop
@@ -250,6 +265,7 @@
         self.answers.clear()
         while True:
             self.arrived.clear()
+            origin = Origin(source, self.loop.now_s())
             known = tuple(
                 messages.KnownRevision(kind, revision)
                 for kind, revision in self.positions.items()
@@ -262,7 +278,7 @@
                 answer = self.answers.popleft()
                 self._note_regained(answer)
                 for part in answer.parts:
-                    self.apply(part)
+                    self.apply(part, origin)
                 if not answer.reaches_store:
                     self._failed("it does not reach the store")
                     return
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -49,11 +49,12 @@
                 revision = self._watch(revision)
 
     def _list(self) -> int | None:
+        origin = self.following.origin()
         listed = self.following.client.list(self.followed.kind)
         match listed:
             case result.Success(listing):
                 self._answered()
-                self.following.listed(self.followed, listing)
+                self.following.listed(self.followed, listing, origin)
                 self.following.feeder.listed(self.followed.kind, listing)
                 return listing.revision
         self._failed(listed.failure())
@@ -61,13 +62,14 @@
 
     def _watch(self, revision: int) -> int | None:
         kind = self.followed.kind
+        origin = self.following.origin()
         watched = self.following.client.watch(
             kind, revision, WATCH_WAIT_S, self.followed.stale
         )
         match watched:
             case result.Success(changes):
                 self._answered()
-                self.following.changed(self.followed, changes)
+                self.following.changed(self.followed, changes, origin)
                 self.following.feeder.changed(kind, changes)
                 if changes.changes:
                     gevent.sleep(self.followed.rest_s)
@@ -172,29 +174,70 @@
     def _follow(self, followed: sources.Followed) -> None:
         self._direct.append(self.spawn(Follower(followed, self).run))
 
+    def origin(self) -> feeds.Origin:
+        """Returns the origin of what the store is asked for now."""
+        return feeds.Origin(feeds.STORE, self.loop.now_s())
+
     def listed(
-        self, followed: sources.Followed, listing: stores.Listing
+        self,
+        followed: sources.Followed,
+        listing: stores.Listing,
+        origin: feeds.Origin,
     ) -> None:
         """Submits the events of a complete list."""
         now_s = self.loop.now_s()
         for event in followed.listed(now_s, listing):
             self.loop.submit(event)
+        self._report_read(
+            followed.kind, listing.revision, len(listing.objects), True, origin
+        )
         self.positions[followed.kind] = listing.revision
         self._report_unreadable(followed.kind, listing.unreadable)
 
     def changed(
-        self, followed: sources.Followed, changes: stores.Changes
+        self,
+        followed: sources.Followed,
+        changes: stores.Changes,
+        origin: feeds.Origin,
     ) -> None:
         """Submits the events of changes."""
         now_s = self.loop.now_s()
         for change in changes.changes:
             for event in followed.changed(now_s, change):
                 self.loop.submit(event)
+        if changes.changes:
+            count = len(changes.changes)
+            self._report_read(
+                followed.kind, changes.revision, count, False, origin
+            )
         known = self.positions[followed.kind]
         self.positions[followed.kind] = max(known, changes.revision)
         self._report_unreadable(followed.kind, changes.unreadable)
 
-    def _fed(self, part: messages.FeedPart) -> None:
+    def _report_read(
+        self,
+        kind: str,
+        revision: int,
+        count: int,
+        whole: bool,
+        origin: feeds.Origin,
+    ) -> None:
+        """Reports news of a kind, from where it came and how long that took.
+
+        The known revision shows whether what was read is older.
+        """
+        self.reports.write(
+            "store",
+            "All objects were read." if whole else "Changes were read.",
+            kind=kind,
+            origin=origin.name,
+            asked_age_s=round(self.loop.now_s() - origin.asked_s, 3),
+            objects=count,
+            revision=revision,
+            known_revision=self.positions[kind],
+        )
+
+    def _fed(self, part: messages.FeedPart, origin: feeds.Origin) -> None:
         """Applies what another VM read, unless something is missing before."""
         followed = self.followed.get(part.kind)
         known = self.positions.get(part.kind, feeds.ALL_OBJECTS)
@@ -203,11 +246,12 @@
         stored = [documents.stored_object(one.content) for one in part.objects]
         if part.since == feeds.ALL_OBJECTS:
             listing = stores.Listing(tuple(stored), (), part.revision)
-            self.listed(followed, listing)
+            self.listed(followed, listing, origin)
             return
         pairs = zip(stored, part.objects, strict=True)
         changes = tuple(stores.Change(one, fed.deleted) for one, fed in pairs)
-        self.changed(followed, stores.Changes(changes, (), part.revision))
+        news = stores.Changes(changes, (), part.revision)
+        self.changed(followed, news, origin)
 
     def _report_unreadable(self, kind: str, reasons: tuple[str, ...]) -> None:
         for reason in reasons:
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -14,6 +14,9 @@
 MAX_ROUTINE_LINES_PER_S = 20.0
 # Lines a second of everything else.
 MAX_OTHER_LINES_PER_S = 100.0
+# A process that is later than this stood still, or has too little processor
+# time to keep bounds of seconds.
+LATE_S = 0.5
 LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
@@ -69,6 +72,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.lateness = prometheus_client.Histogram(
+            "mulberrydeck_tick_lateness_seconds",
+            "Time by which periodic work was late.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.attempts = self._counter("attempts", "Attempts.", "outcome")
         self.lines = self._counter("log_lines_left_out", "Lines left out.")
         self.messages = self._counter(
@@ -148,6 +157,14 @@
         """Writes a line that the reducer asked for."""
         self.write(effect.part, effect.text, **effect.fields)
 
+    def ticked(self, late_s: float) -> None:
+        """Reports by how much periodic work was late, in seconds."""
+        self.lateness.observe(max(0.0, late_s))
+        if late_s > LATE_S:
+            self.write(
+                "steer", "The process was late.", late_s=round(late_s, 3)
+            )
+
     def write(self, part: str, text: str, **fields: object) -> None:
         """Writes a line if the budget allows it."""
         if not self.others.allows():
