--- a/standins/users_platform/metadata_store.py
+++ b/standins/users_platform/metadata_store.py
@@ -26,6 +26,7 @@
         calls: Calls so far, by method.
         callers: Calls so far, by the caller's IP.
         refused: IPs whose calls are refused (503).
+        silenced: IPs whose calls are held, also those that wait.
     """
 
     def __init__(self):
@@ -38,6 +39,7 @@
         self.calls: dict[str, int] = {}
         self.callers: collections.Counter[str] = collections.Counter()
         self.refused: set[str] = set()
+        self.silenced: set[str] = set()
         self.changed = gevent.event.Event()
 
     def put(self, kind: str, name: str, spec: object) -> dict:
@@ -87,6 +89,11 @@
         self.refused.add(ip)
         self._wake()
 
+    def silence(self, ip: str) -> None:
+        """Holds all calls from an address from now on."""
+        self.silenced.add(ip)
+        self._wake()
+
     def _note(self, kind: str, stored: dict, deleted: bool) -> None:
         change = (self.revision, kind, copy.deepcopy(stored), deleted)
         self.history.append(change)
@@ -104,8 +111,7 @@
         self.callers[caller] += 1
         if caller in self.refused:
             return serving.answer(start_response, "503 Refused")
-        while self.mode == "silent":
-            self.changed.wait(1.0)
+        self._hold(caller)
         if self.mode == "refusing":
             return serving.answer(start_response, "503 Refused")
         parts = environ["PATH_INFO"].strip("/").split("/")
@@ -115,6 +121,11 @@
             return self._read(kind, name, environ, start_response)
         return self._write(method, kind, name, environ, start_response)
 
+    def _hold(self, caller: str) -> None:
+        """Waits for as long as the caller gets no answer."""
+        while self.mode == "silent" or caller in self.silenced:
+            self.changed.wait(1.0)
+
     def _read(self, kind, name, environ, start_response):
         query = serving.query_of(environ)
         if name:
@@ -137,6 +148,7 @@
         since = int(query["Watch"])
         ends_s = time.monotonic() + int(query["WaitMs"]) / 1000
         while True:
+            self._hold(environ["REMOTE_ADDR"])
             refused = environ["REMOTE_ADDR"] in self.refused
             if refused or self.mode == "refusing":
                 return serving.answer(start_response, "503 Refused")
--- a/tests/test_store_feeds.py
+++ b/tests/test_store_feeds.py
@@ -1,6 +1,8 @@
 """VMs of a zone that learn from one of them what the store holds."""
 
+import contextlib
 import signal
+import time
 
 import pytest
 
@@ -10,6 +12,10 @@
 
 VMS = ("coast-a-1", "coast-a-2", "coast-a-3")
 SOURCE = VMS[0]
+LAST = "coast-a-4"
+# ConfigApplyMs and DrainMs of the deployments with fleets of this kind.
+APPLY_S = 3.0
+DRAIN_S = 3.0
 
 
 @pytest.fixture(name="fleet")
@@ -37,11 +43,41 @@
     return fleet.ports[name]["caller_address"].partition(":")[0]
 
 
+@contextlib.contextmanager
+def _paused(fleet, *names):
+    """Lets VMs stand still."""
+    for name in names:
+        fleet.vms[name].send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for name in names:
+            fleet.vms[name].send_signal(signal.SIGCONT)
+
+
 def _status(fleet, name, path):
     _, answer = fleet.request(fleet.client(name), path)
     return getattr(answer, "status", None)
 
 
+def _known_after_s(fleet, version, name):
+    """Adds a route; returns how long a VM takes to serve it, in seconds."""
+    acknowledged_s = time.monotonic()
+    _wait_known(fleet, version, name)
+    return time.monotonic() - acknowledged_s
+
+
+def _left_after_s(fleet, target, name):
+    """Drains a target; returns how long a VM takes to leave it, in seconds."""
+    entry = target.entry(steering_fleet.SERVICE, "coast-a", State="draining")
+    fleet.store.put("servers", target.name, entry)
+    acknowledged_s = time.monotonic()
+    waiting.until(
+        lambda: not _reaches(fleet, name, target), f"{name} leaves the target"
+    )
+    return time.monotonic() - acknowledged_s
+
+
 def _wait_known(fleet, version, *names):
     """Adds a route and waits until VMs serve it."""
     prefix = f"/new-{version}/"
@@ -129,3 +165,35 @@
     _wait_known(fleet, 2, "coast-a-4")
     answer = fleet.look_up("coast-a-4")
     assert isinstance(answer, http_client.Answer)
+
+
+@pytest.fixture(name="fed")
+def fixture_fed(fleet):
+    """The fleet with a fourth VM and a second target that it uses."""
+    second = fleet.add_target("t2")
+    fleet.start_vm(LAST)
+    _wait_followed(fleet, LAST, SOURCE)
+    waiting.until(
+        lambda: _reaches(fleet, LAST, second), f"{LAST} uses the new target"
+    )
+    return fleet
+
+
+def test_a_version_is_in_force_in_time_while_all_sources_stand_still(fed):
+    with _paused(fed, *VMS):
+        assert _known_after_s(fed, 2, LAST) < APPLY_S
+
+
+def test_a_drained_target_is_left_in_time_while_all_sources_stand_still(fed):
+    with _paused(fed, *VMS):
+        assert _left_after_s(fed, fed.targets["t2"], LAST) < DRAIN_S
+
+
+def test_a_version_is_in_force_in_time_while_the_source_hears_no_store(fed):
+    fed.store.silence(_ip(fed, SOURCE))
+    assert _known_after_s(fed, 2, LAST) < APPLY_S
+
+
+def test_a_drained_target_is_left_in_time_while_the_source_hears_no_store(fed):
+    fed.store.silence(_ip(fed, SOURCE))
+    assert _left_after_s(fed, fed.targets["t2"], LAST) < DRAIN_S
