Keep late answers from replacing newer knowledge

A VM that has lost the store goes on calling it and learns from another VM meanwhile. The position of each kind is shared between the two, but a list, or changes, that came late were applied without a look at it: a removed target or an evacuation that had ended came back until the next answer.

Lists older than the position and changes that are all known are now left out. Both new tests failed before: the zone that was taken back was evacuated again.

--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -64,7 +64,9 @@
     )
 
     def replace(self, listing: stores.Listing) -> None:
-        """Takes a complete list over."""
+        """Takes a complete list over, unless it is older."""
+        if listing.revision < self.revision:
+            return
         known = self.objects
         listed = {stored.metadata.name: stored for stored in listing.objects}
         if self.revision == ALL_OBJECTS:
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -184,7 +184,9 @@
         listing: stores.Listing,
         origin: feeds.Origin,
     ) -> None:
-        """Submits the events of a complete list."""
+        """Submits the events of a complete list, unless it is older."""
+        if listing.revision < self.positions[followed.kind]:
+            return
         now_s = self.loop.now_s()
         for event in followed.listed(now_s, listing):
             self.loop.submit(event)
@@ -200,7 +202,10 @@
         changes: stores.Changes,
         origin: feeds.Origin,
     ) -> None:
-        """Submits the events of changes."""
+        """Submits the events of changes, unless all of them are known."""
+        known = self.positions[followed.kind]
+        if changes.revision <= known:
+            return
         now_s = self.loop.now_s()
         for change in changes.changes:
             for event in followed.changed(now_s, change):
@@ -210,8 +215,7 @@
             self._report_read(
                 followed.kind, changes.revision, count, False, origin
             )
-        known = self.positions[followed.kind]
-        self.positions[followed.kind] = max(known, changes.revision)
+        self.positions[followed.kind] = changes.revision
         self._report_unreadable(followed.kind, changes.unreadable)
 
     def _report_read(
