Notice the return of the store though nothing has changed

After an outage, a watch of a kind without changes waited up to 20 s for its first answer, and only an answer ended the loss.

While a kind is lost, its watch does not wait. The new test failed before: no return was noticed.

--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -63,8 +63,10 @@
     def _watch(self, revision: int) -> int | None:
         kind = self.followed.kind
         origin = self.following.origin()
+        # A watch that waits would not show that the store is back.
+        wait_s = WATCH_WAIT_S if self.lost_s is None else 0.0
         watched = self.following.client.watch(
-            kind, revision, WATCH_WAIT_S, self.followed.stale
+            kind, revision, wait_s, self.followed.stale
         )
         match watched:
             case result.Success(changes):
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -6,8 +6,10 @@
 import pytest
 from returns import result
 
+from mulberrydeck import errors
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import store as stores
+from mulberrydeck.steering import backoff
 from mulberrydeck.steering import events
 from mulberrydeck.steering import following
 from mulberrydeck.steering import sources
@@ -21,6 +23,7 @@
     def __init__(self):
         self.listing = stores.Listing((), (), 1)
         self.watched = []
+        self.failing = 0
         self.lists = 0
 
     def list(self, kind):
@@ -29,7 +32,12 @@
 
     def watch(self, kind, since, wait_s, stale=False):
         self.watched.append(since)
-        gevent.sleep(60.0)
+        if self.failing:
+            self.failing -= 1
+            error = errors.PlatformUnavailableError("cut")
+            return result.Failure(error)
+        gevent.sleep(wait_s)
+        return result.Success(stores.Changes((), (), since))
 
 
 class Loop:
@@ -133,3 +141,16 @@
     vm.changed(9, "east", deleted=True)
     vm.changed(7, "east")
     assert vm.evacuated() == set()
+
+
+def test_a_store_that_returns_is_noticed_though_nothing_has_changed():
+    vm = Vm()
+    vm.store.failing = 1
+    vm.following.add(vm.followed)
+    gevent.sleep(2 * backoff.RETRY_DELAY_S)
+    lost, regained = (
+        [one.kind for one in vm.loop.submitted if isinstance(one, event)]
+        for event in (events.StoreLost, events.StoreRegained)
+    )
+    assert lost == regained == [KIND]
+    gevent.killall(vm.greenlets)
