Let each VM bound the age of what it learned from another one

Cause: such a VM believed the VM that it followed, and its silence for 1.5 s, and then tried the next one in the same way. Nothing bounded the age of what it knew: three VMs that stood still cost 3.4 s, one that was cut off without a reset 14 to 18 s. The class: an obligation of one process that rests on the health of another one, for which no bound holds.

In the logs of the incident each late VM shows failures of its sources between acknowledgement and request, and none of its own.

Why it works: answers of the VM that leads a group carry the time of its last check of the store, which it makes every 0.4 s; the asker counts their age on its own clock, from when it asked. Beyond 1.2 s it watches the store itself until the leader's answers were fresh for 2 s. Whatever happens to the leader, an asker is 1.2 s behind at most before it asks the store.

Also in the same design: only heartbeats decide who leads, so that a failure does not run through a zone VM by VM; a VM that begins to lead sends names in place of what the others know, not all objects; one that has not read a kind, or has lost one, says that it does not lead; groups of 16 VMs, so that leaders of a fleet of 2,500 answer 40 asks a second.

Ruled out by the same logs: a lack of processor time (VMs beside the late ones, of the same size, applied version 46 within 1.9 s).

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -317,15 +317,18 @@
 
 @attrs.frozen
 class FeedAsk:
-    """Asks a VM that follows the store for what is newer.
+    """Asks the VM that leads a group for what is newer in the store.
 
-    It is answered when there is something, or as a sign of life after a while.
+    It is answered when there is something, or after the next check of the
+    store.
 
     Attributes:
         known: What the sender knows.
+        sent_s: Time at which it was sent.
     """
 
     known: tuple[KnownRevision, ...]
+    sent_s: float
 
 
 @attrs.frozen
@@ -350,13 +353,16 @@
         since: Revision after which the changes count; -1 if all objects are
             named.
         revision: Revision that the receiver then knows.
-        objects: The changes in order, or all objects.
+        objects: The changes in order, or all objects that are not kept.
+        kept: If all objects are named, those that the receiver knows as they
+            are.
     """
 
     kind: str
     since: int
     revision: int
     objects: tuple[FedObject, ...]
+    kept: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -364,12 +370,17 @@
     """Answers a `FeedAsk`.
 
     Attributes:
-        reaches_store: Whether the sender follows the store itself now.
+        echo_s: Time at which the ask was sent.
+        waited_s: How long the ask waited for this answer.
+        checked_age_s: Time since the sender last reached the store, up to
+            which the asker then knows all; none if the sender does not lead.
         regained_age_s: Time since the store came back after an outage.
-        parts: What is newer; empty in a sign of life.
+        parts: What is newer.
     """
 
-    reaches_store: bool
+    echo_s: float
+    waited_s: float
+    checked_age_s: float | None
     regained_age_s: float
     parts: tuple[FeedPart, ...] = ()
 
--- a/mulberrydeck/platform/documents.py
+++ b/mulberrydeck/platform/documents.py
@@ -208,6 +208,16 @@
     return msgspec.json.encode(stored)
 
 
+def removed_object(name: str, revision: int) -> StoredObject:
+    """Returns an object of which only the removal is known.
+
+    Args:
+        name: Name of the object.
+        revision: Revision of the store at which it was found missing.
+    """
+    return StoredObject(StoredMetadata(name, revision))
+
+
 def configuration(stored: StoredObject) -> tables.RoutingTable:
     """Decodes and indexes a configuration.
 
--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -133,6 +133,16 @@
             unreadable += reasons
         return Changes(tuple(changes), tuple(unreadable), decoded.at)
 
+    @_reports
+    def check(self, timeout_s: float) -> None:
+        """Makes the cheapest call, which shows that the store can be reached.
+
+        Args:
+            timeout_s: How long to wait for its answer, in seconds.
+        """
+        path = _path(documents.EVACUATIONS_KIND, query={"AllowStale": 1})
+        self._call("GET", path, timeout_s)
+
     @_reports
     def get(self, kind: str, name: str) -> documents.StoredObject:
         """Reads one object; fails with `NotFoundError` if there is none."""
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -53,9 +53,23 @@
     lost_s: float
 
 
+@attrs.frozen
+class SourceChecked:
+    """The VM that this one learns from has told all up to some time.
+
+    Attributes:
+        name: Name of the VM.
+        checked_s: When that VM reached the store, at the latest, in seconds.
+    """
+
+    at_s: float
+    name: str
+    checked_s: float
+
+
 @attrs.frozen
 class SourceFailed:
-    """A VM that this one follows does not answer or has lost the store.
+    """A VM that this one learns from does not answer, or does not lead.
 
     Attributes:
         name: Name of the VM.
--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -1,18 +1,32 @@
-"""Which VM of a zone follows the store for the others.
+"""Which VM follows the store for others, and which ones follow it themselves.
 
 Load answered: large fleets, in which a watch on each VM turns every change of
-a target into as many priced calls as there are VMs. One VM of a zone follows
-the store, and the others follow that VM; they agree on it without a message of
-its own, by the order of names and what heartbeats say.
+a target into as many priced calls as there are VMs. One VM of a group of a zone
+leads: it follows the store, and the others learn from it. They agree on it
+without a message of its own, by the order of names and what heartbeats say.
+
+Each VM bounds the age of what it knows by its own clock. Once that exceeds
+`MAX_AGE_S`, for whatever reason, it follows the store itself until what it
+learns from a leader has been fresh for a while.
 """
 
+import math
+
 import attrs
 
 from mulberrydeck.steering import members
 
+# A leader checks the store every `following.CHECK_INTERVAL_S` and then answers
+# its followers, so that they are up to about half a second behind. The rest of
+# the shortest bounds, 2 s, is left to read the store and to apply the news.
+MAX_AGE_S = 1.2
+# A leader's answers must be fresh for this long before a VM relies on them.
+DOUBT_S = 2.0
 # A VM that did not answer in time is passed over for this long, in which it
 # either answers again or is found dead by its missing heartbeats.
 PASSED_OVER_S = 3.0
+# Followers that a leader answers several times a second, itself included.
+GROUP_VMS = 16
 
 
 @attrs.frozen
@@ -20,13 +34,17 @@
     """How this VM learns what the store holds.
 
     Attributes:
-        source: VM that it follows, or empty.
+        source: VM that it learns from, or empty.
         direct: Whether it follows the store itself.
-        patient: Whether it tries seldom, since others try too.
+        shared: Whether VMs of the zone share what they read.
+        leads: Whether others may learn from it.
+        patient: Whether it tries a lost store seldom, since others try too.
     """
 
     source: str = ""
     direct: bool = True
+    shared: bool = False
+    leads: bool = False
     patient: bool = False
 
 
@@ -37,10 +55,16 @@
     Attributes:
         plan: The plan in force.
         passed_over: Until when a VM is not followed, in seconds, by name.
+        checked_s: Time up to which the source is known to have told all, in
+            seconds.
+        doubted_until_s: Until when this VM follows the store itself, in
+            seconds.
     """
 
     plan: Plan = Plan()
     passed_over: dict[str, float] = attrs.field(factory=dict)
+    checked_s: float = -math.inf
+    doubted_until_s: float = -math.inf
 
 
 def choose(
@@ -48,11 +72,11 @@
 ) -> Plan:
     """Returns the plan that is due now.
 
-    The first VM of the zone that reaches the store follows it; a VM that has
-    lost the store goes on trying, and follows another one meanwhile.
+    The first VM of a group that reaches the store leads it. A VM that has lost
+    the store goes on trying, and learns from any VM of its zone meanwhile.
 
     Args:
-        feeding: State of the decision.
+        feeding: State of the decision, changed in place.
         fleet: Known VMs.
         now_s: Current time, in seconds.
         lost: Whether this VM follows the store and cannot reach it.
@@ -60,32 +84,67 @@
     own = fleet.settings.name
     if fleet.is_mesh or own not in fleet.names:
         return Plan()
-    failed_before = 0
+    if lost or now_s > feeding.checked_s + MAX_AGE_S:
+        feeding.doubted_until_s = now_s + DOUBT_S
+    zone = _zone(fleet)
+    if lost:
+        return _plan_without_store(feeding, fleet, now_s, zone)
+    first = zone.index(own) // GROUP_VMS * GROUP_VMS
+    for leader in zone[first : zone.index(own)]:
+        if _may_lead(fleet, now_s, leader):
+            is_asked = now_s >= feeding.passed_over.get(leader, -math.inf)
+            direct = not is_asked or now_s < feeding.doubted_until_s
+            return Plan(leader if is_asked else "", direct, shared=True)
+    return Plan(shared=True, leads=True)
+
+
+def _plan_without_store(
+    feeding: Feeding, fleet: members.Fleet, now_s: float, zone: list[str]
+) -> Plan:
+    own = fleet.settings.name
     source = ""
-    for name in _zone_order(fleet):
-        if name == own:
-            if not lost:
-                return Plan()
-            continue
-        peer = fleet.peers[name]
-        if not fleet.is_alive(peer, now_s) or peer.leaving:
-            continue
-        if peer.reaches_store and now_s >= feeding.passed_over.get(name, 0.0):
+    for name in zone:
+        is_asked = now_s >= feeding.passed_over.get(name, -math.inf)
+        if name != own and is_asked and _may_lead(fleet, now_s, name):
             source = name
             break
-        failed_before += name < own
-    return Plan(source, direct=lost, patient=lost and failed_before > 0)
+    patient = any(
+        _is_working(fleet, now_s, name) for name in zone[: zone.index(own)]
+    )
+    return Plan(source, shared=True, patient=patient)
+
+
+def checked(feeding: Feeding, name: str, checked_s: float) -> None:
+    """Notes up to when a source has told all.
+
+    Args:
+        feeding: State of the decision, changed in place.
+        name: Name of the source.
+        checked_s: When it reached the store, at the latest, in seconds.
+    """
+    if name == feeding.plan.source:
+        feeding.checked_s = max(feeding.checked_s, checked_s)
 
 
 def failed(feeding: Feeding, now_s: float, name: str) -> None:
-    """Notes that a VM does not answer, or cannot reach the store."""
+    """Notes that a VM does not answer, or does not lead."""
     feeding.passed_over[name] = now_s + PASSED_OVER_S
 
 
-def _zone_order(fleet: members.Fleet) -> list[str]:
-    zone = fleet.settings.zone
+def _zone(fleet: members.Fleet) -> list[str]:
+    """Returns the names of the VMs of the own zone, sorted."""
+    own = fleet.settings
     return [
         name
         for name in fleet.names
-        if name == fleet.settings.name or fleet.peers[name].record.zone == zone
+        if name == own.name or fleet.peers[name].record.zone == own.zone
     ]
+
+
+def _is_working(fleet: members.Fleet, now_s: float, name: str) -> bool:
+    peer = fleet.peers[name]
+    return fleet.is_alive(peer, now_s) and not peer.leaving
+
+
+def _may_lead(fleet: members.Fleet, now_s: float, name: str) -> bool:
+    return _is_working(fleet, now_s, name) and fleet.peers[name].reaches_store
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -17,10 +17,11 @@
 from mulberrydeck.steering import reporting
 from mulberrydeck.steering import targets
 
-# An ask without news is answered after this time, as a sign of life.
-HOLD_S = 1.0
-# Beyond the hold; twenty round trips between distant regions.
-ANSWER_MARGIN_S = 0.5
+# An ask that no check of the store has answered is answered after this time;
+# 1.5 intervals of checks.
+HOLD_S = 0.6
+# Beyond the hold; ten round trips between distant regions.
+ANSWER_MARGIN_S = 0.4
 # Changes kept for VMs that know an older revision; a release of 650 targets
 # makes about as many.
 MAX_LOGGED_CHANGES = 1300
@@ -103,23 +104,35 @@
         if self.revision <= known or self.revision == ALL_OBJECTS:
             return None
         if known < self.floor:
-            everything = [
-                stores.Change(stored, False) for stored in self.objects.values()
-            ]
-            return self._part(kind, ALL_OBJECTS, everything)
+            return self._all(kind, known)
         newer = [change for revision, change in self.log if revision > known]
-        return self._part(kind, known, newer)
-
-    def _part(
-        self, kind: str, since: int, changes: list[stores.Change]
-    ) -> messages.FeedPart:
-        objects = tuple(
-            messages.FedObject(
-                documents.encode_stored_object(change.stored), change.deleted
-            )
-            for change in changes
+        return messages.FeedPart(kind, known, self.revision, _fed(newer))
+
+    def _all(self, kind: str, known: int) -> messages.FeedPart:
+        """Returns all objects, by name only where the receiver knows them.
+
+        A VM that begins to lead does not know what was removed before; whole
+        objects would occupy the links of a large group for seconds.
+        """
+        newer = []
+        kept = []
+        for name, stored in self.objects.items():
+            if stored.metadata.revision > known:
+                newer.append(stores.Change(stored, False))
+            else:
+                kept.append(name)
+        return messages.FeedPart(
+            kind, ALL_OBJECTS, self.revision, _fed(newer), tuple(kept)
         )
-        return messages.FeedPart(kind, since, self.revision, objects)
+
+
+def _fed(changes: list[stores.Change]) -> tuple[messages.FedObject, ...]:
+    return tuple(
+        messages.FedObject(
+            documents.encode_stored_object(change.stored), change.deleted
+        )
+        for change in changes
+    )
 
 
 def _revision(stored: documents.StoredObject | None) -> int:
@@ -129,16 +142,17 @@
 @attrs.define
 class _Waiting:
     ask: messages.FeedAsk
-    until_s: float
+    since_s: float
 
 
 class Feeder:
-    """Answers VMs that follow this one.
+    """Answers VMs that learn from this one.
 
     Attributes:
-        mirrors: What this VM knows of each kind, while it follows the store.
+        mirrors: What this VM knows of each kind, while it leads.
+        leads: Whether others may learn from this VM.
+        checked_s: When the store was last reached, at the latest, in seconds.
         waiting: Asks that wait for news, by VM.
-        is_lost: Whether the store cannot be followed.
         regained_s: When it could be followed again, in seconds.
     """
 
@@ -152,48 +166,59 @@
         self.now_s = now_s
         self.reports = reports
         self.mirrors: dict[str, Mirror] = {}
+        self.leads = False
+        self.checked_s = -math.inf
         self.waiting: dict[str, _Waiting] = {}
-        self.is_lost = False
         self.regained_s = -math.inf
 
+    def lead(self) -> None:
+        """Keeps what this VM reads for others from now on."""
+        self.leads = True
+
+    def stop(self) -> None:
+        """Tells the others that this VM does not lead any more."""
+        self.leads = False
+        self.mirrors.clear()
+        for name in list(self.waiting):
+            self._finish(name)
+
     def listed(self, kind: str, listing: stores.Listing) -> None:
         """Takes a list that this VM read."""
-        self.mirrors.setdefault(kind, Mirror()).replace(listing)
-        self._answer_all()
+        if self.leads:
+            self.mirrors.setdefault(kind, Mirror()).replace(listing)
+            self._answer_all()
 
     def changed(self, kind: str, changes: stores.Changes) -> None:
         """Takes changes that this VM read."""
-        self.mirrors[kind].apply(changes)
-        if changes.changes:
+        if kind in self.mirrors:
+            self.mirrors[kind].apply(changes)
             self._answer_all()
 
-    def lost(self) -> None:
-        """Tells the followers that the store cannot be followed."""
-        if not self.is_lost:
-            self.is_lost = True
-            for name in list(self.waiting):
+    def checked(self, sent_s: float) -> None:
+        """Notes that a call that was sent then has reached the store.
+
+        What changed before would have been told to the watches of this VM, so
+        that each ask can be answered.
+        """
+        self.checked_s = sent_s
+        for name, waiting in list(self.waiting.items()):
+            if self._knows_all_of(waiting.ask):
                 self._finish(name)
 
     def regained(self) -> None:
         """Notes that the store can be followed again."""
-        if self.is_lost:
-            self.is_lost = False
-            self.regained_s = self.now_s()
-
-    def stop(self) -> None:
-        """Forgets what was followed; another VM is the source from now on."""
-        self.mirrors.clear()
+        self.regained_s = self.now_s()
 
     def ask(self, sender: str, ask: messages.FeedAsk) -> None:
         """Answers an ask at once, or when there is news."""
-        self.waiting[sender] = _Waiting(ask, self.now_s() + HOLD_S)
+        self.waiting[sender] = _Waiting(ask, self.now_s())
         self._answer(sender)
 
     def expire(self) -> None:
-        """Answers asks that have waited for long, as a sign of life."""
+        """Answers asks that have waited for long."""
         now_s = self.now_s()
         for name, waiting in list(self.waiting.items()):
-            if now_s >= waiting.until_s:
+            if now_s >= waiting.since_s + HOLD_S:
                 self._finish(name)
 
     def _answer_all(self) -> None:
@@ -211,13 +236,22 @@
         if parts:
             self._finish(name, tuple(parts))
 
+    def _knows_all_of(self, ask: messages.FeedAsk) -> bool:
+        return self.leads and all(
+            known.kind in self.mirrors for known in ask.known
+        )
+
     def _finish(
         self, name: str, parts: tuple[messages.FeedPart, ...] = ()
     ) -> None:
-        del self.waiting[name]
+        waiting = self.waiting.pop(name)
+        now_s = self.now_s()
+        knows_all = self._knows_all_of(waiting.ask)
         answer = messages.FeedAnswer(
-            reaches_store=bool(self.mirrors) and not self.is_lost,
-            regained_age_s=self.now_s() - self.regained_s,
+            echo_s=waiting.ask.sent_s,
+            waited_s=now_s - waiting.since_s,
+            checked_age_s=now_s - self.checked_s if knows_all else None,
+            regained_age_s=now_s - self.regained_s,
             parts=parts,
         )
         try:
@@ -229,7 +263,7 @@
 
 
 class Subscription:
-    """Follows a VM that follows the store.
+    """Learns from the VM that leads the group.
 
     Attributes:
         positions: Revision that is known of each kind, shared with the
@@ -256,7 +290,7 @@
         self.arrived = gevent.event.Event()
 
     def receive(self, sender: str, answer: messages.FeedAnswer) -> None:
-        """Takes an answer of the VM that is followed."""
+        """Takes an answer of the VM that leads."""
         if sender == self.source:
             self.answers.append(answer)
             self.arrived.set()
@@ -267,24 +301,35 @@
         self.answers.clear()
         while True:
             self.arrived.clear()
-            origin = Origin(source, self.loop.now_s())
             known = tuple(
                 messages.KnownRevision(kind, revision)
                 for kind, revision in self.positions.items()
             )
-            self.send(source, messages.FeedAsk(known))
+            self.send(source, messages.FeedAsk(known, self.loop.now_s()))
             if not self.arrived.wait(HOLD_S + ANSWER_MARGIN_S):
                 self._failed("it does not answer")
                 return
             while self.answers:
-                answer = self.answers.popleft()
-                self._note_regained(answer)
-                for part in answer.parts:
-                    self.apply(part, origin)
-                if not answer.reaches_store:
-                    self._failed("it does not reach the store")
+                if not self._take(self.answers.popleft()):
+                    self._failed("it does not lead")
                     return
 
+    def _take(self, answer: messages.FeedAnswer) -> bool:
+        """Applies an answer; returns whether its sender leads."""
+        self._note_regained(answer)
+        origin = Origin(self.source, answer.echo_s)
+        for part in answer.parts:
+            self.apply(part, origin)
+        if answer.checked_age_s is None:
+            return False
+        # The ask may have arrived at once, and the answer have travelled long.
+        answered_s = answer.echo_s + answer.waited_s
+        checked_s = answered_s - answer.checked_age_s
+        self.loop.submit(
+            events.SourceChecked(self.loop.now_s(), self.source, checked_s)
+        )
+        return True
+
     def _note_regained(self, answer: messages.FeedAnswer) -> None:
         """Notes a return of the store before what was read after it.
 
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -23,6 +23,14 @@
 WATCH_WAIT_S = 20.0
 # A VM before this one tries too, which tells it as soon as it succeeds.
 PATIENT_RETRY_DELAY_S = 1.5
+# A third of the age up to which a VM relies on another one.
+CHECK_INTERVAL_S = 0.4
+# Four times the answer of a store that is slowed sixty times.
+CHECK_TIMEOUT_S = 1.0
+CHECK = "check"  # Stands for all kinds in events of a store out of reach.
+# After standing still for as long, a VM can't know whether its watches still
+# wait at the store.
+STANDSTILL_S = 1.0
 
 
 class Follower:
@@ -31,31 +39,37 @@
     Attributes:
         followed: The kind and its events.
         following: What all kinds share.
+        whole: Whether to begin with a list of all objects.
     """
 
     def __init__(
-        self, followed: sources.Followed, following: "Following"
+        self,
+        followed: sources.Followed,
+        following: "Following",
+        whole: bool,
     ) -> None:
         self.followed = followed
         self.following = following
-        self.failures = 0
-        self.lost_s: float | None = None
+        self.whole = whole
 
     def run(self) -> None:
-        """Lists, then watches, for ever."""
+        """Lists unless all objects are known, then watches, for ever."""
+        kind = self.followed.kind
+        revision = None if self.whole else self.following.known(kind)
         while True:
-            revision = self._list()
             while revision is not None:
                 revision = self._watch(revision)
+            revision = self._list()
 
     def _list(self) -> int | None:
+        kind = self.followed.kind
         origin = self.following.origin()
-        listed = self.following.client.list(self.followed.kind)
+        listed = self.following.client.list(kind)
         match listed:
             case result.Success(listing):
-                self._answered()
+                self.following.reached(kind)
                 self.following.listed(self.followed, listing, origin)
-                self.following.feeder.listed(self.followed.kind, listing)
+                self.following.feeder.listed(kind, listing)
                 return listing.revision
         self._failed(listed.failure())
         return None
@@ -64,13 +78,13 @@
         kind = self.followed.kind
         origin = self.following.origin()
         # A watch that waits would not show that the store is back.
-        wait_s = WATCH_WAIT_S if self.lost_s is None else 0.0
+        wait_s = 0.0 if kind in self.following.lost else WATCH_WAIT_S
         watched = self.following.client.watch(
             kind, revision, wait_s, self.followed.stale
         )
         match watched:
             case result.Success(changes):
-                self._answered()
+                self.following.reached(kind)
                 self.following.changed(self.followed, changes, origin)
                 self.following.feeder.changed(kind, changes)
                 if changes.changes:
@@ -83,29 +97,43 @@
         self._failed(error)
         return revision
 
-    def _answered(self) -> None:
-        if self.lost_s is not None:
-            now_s = self.following.loop.now_s()
-            kind, lost_s = self.followed.kind, now_s - self.lost_s
-            self.following.loop.submit(
-                events.StoreRegained(now_s, kind, lost_s)
-            )
-            self.following.feeder.regained()
-        self.failures = 0
-        self.lost_s = None
-
     def _failed(self, error: errors.MulberrydeckError) -> None:
-        self.failures += 1
-        if self.lost_s is None:
-            self.lost_s = self.following.loop.now_s()
-            self.following.loop.submit(
-                events.StoreLost(self.lost_s, self.followed.kind, str(error))
-            )
-            self.following.feeder.lost()
+        failures = self.following.missed(self.followed.kind, error)
         if self.following.plan.patient:
             gevent.sleep(PATIENT_RETRY_DELAY_S)
         else:
-            gevent.sleep(backoff.retry_delay_s(self.failures))
+            gevent.sleep(backoff.retry_delay_s(failures))
+
+
+class Checker:
+    """Makes sure that silence of the store means that nothing changed.
+
+    Without it, a VM that is cut off would take the silence of its watches for
+    the lack of news until the kernel's probes fail.
+
+    Attributes:
+        following: What is checked for.
+    """
+
+    def __init__(self, following: "Following") -> None:
+        self.following = following
+
+    def run(self) -> None:
+        """Checks the store, for ever."""
+        following = self.following
+        while True:
+            sent_s = following.loop.now_s()
+            checked = following.client.check(CHECK_TIMEOUT_S)
+            match checked:
+                case result.Success():
+                    following.reached(CHECK)
+                    following.feeder.checked(sent_s)
+                case _:
+                    following.missed(CHECK, checked.failure())
+            due_s = following.loop.now_s() + CHECK_INTERVAL_S
+            gevent.sleep(CHECK_INTERVAL_S)
+            if following.loop.now_s() > due_s + STANDSTILL_S:
+                following.watch_anew()
 
 
 class Following:
@@ -121,6 +149,9 @@
         plan: How the store is followed now.
         followed: The kinds, by name.
         positions: Revision that is known of each kind.
+        names: Names of the objects that are known of each kind.
+        failures: Failed calls in a row, by kind.
+        lost: Since when a kind can't be followed, in seconds.
     """
 
     def __init__(
@@ -138,34 +169,63 @@
         self.plan = feeding.Plan()
         self.followed: dict[str, sources.Followed] = {}
         self.positions: dict[str, int] = {}
+        self.names: dict[str, set[str]] = {}
+        self.failures: dict[str, int] = {}
+        self.lost: dict[str, float] = {}
         self.feeder = feeds.Feeder(send, loop.now_s, reports)
         self.subscription = feeds.Subscription(
-            loop, send, self._fed, self.positions
+            loop, send, self.fed, self.positions
         )
         self._direct: list[gevent.Greenlet] = []
+        self._checking: gevent.Greenlet | None = None
         self._asking: gevent.Greenlet | None = None
 
     def add(self, followed: sources.Followed) -> None:
         """Follows one more kind."""
         self.followed[followed.kind] = followed
         self.positions.setdefault(followed.kind, feeds.ALL_OBJECTS)
+        self.names.setdefault(followed.kind, set())
         if self.plan.direct:
-            self._follow(followed)
+            self._follow(followed, self.plan.leads)
 
     def apply(self, effect: effects.FollowStore) -> None:
         """Follows the store in another way."""
         before, self.plan = self.plan, effect.plan
-        if before.direct and not self.plan.direct:
-            for greenlet in self._direct:
-                greenlet.kill(block=False)
-            self._direct = []
+        begins_to_lead = self.plan.leads and not before.leads
+        if begins_to_lead:
+            self.feeder.lead()
+        elif before.leads and not self.plan.leads:
             self.feeder.stop()
-        elif self.plan.direct and not before.direct:
-            for followed in self.followed.values():
-                self._follow(followed)
+        if not self.plan.direct:
+            self._stop_watching()
+        elif begins_to_lead or not before.direct:
+            self._watch_all(begins_to_lead)
+        self._check(self.plan.direct and self.plan.shared)
         if before.source != self.plan.source:
             self._ask(self.plan.source)
 
+    def watch_anew(self) -> None:
+        """Replaces the watches, which may have been lost unnoticed."""
+        self.reports.write("store", "Watching anew.")
+        self._watch_all(False)
+
+    def _watch_all(self, whole: bool) -> None:
+        self._stop_watching()
+        for followed in self.followed.values():
+            self._follow(followed, whole)
+
+    def _stop_watching(self) -> None:
+        for greenlet in self._direct:
+            greenlet.kill(block=False)
+        self._direct = []
+
+    def _check(self, wanted: bool) -> None:
+        if wanted and self._checking is None:
+            self._checking = self.spawn(Checker(self).run)
+        elif not wanted and self._checking is not None:
+            self._checking.kill(block=False)
+            self._checking = None
+
     def _ask(self, source: str) -> None:
         if self._asking is not None:
             self._asking.kill(block=False)
@@ -173,8 +233,33 @@
         if source:
             self._asking = self.spawn(lambda: self.subscription.run(source))
 
-    def _follow(self, followed: sources.Followed) -> None:
-        self._direct.append(self.spawn(Follower(followed, self).run))
+    def _follow(self, followed: sources.Followed, whole: bool) -> None:
+        follower = Follower(followed, self, whole)
+        self._direct.append(self.spawn(follower.run))
+
+    def known(self, kind: str) -> int | None:
+        """Returns the revision from which to watch a kind, or None."""
+        mirror = self.feeder.mirrors.get(kind)
+        revision = self.positions[kind] if mirror is None else mirror.revision
+        return None if revision == feeds.ALL_OBJECTS else revision
+
+    def reached(self, kind: str) -> None:
+        """Notes that a call for a kind was answered."""
+        self.failures[kind] = 0
+        lost_s = self.lost.pop(kind, None)
+        if lost_s is not None:
+            now_s = self.loop.now_s()
+            self.loop.submit(events.StoreRegained(now_s, kind, now_s - lost_s))
+            self.feeder.regained()
+
+    def missed(self, kind: str, error: errors.MulberrydeckError) -> int:
+        """Notes that a call for a kind failed; returns how many did so."""
+        self.failures[kind] = self.failures.get(kind, 0) + 1
+        if kind not in self.lost:
+            now_s = self.loop.now_s()
+            self.lost[kind] = now_s
+            self.loop.submit(events.StoreLost(now_s, kind, str(error)))
+        return self.failures[kind]
 
     def origin(self) -> feeds.Origin:
         """Returns the origin of what the store is asked for now."""
@@ -196,6 +281,9 @@
             followed.kind, listing.revision, len(listing.objects), True, origin
         )
         self.positions[followed.kind] = listing.revision
+        self.names[followed.kind] = {
+            stored.metadata.name for stored in listing.objects
+        }
         self._report_unreadable(followed.kind, listing.unreadable)
 
     def changed(
@@ -212,6 +300,11 @@
         for change in changes.changes:
             for event in followed.changed(now_s, change):
                 self.loop.submit(event)
+            name = change.stored.metadata.name
+            if change.deleted:
+                self.names[followed.kind].discard(name)
+            else:
+                self.names[followed.kind].add(name)
         if changes.changes:
             count = len(changes.changes)
             self._report_read(
@@ -243,20 +336,25 @@
             known_revision=self.positions[kind],
         )
 
-    def _fed(self, part: messages.FeedPart, origin: feeds.Origin) -> None:
+    def fed(self, part: messages.FeedPart, origin: feeds.Origin) -> None:
         """Applies what another VM read, unless something is missing before."""
         followed = self.followed.get(part.kind)
         known = self.positions.get(part.kind, feeds.ALL_OBJECTS)
         if followed is None or part.revision <= known or part.since > known:
             return
         stored = [documents.stored_object(one.content) for one in part.objects]
-        if part.since == feeds.ALL_OBJECTS:
+        if part.since == known == feeds.ALL_OBJECTS:
             listing = stores.Listing(tuple(stored), (), part.revision)
             self.listed(followed, listing, origin)
             return
         pairs = zip(stored, part.objects, strict=True)
-        changes = tuple(stores.Change(one, fed.deleted) for one, fed in pairs)
-        news = stores.Changes(changes, (), part.revision)
+        changes = [stores.Change(one, fed.deleted) for one, fed in pairs]
+        if part.since == feeds.ALL_OBJECTS:
+            named = {one.metadata.name for one in stored}.union(part.kept)
+            for name in sorted(self.names[part.kind] - named):
+                removed = documents.removed_object(name, part.revision)
+                changes.append(stores.Change(removed, True))
+        news = stores.Changes(tuple(changes), (), part.revision)
         self.changed(followed, news, origin)
 
     def _report_unreadable(self, kind: str, reasons: tuple[str, ...]) -> None:
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -19,6 +19,8 @@
 
 Effects = list[object]
 
+NEVER_S = 99.0  # Stands in logs for the age of what was never seen.
+
 
 def reduce(state: states.State, event: object) -> Effects:
     """Applies an event and returns what is to be done.
@@ -99,6 +101,9 @@
             state.lost_kinds.setdefault(event.kind, event.at_s)
             fields = {"kind": event.kind, "reason": event.reason}
             return [effects.Log("store", "A kind is lost.", fields)]
+        case events.SourceChecked():
+            feeding.checked(state.feed, event.name, event.checked_s)
+            return []
         case events.SourceFailed():
             feeding.failed(state.feed, state.now_s, event.name)
             fields = {"vm": event.name, "reason": event.reason}
@@ -193,10 +198,13 @@
     if plan == state.feed.plan:
         return []
     state.feed.plan = plan
+    checked_age_s = state.now_s - state.feed.checked_s
     fields = {
         "source": plan.source,
         "direct": plan.direct,
+        "leads": plan.leads,
         "patient": plan.patient,
+        "checked_age_s": min(NEVER_S, round(checked_age_s, 3)),
     }
     log = effects.Log("store", "The store is followed in another way.", fields)
     return [log, effects.FollowStore(plan)]
