Read all objects before leading also after a standstill

A VM that stood still while it listed the store for the first time as the leader of its group replaced the list by a watch, and could not answer the others until it lost the store. Found by reading. The new test failed before: the kind had no mirror.

--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -39,23 +39,17 @@
     Attributes:
         followed: The kind and its events.
         following: What all kinds share.
-        whole: Whether to begin with a list of all objects.
     """
 
     def __init__(
-        self,
-        followed: sources.Followed,
-        following: "Following",
-        whole: bool,
+        self, followed: sources.Followed, following: "Following"
     ) -> None:
         self.followed = followed
         self.following = following
-        self.whole = whole
 
     def run(self) -> None:
         """Lists unless all objects are known, then watches, for ever."""
-        kind = self.followed.kind
-        revision = None if self.whole else self.following.known(kind)
+        revision = self.following.watched_from(self.followed.kind)
         while True:
             while revision is not None:
                 revision = self._watch(revision)
@@ -186,7 +180,7 @@
         self.positions.setdefault(followed.kind, feeds.ALL_OBJECTS)
         self.names.setdefault(followed.kind, set())
         if self.plan.direct:
-            self._follow(followed, self.plan.leads)
+            self._follow(followed)
 
     def apply(self, effect: effects.FollowStore) -> None:
         """Follows the store in another way."""
@@ -199,7 +193,7 @@
         if not self.plan.direct:
             self._stop_watching()
         elif begins_to_lead or not before.direct:
-            self._watch_all(begins_to_lead)
+            self._watch_all()
         self._check(self.plan.direct and self.plan.shared)
         if before.source != self.plan.source:
             self._ask(self.plan.source)
@@ -207,12 +201,12 @@
     def watch_anew(self) -> None:
         """Replaces the watches, which may have been lost unnoticed."""
         self.reports.write("store", "Watching anew.")
-        self._watch_all(False)
+        self._watch_all()
 
-    def _watch_all(self, whole: bool) -> None:
+    def _watch_all(self) -> None:
         self._stop_watching()
         for followed in self.followed.values():
-            self._follow(followed, whole)
+            self._follow(followed)
 
     def _stop_watching(self) -> None:
         for greenlet in self._direct:
@@ -233,14 +227,18 @@
         if source:
             self._asking = self.spawn(lambda: self.subscription.run(source))
 
-    def _follow(self, followed: sources.Followed, whole: bool) -> None:
-        follower = Follower(followed, self, whole)
-        self._direct.append(self.spawn(follower.run))
+    def _follow(self, followed: sources.Followed) -> None:
+        self._direct.append(self.spawn(Follower(followed, self).run))
+
+    def watched_from(self, kind: str) -> int | None:
+        """Returns the revision from which to watch a kind; None to list it.
 
-    def known(self, kind: str) -> int | None:
-        """Returns the revision from which to watch a kind, or None."""
-        mirror = self.feeder.mirrors.get(kind)
-        revision = self.positions[kind] if mirror is None else mirror.revision
+        A VM that leads needs all objects, not only what is new.
+        """
+        if self.plan.leads:
+            mirror = self.feeder.mirrors.get(kind)
+            return None if mirror is None else mirror.revision
+        revision = self.positions[kind]
         return None if revision == feeds.ALL_OBJECTS else revision
 
     def reached(self, kind: str) -> None:
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -34,6 +34,8 @@
 
     def list(self, kind):
         self.lists += 1
+        if self.listing is None:
+            gevent.sleep(60.0)
         return result.Success(self.listing)
 
     def watch(self, kind, since, wait_s, stale=False):
@@ -253,6 +255,16 @@
     assert vm.store.watched == [1]
 
 
+def test_a_vm_that_stood_still_before_it_had_read_all_lists_again(vm):
+    vm.listed(5, "east")
+    vm.store.listing = None
+    vm.apply(LEADS)
+    vm.store.listing = stores.Listing((), (), 7)
+    vm.following.watch_anew()
+    vm.turn()
+    assert vm.following.feeder.mirrors[KIND].revision == 7
+
+
 def test_no_checks_are_made_where_vms_share_nothing(vm):
     calls = []
     vm.store.check = calls.append
