Leave a removed target in time though kinds return one by one

After an outage, an entry that is missing is kept for 1.9 s, in which entries that lapsed meanwhile come back. Each kind of object that was followed again moved the end of that time, also for entries that had been removed by right: kinds return up to 1.5 s after each other (PATIENT_RETRY_DELAY_S), one without changes up to 20 s later. A target whose entry was removed after the first of them got requests for more than 3 s.

The time of an entry now counts from when it was found missing. The new test failed before: the target was still chosen after 2.0 s.

--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -148,23 +148,22 @@
     if target is None:
         return
     if now_s < book.settled_s and not target.entry.draining:
-        target.missing_since_s = now_s
+        if target.missing_since_s is None:
+            target.missing_since_s = now_s
     else:
         _drop(book, target)
 
 
 def drop_missing(book: TargetBook, now_s: float) -> list[str]:
-    """Drops targets that are still missing once the store has settled.
+    """Drops targets whose entries did not return in time.
 
     Returns:
         Their names.
     """
-    if now_s < book.settled_s:
-        return []
     missing = [
         target
         for target in book.by_name.values()
-        if target.missing_since_s is not None
+        if _is_gone(book, target, now_s)
     ]
     for target in missing:
         _drop(book, target)
@@ -195,11 +194,23 @@
     return (
         not target.entry.draining
         and now_s >= target.paused_until_s
-        and (target.missing_since_s is None or now_s < book.settled_s)
+        and not _is_gone(book, target, now_s)
         and target.entry.zone not in book.evacuated
     )
 
 
+def _is_gone(book: TargetBook, target: Target, now_s: float) -> bool:
+    """Returns whether an entry has been missing for too long to return.
+
+    The kinds of objects are followed again one after the other, and each
+    return of one moves `settled_s`.
+    """
+    if target.missing_since_s is None:
+        return False
+    until_s = min(book.settled_s, target.missing_since_s + LAPSED_GRACE_S)
+    return now_s >= until_s
+
+
 def observe_load(target: Target, now_s: float, in_target: float) -> None:
     """Notes how many requests a target reported, besides this VM's."""
     target.others = max(0.0, in_target - target.in_flight)
--- a/mulberrydeck/steering/tests/test_targets.py
+++ b/mulberrydeck/steering/tests/test_targets.py
@@ -74,6 +74,19 @@
     assert isinstance(chosen(vm), placement.NoneFree)
 
 
+def test_a_removed_target_is_left_in_time_though_kinds_return_one_by_one():
+    drain_s = 2.0  # The shortest DrainMs of a deployment.
+    vm = samples.Vm(entries=[samples.make_entry()])
+    vm.reduce(events.StoreRegained(vm.now_s, "targets", 4.0))
+    vm.reduce(events.TargetRemoved(vm.now_s, "t1", 9))
+    for _ in range(3):
+        vm.now_s += drain_s / 4
+        vm.reduce(events.StoreRegained(vm.now_s, "other", 4.0))
+        vm.reduce(events.TargetsListed(vm.now_s, (), 9))
+    vm.now_s += drain_s / 4
+    assert isinstance(chosen(vm), placement.NoneFree)
+
+
 def test_a_lapsed_entry_that_returns_is_kept():
     entry = samples.make_entry()
     vm = samples.Vm(entries=[entry])
