--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -14,6 +14,10 @@
 MAX_ROUTINE_LINES_PER_S = 20.0
 # Lines a second of everything else.
 MAX_OTHER_LINES_PER_S = 100.0
+# Parts that say what this VM relies on, with lines a second of their own: a
+# burst of changed targets or failed attempts must not hide why.
+KEY_PARTS = frozenset(("configuration", "steer", "store"))
+MAX_KEY_LINES_PER_S = 30.0
 # A process that is later than this stood still, or has too little processor
 # time to keep bounds of seconds.
 LATE_S = 0.5
@@ -65,6 +69,7 @@
         self.registry = prometheus_client.CollectorRegistry()
         self.routine = LineBudget(MAX_ROUTINE_LINES_PER_S, now_s)
         self.others = LineBudget(MAX_OTHER_LINES_PER_S, now_s)
+        self.key_parts = LineBudget(MAX_KEY_LINES_PER_S, now_s)
         self.latency = prometheus_client.Histogram(
             "mulberrydeck_request_seconds",
             "Time from arrival to the end of the answer.",
@@ -167,10 +172,11 @@
 
     def write(self, part: str, text: str, **fields: object) -> None:
         """Writes a line if the budget allows it."""
-        if not self.others.allows():
+        budget = self.key_parts if part in KEY_PARTS else self.others
+        if not budget.allows():
             self.lines.inc()
             return
-        left_out = self.others.take_left_out()
+        left_out = budget.take_left_out()
         if left_out:
             fields["lines_left_out"] = left_out
         logs.write(part, text, **fields)
