Keep what was spent of the retry budget when the fleet changes

Each change of the list of VMs, and each reload, gave every VM a full burst of retries anew: a fleet whose VMs restart one after the other could exceed the budget of a service many times over. The new test failed before: 15 retries, 9 allowed.

--- a/mulberrydeck/steering/pacing.py
+++ b/mulberrydeck/steering/pacing.py
@@ -96,6 +96,12 @@
     depth: float
     ratio: float
 
+    def resize(self, other: "RetryBudget") -> None:
+        """Takes the size of another budget over; what was spent stays spent."""
+        self.depth = other.depth
+        self.ratio = other.ratio
+        self.tokens = min(self.tokens, self.depth)
+
     def earn(self) -> None:
         """Counts a request."""
         self.tokens = min(self.depth, self.tokens + self.ratio)
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -172,7 +172,7 @@
         state.pacer.vm_digests = tuple(
             hashing.digest(name) for name in state.fleet.names
         )
-        state.retry_budgets.clear()
+        requests.resize_budgets(state)
         _configure_quota(state)
         fields = {"vms": len(state.fleet.names), "revision": event.revision}
         log = effects.Log("fleet", "The registered VMs changed.", fields)
@@ -301,5 +301,5 @@
     state.quota.settings = event.settings
     state.pacer.overage = event.settings.cold_overage
     state.pacer.extra = event.settings.cold_extra
-    state.retry_budgets.clear()
+    requests.resize_budgets(state)
     return [effects.Log("steer", "The settings are in force.", {})]
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -318,15 +318,26 @@
 def _budget(state: states.State, service: str) -> pacing.RetryBudget:
     budget = state.retry_budgets.get(service)
     if budget is None:
-        budget = pacing.retry_budget(
-            state.settings.retry_ratio,
-            state.settings.retry_extra,
-            len(state.fleet.names),
-        )
+        budget = _new_budget(state)
         state.retry_budgets[service] = budget
     return budget
 
 
+def _new_budget(state: states.State) -> pacing.RetryBudget:
+    return pacing.retry_budget(
+        state.settings.retry_ratio,
+        state.settings.retry_extra,
+        len(state.fleet.names),
+    )
+
+
+def resize_budgets(state: states.State) -> None:
+    """Applies a change of the fleet or the settings to budgets of retries."""
+    wanted = _new_budget(state)
+    for budget in state.retry_budgets.values():
+        budget.resize(wanted)
+
+
 def _gave_up(
     request: states.Request, event: events.AttemptEnded
 ) -> effects.Refuse:
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -185,6 +185,21 @@
     assert 2 <= retried <= 3 + 0.2 * 30
 
 
+def test_a_change_of_the_fleet_does_not_refill_the_budget_of_retries():
+    vm = samples.Vm(entries=entries(4), retry_extra=3.0)
+    retried = 0
+    for number in range(1, 31):
+        vm.arrive()
+        followed = vm.end(f"r{number}", Outcome.ANSWERED, status=500)
+        retried += isinstance(followed, effects.Forward)
+        vm.close(f"r{number}")
+        names = ("coast-a-1", "coast-a-2")[: 1 + number % 2]
+        records = tuple(samples.make_record(name) for name in names)
+        vm.reduce(events.VmsListed(vm.now_s, records, 10 + number))
+        vm.reduce(events.SettingsReloaded(vm.now_s, vm.state.settings))
+    assert 2 <= retried <= 3 + 0.2 * 30
+
+
 def test_a_deadline_that_passed_after_sending_is_no_promise():
     vm = samples.Vm(once_table(), entries())
     vm.arrive()
