Lead when asked, and ask again soon who did not lead yet

A VM that is asked and reaches the store now leads, whatever the order of names; one that has lost the store declines at once; one that declined is asked again after 0.5 s.

--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -227,7 +227,7 @@
         try:
             match message:
                 case messages.FeedAsk():
-                    self.following.feeder.ask(sender, message)
+                    self.following.asked(sender, message)
                 case messages.FeedAnswer():
                     self.following.subscription.receive(sender, message)
                 case _:
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -73,12 +73,19 @@
 
     Attributes:
         name: Name of the VM.
-        reason: What was seen, for logs.
+        declined: Whether it answered that it does not lead.
     """
 
     at_s: float
     name: str
-    reason: str
+    declined: bool
+
+
+@attrs.frozen
+class NewsAsked:
+    """Another VM asked this one for news of the store."""
+
+    at_s: float
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -25,6 +25,11 @@
 # A VM that did not answer in time is passed over for this long, in which it
 # either answers again or is found dead by its missing heartbeats.
 PASSED_OVER_S = 3.0
+# One that answered that it does not lead may have read the store by then.
+DECLINED_S = 0.5
+# A VM leads while others ask it and for this long after: those that do not
+# reach the store may know sooner than it does that no other VM is left.
+ASKED_S = 3.0
 # Followers that a leader answers several times a second, itself included.
 GROUP_VMS = 16
 
@@ -59,12 +64,14 @@
             seconds.
         doubted_until_s: Until when this VM follows the store itself, in
             seconds.
+        asked_s: When another VM last asked this one, in seconds.
     """
 
     plan: Plan = Plan()
     passed_over: dict[str, float] = attrs.field(factory=dict)
     checked_s: float = -math.inf
     doubted_until_s: float = -math.inf
+    asked_s: float = -math.inf
 
 
 def choose(
@@ -72,8 +79,9 @@
 ) -> Plan:
     """Returns the plan that is due now.
 
-    The first VM of a group that reaches the store leads it. A VM that has lost
-    the store goes on trying, and learns from any VM of its zone meanwhile.
+    The first VM of a group that reaches the store leads it, and so does a VM
+    that is asked. A VM that has lost the store goes on trying, and learns from
+    any VM of its zone meanwhile.
 
     Args:
         feeding: State of the decision, changed in place.
@@ -89,6 +97,8 @@
     zone = _zone(fleet)
     if lost:
         return _plan_without_store(feeding, fleet, now_s, zone)
+    if now_s < feeding.asked_s + ASKED_S:
+        return Plan(shared=True, leads=True)
     first = zone.index(own) // GROUP_VMS * GROUP_VMS
     for leader in zone[first : zone.index(own)]:
         if _may_lead(fleet, now_s, leader):
@@ -126,9 +136,10 @@
         feeding.checked_s = max(feeding.checked_s, checked_s)
 
 
-def failed(feeding: Feeding, now_s: float, name: str) -> None:
-    """Notes that a VM does not answer, or does not lead."""
-    feeding.passed_over[name] = now_s + PASSED_OVER_S
+def failed(feeding: Feeding, now_s: float, name: str, declined: bool) -> None:
+    """Notes that a VM does not answer, or answers that it does not lead."""
+    pause_s = DECLINED_S if declined else PASSED_OVER_S
+    feeding.passed_over[name] = now_s + pause_s
 
 
 def _zone(fleet: members.Fleet) -> list[str]:
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -214,6 +214,11 @@
         self.waiting[sender] = _Waiting(ask, self.now_s())
         self._answer(sender)
 
+    def decline(self, sender: str) -> None:
+        """Answers an ask without news, if it still waits."""
+        if sender in self.waiting:
+            self._finish(sender)
+
     def expire(self) -> None:
         """Answers asks that have waited for long."""
         now_s = self.now_s()
@@ -307,11 +312,11 @@
             )
             self.send(source, messages.FeedAsk(known, self.loop.now_s()))
             if not self.arrived.wait(HOLD_S + ANSWER_MARGIN_S):
-                self._failed("it does not answer")
+                self._failed(declined=False)
                 return
             while self.answers:
                 if not self._take(self.answers.popleft()):
-                    self._failed("it does not lead")
+                    self._failed(declined=True)
                     return
 
     def _take(self, answer: messages.FeedAnswer) -> bool:
@@ -342,6 +347,6 @@
             self.regained_s = regained_s
             self.loop.submit(events.StoreRegained(regained_s, FEED, 0.0))
 
-    def _failed(self, reason: str) -> None:
+    def _failed(self, declined: bool) -> None:
         now_s = self.loop.now_s()
-        self.loop.submit(events.SourceFailed(now_s, self.source, reason))
+        self.loop.submit(events.SourceFailed(now_s, self.source, declined))
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -198,6 +198,14 @@
         if before.source != self.plan.source:
             self._ask(self.plan.source)
 
+    def asked(self, sender: str, ask: messages.FeedAsk) -> None:
+        """Answers another VM, or begins to lead so that it can be answered."""
+        self.feeder.ask(sender, ask)
+        if self.lost:
+            self.feeder.decline(sender)
+        else:
+            self.loop.submit(events.NewsAsked(self.loop.now_s()))
+
     def watch_anew(self) -> None:
         """Replaces the watches, which may have been lost unnoticed."""
         self.reports.write("store", "Watching anew.")
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -104,9 +104,12 @@
         case events.SourceChecked():
             feeding.checked(state.feed, event.name, event.checked_s)
             return []
+        case events.NewsAsked():
+            state.feed.asked_s = event.at_s
+            return _follow(state)
         case events.SourceFailed():
-            feeding.failed(state.feed, state.now_s, event.name)
-            fields = {"vm": event.name, "reason": event.reason}
+            feeding.failed(state.feed, state.now_s, event.name, event.declined)
+            fields = {"vm": event.name, "declined": event.declined}
             text = "A VM no longer tells of the store."
             return [effects.Log("store", text, fields), *_follow(state)]
         case events.StoreRegained():
--- a/mulberrydeck/steering/tests/test_feeding.py
+++ b/mulberrydeck/steering/tests/test_feeding.py
@@ -180,7 +180,7 @@
 def test_a_source_that_fails_is_asked_again_later():
     vm = make_vm("coast-a-3")
     rely(vm, "coast-a-1")
-    vm.reduce(events.SourceFailed(vm.now_s, "coast-a-1", "silent"))
+    vm.reduce(events.SourceFailed(vm.now_s, "coast-a-1", declined=False))
     # No other VM leads while heartbeats of the first one arrive.
     assert plan(vm) == feeding.Plan(direct=True, shared=True)
     vm.now_s += feeding.PASSED_OVER_S
@@ -189,6 +189,32 @@
     rely(vm, "coast-a-1")
 
 
+def test_a_vm_that_is_asked_leads_for_a_while():
+    vm = make_vm("coast-a-3")
+    rely(vm, "coast-a-1")
+    produced = vm.reduce(events.NewsAsked(vm.now_s))
+    assert any(isinstance(one, effects.FollowStore) for one in produced)
+    assert plan(vm) == LEADS
+    vm.now_s += feeding.ASKED_S
+    hear(vm, *NAMES[:2])
+    assert plan(vm) == feeding.Plan("coast-a-1", direct=True, shared=True)
+
+
+def test_a_vm_that_lost_the_store_and_is_asked_does_not_lead():
+    vm = make_vm("coast-a-3")
+    lose(vm)
+    vm.reduce(events.NewsAsked(vm.now_s))
+    assert not plan(vm).leads
+
+
+def test_a_vm_that_did_not_lead_yet_is_soon_asked_again():
+    vm = make_vm("coast-a-3")
+    vm.reduce(events.SourceFailed(vm.now_s, "coast-a-1", declined=True))
+    assert plan(vm).source == ""
+    vm.now_s += feeding.DECLINED_S
+    assert plan(vm).source == "coast-a-1"
+
+
 def test_a_vm_that_loses_the_store_tries_on_and_follows_another():
     vm = make_vm("coast-a-1")
     lose(vm)
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -246,6 +246,13 @@
     assert lost == regained == [KIND]
 
 
+def test_a_vm_that_has_lost_the_store_declines_at_once(vm):
+    vm.following.missed(KIND, errors.PlatformUnavailableError("cut"))
+    vm.following.asked("coast-a-2", messages.FeedAsk((), 1.0))
+    ((to, answer),) = vm.sent
+    assert (to, answer.checked_age_s) == ("coast-a-2", None)
+
+
 def test_a_vm_that_stood_still_watches_anew(vm):
     vm.apply(LEADS)
     vm.store.watched.clear()
--- a/tests/test_store_feeds.py
+++ b/tests/test_store_feeds.py
@@ -197,3 +197,9 @@
 def test_a_drained_target_is_left_in_time_while_the_source_hears_no_store(fed):
     fed.store.silence(_ip(fed, SOURCE))
     assert _left_after_s(fed, fed.targets["t2"], LAST) < DRAIN_S
+
+
+def test_vms_that_the_store_refuses_apply_a_version_in_time(fed):
+    for name in (SOURCE, LAST):
+        fed.store.refuse(_ip(fed, name))
+    assert _known_after_s(fed, 2, LAST) < APPLY_S
