Make few calls to the store while many VMs start, doubt or have lost it

Now a VM that starts relies on the first fresh answer, and only one that relied on a leader in vain doubts for 2 s; a VM that does not lead rests 0.5 s after changes; and of a store out of reach only the cheap checks are made, each kind goes on when one is answered. That also ends the wait of 1.5 s of patient VMs, so that all know of the return after 0.4 s.

--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -20,7 +20,8 @@
 # its followers, so that they are up to about half a second behind. The rest of
 # the shortest bounds, 2 s, is left to read the store and to apply the news.
 MAX_AGE_S = 1.2
-# A leader's answers must be fresh for this long before a VM relies on them.
+# After it relied on answers that became too old, a VM follows the store itself
+# for this long: starting watches more often costs more than keeping them.
 DOUBT_S = 2.0
 # A VM that did not answer in time is passed over for this long, in which it
 # either answers again or is found dead by its missing heartbeats.
@@ -43,14 +44,12 @@
         direct: Whether it follows the store itself.
         shared: Whether VMs of the zone share what they read.
         leads: Whether others may learn from it.
-        patient: Whether it tries a lost store seldom, since others try too.
     """
 
     source: str = ""
     direct: bool = True
     shared: bool = False
     leads: bool = False
-    patient: bool = False
 
 
 @attrs.define
@@ -92,7 +91,8 @@
     own = fleet.settings.name
     if fleet.is_mesh or own not in fleet.names:
         return Plan()
-    if lost or now_s > feeding.checked_s + MAX_AGE_S:
+    is_old = now_s > feeding.checked_s + MAX_AGE_S
+    if is_old and not feeding.plan.direct:
         feeding.doubted_until_s = now_s + DOUBT_S
     zone = _zone(fleet)
     if lost:
@@ -103,7 +103,8 @@
     for leader in zone[first : zone.index(own)]:
         if _may_lead(fleet, now_s, leader):
             is_asked = now_s >= feeding.passed_over.get(leader, -math.inf)
-            direct = not is_asked or now_s < feeding.doubted_until_s
+            is_doubted = is_old or now_s < feeding.doubted_until_s
+            direct = is_doubted or not is_asked
             return Plan(leader if is_asked else "", direct, shared=True)
     return Plan(shared=True, leads=True)
 
@@ -118,10 +119,7 @@
         if name != own and is_asked and _may_lead(fleet, now_s, name):
             source = name
             break
-    patient = any(
-        _is_working(fleet, now_s, name) for name in zone[: zone.index(own)]
-    )
-    return Plan(source, shared=True, patient=patient)
+    return Plan(source, shared=True)
 
 
 def checked(feeding: Feeding, name: str, checked_s: float) -> None:
@@ -152,10 +150,7 @@
     ]
 
 
-def _is_working(fleet: members.Fleet, now_s: float, name: str) -> bool:
-    peer = fleet.peers[name]
-    return fleet.is_alive(peer, now_s) and not peer.leaving
-
-
 def _may_lead(fleet: members.Fleet, now_s: float, name: str) -> bool:
-    return _is_working(fleet, now_s, name) and fleet.peers[name].reaches_store
+    peer = fleet.peers[name]
+    is_working = fleet.is_alive(peer, now_s) and not peer.leaving
+    return is_working and peer.reaches_store
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import gevent
+import gevent.event
 from returns import result
 
 from mulberrydeck import errors
@@ -21,8 +22,6 @@
 # A call is priced, also one that only waited; the kernel's probes of the
 # connection find a dead store sooner than the end of the wait does.
 WATCH_WAIT_S = 20.0
-# A VM before this one tries too, which tells it as soon as it succeeds.
-PATIENT_RETRY_DELAY_S = 1.5
 # A third of the age up to which a VM relies on another one.
 CHECK_INTERVAL_S = 0.4
 # Four times the answer of a store that is slowed sixty times.
@@ -31,6 +30,9 @@
 # After standing still for as long, a VM can't know whether its watches still
 # wait at the store.
 STANDSTILL_S = 1.0
+# Pause after changes of a VM that does not lead: all VMs of a group may watch
+# at once. A quarter of the shortest bound for versions and leaving targets.
+DIRECT_REST_S = 0.5
 
 
 class Follower:
@@ -82,7 +84,7 @@
                 self.following.changed(self.followed, changes, origin)
                 self.following.feeder.changed(kind, changes)
                 if changes.changes:
-                    gevent.sleep(self.followed.rest_s)
+                    gevent.sleep(self.following.rest_s(self.followed))
                 return max(revision, changes.revision)
         error = watched.failure()
         if isinstance(error, stores.HistoryLostError):
@@ -93,10 +95,9 @@
 
     def _failed(self, error: errors.MulberrydeckError) -> None:
         failures = self.following.missed(self.followed.kind, error)
-        if self.following.plan.patient:
-            gevent.sleep(PATIENT_RETRY_DELAY_S)
-        else:
-            gevent.sleep(backoff.retry_delay_s(failures))
+        gevent.sleep(backoff.retry_delay_s(failures))
+        # Of a store out of reach, only the cheap checks are made.
+        self.following.reachable.wait()
 
 
 class Checker:
@@ -121,8 +122,10 @@
             match checked:
                 case result.Success():
                     following.reached(CHECK)
+                    following.reachable.set()
                     following.feeder.checked(sent_s)
                 case _:
+                    following.reachable.clear()
                     following.missed(CHECK, checked.failure())
             due_s = following.loop.now_s() + CHECK_INTERVAL_S
             gevent.sleep(CHECK_INTERVAL_S)
@@ -146,6 +149,7 @@
         names: Names of the objects that are known of each kind.
         failures: Failed calls in a row, by kind.
         lost: Since when a kind can't be followed, in seconds.
+        reachable: Cleared while checks of the store fail.
     """
 
     def __init__(
@@ -166,6 +170,8 @@
         self.names: dict[str, set[str]] = {}
         self.failures: dict[str, int] = {}
         self.lost: dict[str, float] = {}
+        self.reachable = gevent.event.Event()
+        self.reachable.set()
         self.feeder = feeds.Feeder(send, loop.now_s, reports)
         self.subscription = feeds.Subscription(
             loop, send, self.fed, self.positions
@@ -227,6 +233,7 @@
         elif not wanted and self._checking is not None:
             self._checking.kill(block=False)
             self._checking = None
+            self.reachable.set()
 
     def _ask(self, source: str) -> None:
         if self._asking is not None:
@@ -249,6 +256,12 @@
         revision = self.positions[kind]
         return None if revision == feeds.ALL_OBJECTS else revision
 
+    def rest_s(self, followed: sources.Followed) -> float:
+        """Returns the pause after changes of a kind, in seconds."""
+        if self.plan.shared and not self.plan.leads and followed.rest_s:
+            return max(DIRECT_REST_S, followed.rest_s)
+        return followed.rest_s
+
     def reached(self, kind: str) -> None:
         """Notes that a call for a kind was answered."""
         self.failures[kind] = 0
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -206,7 +206,6 @@
         "source": plan.source,
         "direct": plan.direct,
         "leads": plan.leads,
-        "patient": plan.patient,
         "checked_age_s": min(NEVER_S, round(checked_age_s, 3)),
     }
     log = effects.Log("store", "The store is followed in another way.", fields)
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -222,6 +222,34 @@
     )
 
 
+def test_of_a_store_out_of_reach_only_checks_are_made(vm):
+    vm.listed(5, "east")
+    vm.apply(feeding.Plan("coast-a-1", direct=False, shared=True))
+    vm.store.error = errors.PlatformUnavailableError("cut")
+    vm.store.failing = 1000
+    vm.store.watched.clear()
+    vm.apply(feeding.Plan("coast-a-1", direct=True, shared=True))
+    vm.turn(1.0)
+    assert len(vm.store.watched) <= 2
+    vm.store.error = None
+    vm.store.failing = 0
+    vm.turn(1.5 * following.CHECK_INTERVAL_S)
+    assert not vm.following.lost
+
+
+def test_a_burst_of_changes_costs_a_vm_that_does_not_lead_few_calls(vm):
+    (targets,) = (
+        one
+        for one in sources.Sources(vm.reports).work()
+        if one.kind == documents.TARGETS_KIND
+    )
+    vm.apply(feeding.Plan("coast-a-1", direct=True, shared=True))
+    assert vm.following.rest_s(targets) == following.DIRECT_REST_S
+    assert vm.following.rest_s(vm.followed) == 0.0
+    vm.apply(LEADS)
+    assert vm.following.rest_s(targets) == targets.rest_s
+
+
 def test_a_kind_that_was_lost_is_regained_by_the_next_watch(vm):
     vm.following.missed(KIND, errors.PlatformUnavailableError("cut"))
     vm.apply(LEADS)
