Replace watches that an outage of the store may have silenced

Connections that are open may stay silent for good while new ones work. The check noticed that, opened another connection and found the store in reach again, while watches of a VM that does not lead went on waiting on silent ones, for up to 21 s where the kernel's probes are answered. The new test failed before: no new watch was made.

--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -28,7 +28,7 @@
 CHECK_TIMEOUT_S = 1.0
 CHECK = "check"  # Stands for all kinds in events of a store out of reach.
 # After standing still for as long, a VM can't know whether its watches still
-# wait at the store.
+# wait at the store; nor can it after the store was out of reach.
 STANDSTILL_S = 1.0
 # Pause after changes of a VM that does not lead: all VMs of a group may watch
 # at once. A quarter of the shortest bound for versions and leaving targets.
@@ -121,6 +121,8 @@
             checked = following.client.check(CHECK_TIMEOUT_S)
             match checked:
                 case result.Success():
+                    if CHECK in following.lost:
+                        following.watch_anew()
                     following.reached(CHECK)
                     following.reachable.set()
                     following.feeder.checked(sent_s)
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -222,6 +222,17 @@
     )
 
 
+def test_watches_that_an_outage_may_have_silenced_are_replaced(vm):
+    vm.listed(5, "east")
+    vm.apply(feeding.Plan("coast-a-1", direct=False, shared=True))
+    vm.store.error = errors.PlatformUnavailableError("silent")
+    vm.apply(feeding.Plan("coast-a-1", direct=True, shared=True))
+    vm.store.watched.clear()
+    vm.store.error = None
+    vm.turn(1.5 * following.CHECK_INTERVAL_S)
+    assert vm.store.watched == [5]
+
+
 def test_of_a_store_out_of_reach_only_checks_are_made(vm):
     vm.listed(5, "east")
     vm.apply(feeding.Plan("coast-a-1", direct=False, shared=True))
