Soak: excuse a VM by its own faults only, and check when versions are in force

Its checks of drained targets and evacuated zones excused all VMs while any one of them stood still or was cut off, no check looked at when a version was in force, and no zone had more than two VMs.

Bounds of times now hold for each VM that was in touch itself, each version has a route of its own that all VMs are asked for, and a crowded fleet has eight VMs in a zone. Entries that one fault restores while another one lasts are told by target, so that the check is narrower only where the soak itself took a change back.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,12 +7,12 @@
 import attrs
 import gevent
 
-from soak import faults
 from soak import world as worlds
 from standins import http_client
 
 CALLERS_A_VM = 3
 PAUSE_S = 0.08
+PROBE_PAUSE_S = 0.2
 LATE_S = 12.0  # A caller gives up then; the deadline that it names is 2 s.
 
 
@@ -37,23 +37,45 @@
     answer: http_client.Answer | http_client.NoAnswer
 
 
+@attrs.frozen
+class Probe:
+    """A request on the route that only the newest version has.
+
+    Attributes:
+        vm: VM that it was sent to.
+        version: The newest version that was acknowledged before.
+        sent_s: When it was sent, on the monotonic clock, in seconds.
+        status: Status of the answer; 0 if there was none.
+    """
+
+    vm: str
+    version: int
+    sent_s: float
+    status: int
+
+
 class Callers:
     """Callers with open connections to all VMs.
 
     Attributes:
         calls: What was sent so far.
+        probes: What was sent to see which version is in force.
         stopping: Set to make the callers end.
     """
 
     def __init__(self, world: worlds.World, seed: int):
         self.world = world
         self.calls: list[Call] = []
+        self.probes: list[Probe] = []
         self.stopping = False
         self.greenlets = [
             gevent.spawn(self._run, vm, random.Random(f"{seed}/{vm}/{number}"))
-            for vm in faults.VMS
+            for vm in world.zone_by_vm
             for number in range(CALLERS_A_VM)
         ]
+        self.greenlets += [
+            gevent.spawn(self._probe, vm) for vm in world.zone_by_vm
+        ]
 
     def finish(self) -> None:
         """Ends the callers once their last answers are there."""
@@ -69,6 +91,20 @@
             gevent.sleep(rng.uniform(0, 2 * PAUSE_S))
         client.close()
 
+    def _probe(self, vm: str) -> None:
+        client = self.world.client(vm)
+        client.timeout_s = LATE_S
+        while not self.stopping:
+            version = self.world.version
+            sent_s = time.monotonic()
+            _, answer = self.world.request(client, f"/v{version}/")
+            # A newer version would have dropped the route by right.
+            if version == self.world.version:
+                status = getattr(answer, "status", 0)
+                self.probes.append(Probe(vm, version, sent_s, status))
+            gevent.sleep(PROBE_PAUSE_S)
+        client.close()
+
     def _call(self, client, vm: str, kind: str, rng: random.Random) -> Call:
         path = f"/{kind}/{rng.randrange(20)}"
         attempt_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,7 @@
 DRAIN_S = 3.0
 EVACUATION_S = 5.0
 APPLIED_S = 3.0
+STABLE_S = 4.0
 LOSS_SLACK_S = 0.2
 LIMIT_WINDOW_S = 5.0
 LIMIT_FACTOR = 1.1
@@ -25,13 +26,13 @@
 
 
 def broken(
-    world: worlds.World, calls: list[Call], timed: bool = True
+    world: worlds.World, clients: callers.Callers, timed: bool = True
 ) -> list[str]:
     """Returns a line for each broken promise.
 
     Args:
         world: What was played.
-        calls: All calls of the callers.
+        clients: The callers and what they saw.
         timed: Whether promises of times are checked too, which a machine that
             is too busy for its processes breaks.
     """
@@ -46,7 +47,10 @@
     ]
     if timed:
         checks += [_drained, _evacuated, _limited]
-    return [line for check in checks for line in check(world, calls)]
+    broken = [line for check in checks for line in check(world, clients.calls)]
+    if timed:
+        broken += _applied(world, clients.probes)
+    return broken
 
 
 def _runs(world: worlds.World) -> collections.Counter[str]:
@@ -146,55 +150,97 @@
 
 
 def _drained(world: worlds.World, calls: list[Call]) -> Iterator[str]:
-    del calls
     for one in world.happened:
         match one.fault:
             case faults.Drain(name) | faults.Remove(name):
-                late = _late(world, one, {name}, DRAIN_S)
-                if late:
-                    yield f"{name}: {late} runs late after {one.fault}"
+                for line in _late(world, calls, one, {name}, DRAIN_S):
+                    yield f"{name}: {line}"
 
 
 def _evacuated(world: worlds.World, calls: list[Call]) -> Iterator[str]:
-    del calls
     for one in world.happened:
         match one.fault:
             case faults.Evacuate(zone):
                 names = {n for n, at in faults.TARGETS.items() if at == zone}
-                late = _late(world, one, names, EVACUATION_S)
-                if late:
-                    yield f"{zone}: {late} runs late after {one.fault}"
+                for line in _late(world, calls, one, names, EVACUATION_S):
+                    yield f"{zone}: {line}"
 
 
 def _late(
-    world: worlds.World, one: worlds.Happened, names: set[str], bound_s: float
-) -> int:
-    """Returns runs later than a bound, where all VMs were in touch."""
-    begin_s = one.begun_s + bound_s
-    touched = any(
-        isinstance(other.fault, faults.Store | faults.Link | faults.Pause)
-        and other.begun_s <= one.ended_s
-        and one.begun_s <= other.ended_s + bound_s
-        for other in world.happened
-    )
-    others = [
-        other
-        for other in world.happened
-        if other is not one
-        and type(other.fault) is type(one.fault)
-        and other.ended_s <= one.ended_s
-        and other.ended_s >= one.begun_s
-    ]
-    # An end of the same fault before takes the state back for both.
-    if touched or others:
-        return 0
-    return sum(
-        begin_s < run.arrived_s < one.ended_s
-        for name in names
-        for run in world.targets[name].runs
+    world: worlds.World,
+    calls: list[Call],
+    one: worlds.Happened,
+    names: set[str],
+    bound_s: float,
+) -> Iterator[str]:
+    """Yields runs later than a bound that VMs in touch have sent."""
+    if any(_takes_back(other, one) for other in world.happened):
+        return
+    vm_by_id = {call.attempt_id: call.vm for call in calls}
+    for name in names:
+        for run in world.targets[name].runs:
+            vm = vm_by_id.get(run.fields.get("x-attempt-id", ""))
+            is_late = one.begun_s + bound_s < run.arrived_s < one.ended_s
+            if is_late and vm and _in_touch(world, vm, run.arrived_s):
+                late_s = run.arrived_s - one.begun_s
+                yield f"run by {vm} {late_s:.1f} s after {one.fault}"
+
+
+def _takes_back(other: worlds.Happened, one: worlds.Happened) -> bool:
+    """Returns whether the end of a fault restores what another one changed."""
+    match one.fault, other.fault:
+        case (faults.Evacuate(zone), faults.Evacuate(other_zone)):
+            same = zone == other_zone
+        case (
+            faults.Drain(name) | faults.Remove(name),
+            faults.Drain(other_name) | faults.Remove(other_name),
+        ):
+            same = name == other_name
+        case _:
+            same = False
+    ended_meanwhile = one.begun_s <= other.ended_s <= one.ended_s
+    return same and other is not one and ended_meanwhile
+
+
+def _in_touch(world: worlds.World, vm: str, at_s: float) -> bool:
+    """Returns whether nothing disturbed a VM or the store for a while."""
+    return not any(
+        one.begun_s <= at_s
+        and at_s <= one.ended_s + STABLE_S
+        and _disturbs(one.fault, vm)
+        for one in world.happened
     )
 
 
+def _disturbs(fault: faults.Fault, vm: str) -> bool:
+    match fault:
+        case faults.Store():
+            return True
+        case faults.Link(name):
+            return name in ("", vm)
+        case faults.Kill(name) | faults.Stop(name) | faults.Pause(name):
+            return name == vm
+    return False
+
+
+def _applied(world: worlds.World, probes: list[callers.Probe]) -> Iterator[str]:
+    """Yields VMs in touch that answered as an older version says."""
+    seen = set()
+    for probe in probes:
+        late_s = probe.sent_s - world.written_s[probe.version]
+        if (
+            probe.status == 404
+            and late_s > APPLIED_S
+            and (probe.vm, probe.version) not in seen
+            and _in_touch(world, probe.vm, probe.sent_s)
+        ):
+            seen.add((probe.vm, probe.version))
+            yield (
+                f"{probe.vm}: version {probe.version} not in force after "
+                f"{late_s:.1f} s"
+            )
+
+
 def _limited(world: worlds.World, calls: list[Call]) -> Iterator[str]:
     """Counts windows under the highest rate in force shortly before."""
     del calls
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,11 @@
     "coast-b-1": "coast-b",
     "lake-a-1": "lake-a",
 }
+# One VM of a zone leads many others; by turns it is the one that fails.
+CROWDED_VMS = {f"coast-a-{number}": "coast-a" for number in range(1, 9)} | {
+    "coast-b-1": "coast-b",
+    "lake-a-1": "lake-a",
+}
 TARGETS = {"t1": "coast-a", "t2": "coast-b", "t3": "lake-a", "t4": "coast-a"}
 ANSWER_FAULTS = (
     "reset",
@@ -154,18 +159,21 @@
     fault: Fault
 
 
-def plan(seed: int, duration_s: float) -> tuple[Planned, ...]:
+def plan(
+    seed: int, duration_s: float, vms: dict[str, str]
+) -> tuple[Planned, ...]:
     """Returns series of faults that overlap, in order of their beginning.
 
     Args:
         seed: Seed of all choices.
         duration_s: Time in which faults begin.
+        vms: Zones of the VMs by name.
     """
     rng = random.Random(seed)
     planned = []
     at_s = 0.0
     while at_s < duration_s:
-        fault = _draw(rng)
+        fault = _draw(rng, vms)
         start_s = at_s
         for _ in range(rng.randint(*SERIES)):
             planned.append(Planned(start_s, rng.uniform(*FOR_S), fault))
@@ -174,8 +182,8 @@
     return tuple(sorted(planned, key=lambda one: one.at_s))
 
 
-def _draw(rng: random.Random) -> Fault:
-    vm = rng.choice(sorted(VMS))
+def _draw(rng: random.Random, vms: dict[str, str]) -> Fault:
+    vm = rng.choice(sorted(vms))
     target = rng.choice(sorted(TARGETS))
     makers = (
         lambda: Kill(vm),
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -37,6 +37,7 @@
     directory: pathlib.Path,
     mesh: bool,
     timed: bool = True,
+    crowded: bool = False,
 ) -> Played:
     """Plays the faults of a seed beside callers and checks what was seen.
 
@@ -46,16 +47,18 @@
         directory: Where logs are written.
         mesh: Whether all VMs hear each other, as in a small fleet.
         timed: Whether promises of times are checked too.
+        crowded: Whether one zone has many VMs.
     """
     mesh_vms = ALL_MESH if mesh else ZONES_FROM
     broken: list[str] = []
-    with worlds.World(directory, mesh_vms=mesh_vms) as world:
+    vms = faults.CROWDED_VMS if crowded else faults.VMS
+    with worlds.World(directory, vms, mesh_vms=mesh_vms) as world:
         world.start()
         began_s = time.monotonic()
         callers = caller_sets.Callers(world, seed)
         for fault in [
             gevent.spawn_later(planned.at_s, world.inject, planned)
-            for planned in faults.plan(seed, duration_s)
+            for planned in faults.plan(seed, duration_s, vms)
         ]:
             fault.get()
         try:
@@ -63,7 +66,7 @@
         except waiting.ConditionError as error:
             broken.append(str(error))
         callers.finish()
-        broken += checks.broken(world, callers.calls, timed)
+        broken += checks.broken(world, callers, timed)
     served = sum(
         getattr(call.answer, "status", 0) == 200 for call in callers.calls
     )
--- a/soak/world.py
+++ b/soak/world.py
@@ -44,18 +44,27 @@
     """Steering VMs whose connections pass a fault proxy.
 
     Attributes:
+        zone_by_vm: Zones of the VMs by name.
         happened: Faults so far.
         exits: Exit codes of VMs that were asked to stop, with the time taken.
         version: Version of the configuration.
         rates: Rate in force from a time on, in seconds and requests a second.
+        written_s: When each version was acknowledged, in seconds.
     """
 
-    def __init__(self, directory: pathlib.Path, **settings: object):
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        zone_by_vm: dict[str, str],
+        **settings: object,
+    ):
         super().__init__(directory, stop_timeout_s=STOP_TIMEOUT_S, **settings)
+        self.zone_by_vm = zone_by_vm
         self.happened: list[Happened] = []
         self.exits: list[tuple[str, int, float]] = []
         self.version = 0
         self.rates: list[tuple[float, int]] = []
+        self.written_s: dict[int, float] = {}
         self.links: dict[str, str] = {}
         self.busy: set[str] = set()
         self.away = 0
@@ -69,7 +78,7 @@
         places = [specification.Place(name) for name in upstreams]
         places += [
             specification.Place(name, zone, ip=self.add_ports(name))
-            for name, zone in faults.VMS.items()
+            for name, zone in self.zone_by_vm.items()
         ]
         ip = self.subnet.ip(2, 1)
         self.links = {
@@ -94,11 +103,11 @@
         self.reconfigure(20)
         for name in faults.TARGETS:
             self.register(name)
-        for name, zone in faults.VMS.items():
+        for name, zone in self.zone_by_vm.items():
             self.start_vm(name, zone)
 
     def reconfigure(self, rate_per_s: int) -> None:
-        """Writes a new version with a limit of the account."""
+        """Writes a new version with a limit and a route of its own."""
         self.version += 1
         account = {
             "Name": "acme",
@@ -106,7 +115,12 @@
             "RatePerS": rate_per_s,
             "Burst": BURST,
         }
-        self.configure(self.version, Tenants=[account])
+        own = fleets.route(
+            Name=f"v{self.version}", PathPrefix=f"/v{self.version}/"
+        )
+        routes = [*fleets.configuration()["Routes"], own]
+        self.configure(self.version, Tenants=[account], Routes=routes)
+        self.written_s[self.version] = time.monotonic()
         self.rates.append((time.monotonic(), rate_per_s))
 
     def register(self, name: str, **status: object) -> None:
@@ -170,7 +184,7 @@
                 undone.callback(process.send_signal, signal.SIGCONT)
 
     def _start_again(self, vm: str) -> None:
-        self.launch_vm(vm, faults.VMS[vm], first_start=False)
+        self.launch_vm(vm, self.zone_by_vm[vm], first_start=False)
 
     def _begin_at_store(self, how: str, undone) -> None:
         match how:
@@ -211,7 +225,7 @@
         """Waits until each VM serves a request after the last fault."""
         for target in self.targets.values():
             target.script.clear()
-        for name in faults.VMS:
+        for name in self.zone_by_vm:
             waiting.until(
                 lambda name=name: self._serves(name),
                 f"{name} serves after the faults",
