Answer only after reading all kinds, so that askers do not move on

A VM that had just begun to lead answered asks as soon as it had read one kind; the answer said that it does not lead yet, and the asker went on to the next VM, which began to lead too. The new test failed before: the ask was answered after the first kind.

--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -231,7 +231,13 @@
             self._answer(name)
 
     def _answer(self, name: str) -> None:
-        """Sends what is newer; keeps the ask waiting if nothing is."""
+        """Sends what is newer, or keeps the ask waiting.
+
+        Until all kinds were read, an answer would say that this VM does not
+        lead, and send the asker to another one.
+        """
+        if not self._knows_all_of(self.waiting[name].ask):
+            return
         parts = []
         for known in self.waiting[name].ask.known:
             mirror = self.mirrors.get(known.kind)
--- a/mulberrydeck/steering/tests/test_feeding.py
+++ b/mulberrydeck/steering/tests/test_feeding.py
@@ -402,6 +402,21 @@
     assert answer.checked_age_s is None
 
 
+def test_a_vm_that_begins_to_lead_answers_once_it_has_read_all_kinds():
+    link = Link()
+    known = (
+        messages.KnownRevision("servers", 7),
+        messages.KnownRevision("evacuations", 7),
+    )
+    link.feeder.ask("b", messages.FeedAsk(known, link.now_s))
+    link.feeder.listed("servers", listing(9, stored("t1", 8)))
+    assert link.answers() == []
+    link.feeder.listed("evacuations", listing(9))
+    (answer,) = link.answers()
+    assert [part.kind for part in answer.parts] == ["servers", "evacuations"]
+    assert answer.checked_age_s is not None
+
+
 def test_a_vm_that_does_not_lead_any_more_says_so_at_once():
     link = Link()
     link.feeder.listed("servers", listing(7))
