Show a silent watch of a VM that leads within its bounds

Existing connections of the leader fell silent while new ones worked; its checks took a new one, so that its word was believed, while its watches waited up to 20 s (the proxy answers the kernel's probes). The check proves the path, not the watch.

A leader's watches are answered after 1 s also without news (2.5 s for evacuations), so that one that fell silent is lost and replaced after 2 s. Other VMs keep the long wait: they lead nobody, and rely on a leader or watch for some seconds only.

--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -73,8 +73,7 @@
     def _watch(self, revision: int) -> int | None:
         kind = self.followed.kind
         origin = self.following.origin()
-        # A watch that waits would not show that the store is back.
-        wait_s = 0.0 if kind in self.following.lost else WATCH_WAIT_S
+        wait_s = self.following.wait_s(self.followed)
         watched = self.following.client.watch(
             kind, revision, wait_s, self.followed.stale
         )
@@ -258,6 +257,15 @@
         revision = self.positions[kind]
         return None if revision == feeds.ALL_OBJECTS else revision
 
+    def wait_s(self, followed: sources.Followed) -> float:
+        """Returns how long to wait for changes of a kind, in seconds."""
+        if followed.kind in self.lost:
+            # A watch that waits would not show that the store is back.
+            return 0.0
+        if self.plan.leads:
+            return min(WATCH_WAIT_S, followed.lead_wait_s)
+        return WATCH_WAIT_S
+
     def rest_s(self, followed: sources.Followed) -> float:
         """Returns the pause after changes of a kind, in seconds."""
         if self.plan.shared and not self.plan.leads and followed.rest_s:
--- a/mulberrydeck/steering/sources.py
+++ b/mulberrydeck/steering/sources.py
@@ -1,6 +1,7 @@
 """Turns objects of the store into events, kind by kind."""
 
 from collections.abc import Callable
+import math
 
 import attrs
 
@@ -13,6 +14,12 @@
 # Changes that come close together, as in a release, cost one call. Well below
 # the seconds that a target has until it must be left.
 TARGETS_REST_S = 0.1
+# A watch of a VM that leads is answered after this time also without news, so
+# that a connection that fell silent shows in time. With the time until the
+# answer counts as lost, it stays below the bounds of 3 s for versions and
+# leaving targets, and of 5 s for evacuations, in large fleets.
+LEAD_WAIT_S = 1.0
+EVACUATIONS_LEAD_WAIT_S = 2.5
 # Fleets start and restart within seconds; nothing is urgent in their list.
 VMS_REST_S = 1.0
 
@@ -27,6 +34,7 @@
         changed: Returns the events of one change.
         stale: Whether data may be seconds old, which is cheaper.
         rest_s: Pause after changes, in seconds.
+        lead_wait_s: Longest wait for changes of a VM that leads, in seconds.
     """
 
     kind: str
@@ -34,6 +42,7 @@
     changed: Callable[[float, stores.Change], list[object]]
     stale: bool = False
     rest_s: float = 0.0
+    lead_wait_s: float = math.inf
 
 
 @attrs.define(eq=False)
@@ -57,17 +66,20 @@
                 documents.CONFIGURATION_KIND,
                 self._configurations,
                 self._configuration_changed,
+                lead_wait_s=LEAD_WAIT_S,
             ),
             Followed(
                 documents.TARGETS_KIND,
                 self._targets,
                 self._target_changed,
                 rest_s=TARGETS_REST_S,
+                lead_wait_s=LEAD_WAIT_S,
             ),
             Followed(
                 documents.EVACUATIONS_KIND,
                 self._evacuations,
                 self._evacuation_changed,
+                lead_wait_s=EVACUATIONS_LEAD_WAIT_S,
             ),
         )
 
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -311,6 +311,20 @@
     assert vm.following.feeder.mirrors[KIND].revision == 7
 
 
+def test_watches_of_a_vm_that_leads_show_a_silent_connection_in_time(vm):
+    apply_s = 3.0  # ConfigApplyMs and DrainMs where VMs lead.
+    evacuation_s = 5.0
+    longest_s = {
+        documents.CONFIGURATION_KIND: apply_s,
+        documents.TARGETS_KIND: apply_s,
+        documents.EVACUATIONS_KIND: evacuation_s,
+    }
+    vm.apply(LEADS)
+    for followed in sources.Sources(vm.reports).work():
+        wait_s = vm.following.wait_s(followed)
+        assert wait_s + stores.WATCH_MARGIN_S < longest_s[followed.kind]
+
+
 def test_no_checks_are_made_where_vms_share_nothing(vm):
     calls = []
     vm.store.check = calls.append
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,8 @@
     (230, False, False),
     # VMs whose source had lost the store learned of a version 6 s late.
     (310, False, True),
+    # Watches of a leader waited on silent connections while its checks passed.
+    (317, False, True),
 )
 
 
