--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -59,7 +59,7 @@
 
     Attributes:
         name: Name of the VM.
-        checked_s: When that VM reached the store, at the latest, in seconds.
+        checked_s: That time, in seconds.
     """
 
     at_s: float
--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -128,7 +128,7 @@
     Args:
         feeding: State of the decision, changed in place.
         name: Name of the source.
-        checked_s: When it reached the store, at the latest, in seconds.
+        checked_s: That time, in seconds.
     """
     if name == feeding.plan.source:
         feeding.checked_s = max(feeding.checked_s, checked_s)
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -151,7 +151,8 @@
     Attributes:
         mirrors: What this VM knows of each kind, while it leads.
         leads: Whether others may learn from this VM.
-        checked_s: When the store was last reached, at the latest, in seconds.
+        checked_s: When the last call that reached the store was sent, in
+            seconds.
         waiting: Asks that wait for news, by VM.
         regained_s: When it could be followed again, in seconds.
     """
