Say once whether a VM may be asked, and do less for each ask

Read after the fact; behaviour stays. A VM that leads already does not choose its plan anew for each ask of its followers (40 a second in a full group), but at its next tick as before. Whether the store is in reach follows the check's own notes of success and failure. A lookup that could not miss any more is gone.

--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -102,7 +102,7 @@
     first = zone.index(own) // GROUP_VMS * GROUP_VMS
     for leader in zone[first : zone.index(own)]:
         if _may_lead(fleet, now_s, leader):
-            is_asked = now_s >= feeding.passed_over.get(leader, -math.inf)
+            is_asked = _is_asked(feeding, now_s, leader)
             is_doubted = is_old or now_s < feeding.doubted_until_s
             direct = is_doubted or not is_asked
             return Plan(leader if is_asked else "", direct, shared=True)
@@ -113,13 +113,14 @@
     feeding: Feeding, fleet: members.Fleet, now_s: float, zone: list[str]
 ) -> Plan:
     own = fleet.settings.name
-    source = ""
-    for name in zone:
-        is_asked = now_s >= feeding.passed_over.get(name, -math.inf)
-        if name != own and is_asked and _may_lead(fleet, now_s, name):
-            source = name
-            break
-    return Plan(source, shared=True)
+    others = (
+        name
+        for name in zone
+        if name != own
+        and _is_asked(feeding, now_s, name)
+        and _may_lead(fleet, now_s, name)
+    )
+    return Plan(next(others, ""), shared=True)
 
 
 def checked(feeding: Feeding, name: str, checked_s: float) -> None:
@@ -150,6 +151,11 @@
     ]
 
 
+def _is_asked(feeding: Feeding, now_s: float, name: str) -> bool:
+    """Returns whether a VM may be asked, since it did not fail lately."""
+    return now_s >= feeding.passed_over.get(name, -math.inf)
+
+
 def _may_lead(fleet: members.Fleet, now_s: float, name: str) -> bool:
     peer = fleet.peers[name]
     is_working = fleet.is_alive(peer, now_s) and not peer.leaving
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -27,7 +27,6 @@
 MAX_LOGGED_CHANGES = 1300
 FEED = "feed"  # Stands for all kinds in events of the store's loss.
 ALL_OBJECTS = -1  # In place of a revision: all objects are named.
-
 STORE = "store"  # Origin of what was not learned from a VM.
 
 Send = Callable[[str, object], None]
@@ -241,8 +240,8 @@
             return
         parts = []
         for known in self.waiting[name].ask.known:
-            mirror = self.mirrors.get(known.kind)
-            part = mirror.part(known.kind, known.revision) if mirror else None
+            mirror = self.mirrors[known.kind]
+            part = mirror.part(known.kind, known.revision)
             if part is not None and (part.objects or part.since < 0):
                 parts.append(part)
         if parts:
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -123,10 +123,8 @@
                     if CHECK in following.lost:
                         following.watch_anew()
                     following.reached(CHECK)
-                    following.reachable.set()
                     following.feeder.checked(sent_s)
                 case _:
-                    following.reachable.clear()
                     following.missed(CHECK, checked.failure())
             due_s = following.loop.now_s() + CHECK_INTERVAL_S
             gevent.sleep(CHECK_INTERVAL_S)
@@ -274,6 +272,8 @@
 
     def reached(self, kind: str) -> None:
         """Notes that a call for a kind was answered."""
+        if kind == CHECK:
+            self.reachable.set()
         self.failures[kind] = 0
         lost_s = self.lost.pop(kind, None)
         if lost_s is not None:
@@ -283,6 +283,8 @@
 
     def missed(self, kind: str, error: errors.MulberrydeckError) -> int:
         """Notes that a call for a kind failed; returns how many did so."""
+        if kind == CHECK:
+            self.reachable.clear()
         self.failures[kind] = self.failures.get(kind, 0) + 1
         if kind not in self.lost:
             now_s = self.loop.now_s()
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -106,7 +106,8 @@
             return []
         case events.NewsAsked():
             state.feed.asked_s = event.at_s
-            return _follow(state)
+            # Many VMs ask the one that leads several times a second.
+            return [] if state.feed.plan.leads else _follow(state)
         case events.SourceFailed():
             feeding.failed(state.feed, state.now_s, event.name, event.declined)
             fields = {"vm": event.name, "declined": event.declined}
