--- a/mulberrydeck/peers/tests/test_transport.py
+++ b/mulberrydeck/peers/tests/test_transport.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from mulberrydeck.peers import feed_messages
 from mulberrydeck.peers import messages
 from mulberrydeck.peers import transport
 from standins import addresses
@@ -46,7 +47,9 @@
         first.send("b", BEAT)
         gevent.sleep(0.01)
     asks = [
-        messages.FeedAsk((messages.KnownRevision("servers", revision),), 1.0)
+        feed_messages.FeedAsk(
+            (feed_messages.KnownRevision("servers", revision),), 1.0
+        )
         for revision in range(MANY)
     ]
     for ask in asks:
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -14,7 +14,7 @@
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import requests
 from mulberrydeck.observability import logs
-from mulberrydeck.peers import messages
+from mulberrydeck.peers import feed_messages
 from mulberrydeck.peers import transport
 from mulberrydeck.platform import store as stores
 from mulberrydeck.quota import effects as quota_effects
@@ -226,9 +226,9 @@
     def _deliver(self, sender: str, message: object) -> None:
         try:
             match message:
-                case messages.FeedAsk():
+                case feed_messages.FeedAsk():
                     self.following.asked(sender, message)
-                case messages.FeedAnswer():
+                case feed_messages.FeedAnswer():
                     self.following.subscription.receive(sender, message)
                 case _:
                     received = events.PeerReceived(now_s(), sender, message)
--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -9,7 +9,7 @@
 import gevent.event
 
 from mulberrydeck import errors
-from mulberrydeck.peers import messages
+from mulberrydeck.peers import feed_messages
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import store as stores
 from mulberrydeck.shell import event_loop
@@ -98,16 +98,16 @@
         if len(self.log) > MAX_LOGGED_CHANGES:
             self.floor, _ = self.log.popleft()
 
-    def part(self, kind: str, known: int) -> messages.FeedPart | None:
+    def part(self, kind: str, known: int) -> feed_messages.FeedPart | None:
         """Returns what is newer than a revision; None if nothing is."""
         if self.revision <= known or self.revision == ALL_OBJECTS:
             return None
         if known < self.floor:
             return self._all(kind, known)
         newer = [change for revision, change in self.log if revision > known]
-        return messages.FeedPart(kind, known, self.revision, _fed(newer))
+        return feed_messages.FeedPart(kind, known, self.revision, _fed(newer))
 
-    def _all(self, kind: str, known: int) -> messages.FeedPart:
+    def _all(self, kind: str, known: int) -> feed_messages.FeedPart:
         """Returns all objects, by name only where the receiver knows them.
 
         A VM that begins to lead does not know what was removed before; whole
@@ -120,14 +120,14 @@
                 newer.append(stores.Change(stored, False))
             else:
                 kept.append(name)
-        return messages.FeedPart(
+        return feed_messages.FeedPart(
             kind, ALL_OBJECTS, self.revision, _fed(newer), tuple(kept)
         )
 
 
-def _fed(changes: list[stores.Change]) -> tuple[messages.FedObject, ...]:
+def _fed(changes: list[stores.Change]) -> tuple[feed_messages.FedObject, ...]:
     return tuple(
-        messages.FedObject(
+        feed_messages.FedObject(
             documents.encode_stored_object(change.stored), change.deleted
         )
         for change in changes
@@ -140,7 +140,7 @@
 
 @attrs.define
 class _Waiting:
-    ask: messages.FeedAsk
+    ask: feed_messages.FeedAsk
     since_s: float
 
 
@@ -209,7 +209,7 @@
         """Notes that the store can be followed again."""
         self.regained_s = self.now_s()
 
-    def ask(self, sender: str, ask: messages.FeedAsk) -> None:
+    def ask(self, sender: str, ask: feed_messages.FeedAsk) -> None:
         """Answers an ask at once, or when there is news."""
         self.waiting[sender] = _Waiting(ask, self.now_s())
         self._answer(sender)
@@ -247,18 +247,18 @@
         if parts:
             self._finish(name, tuple(parts))
 
-    def _knows_all_of(self, ask: messages.FeedAsk) -> bool:
+    def _knows_all_of(self, ask: feed_messages.FeedAsk) -> bool:
         return self.leads and all(
             known.kind in self.mirrors for known in ask.known
         )
 
     def _finish(
-        self, name: str, parts: tuple[messages.FeedPart, ...] = ()
+        self, name: str, parts: tuple[feed_messages.FeedPart, ...] = ()
     ) -> None:
         waiting = self.waiting.pop(name)
         now_s = self.now_s()
         knows_all = self._knows_all_of(waiting.ask)
-        answer = messages.FeedAnswer(
+        answer = feed_messages.FeedAnswer(
             echo_s=waiting.ask.sent_s,
             waited_s=now_s - waiting.since_s,
             checked_age_s=now_s - self.checked_s if knows_all else None,
@@ -286,7 +286,7 @@
         self,
         loop: event_loop.EventLoop,
         send: Send,
-        apply: Callable[[messages.FeedPart, Origin], None],
+        apply: Callable[[feed_messages.FeedPart, Origin], None],
         positions: dict[str, int],
     ) -> None:
         self.loop = loop
@@ -295,12 +295,12 @@
         self.positions = positions
         self.source = ""
         self.regained_s = -math.inf
-        self.answers: collections.deque[messages.FeedAnswer] = (
+        self.answers: collections.deque[feed_messages.FeedAnswer] = (
             collections.deque()
         )
         self.arrived = gevent.event.Event()
 
-    def receive(self, sender: str, answer: messages.FeedAnswer) -> None:
+    def receive(self, sender: str, answer: feed_messages.FeedAnswer) -> None:
         """Takes an answer of the VM that leads."""
         if sender == self.source:
             self.answers.append(answer)
@@ -313,10 +313,10 @@
         while True:
             self.arrived.clear()
             known = tuple(
-                messages.KnownRevision(kind, revision)
+                feed_messages.KnownRevision(kind, revision)
                 for kind, revision in self.positions.items()
             )
-            self.send(source, messages.FeedAsk(known, self.loop.now_s()))
+            self.send(source, feed_messages.FeedAsk(known, self.loop.now_s()))
             if not self.arrived.wait(HOLD_S + ANSWER_MARGIN_S):
                 self._failed(declined=False)
                 return
@@ -325,7 +325,7 @@
                     self._failed(declined=True)
                     return
 
-    def _take(self, answer: messages.FeedAnswer) -> bool:
+    def _take(self, answer: feed_messages.FeedAnswer) -> bool:
         """Applies an answer; returns whether its sender leads."""
         self._note_regained(answer)
         origin = Origin(self.source, answer.echo_s)
@@ -341,7 +341,7 @@
         )
         return True
 
-    def _note_regained(self, answer: messages.FeedAnswer) -> None:
+    def _note_regained(self, answer: feed_messages.FeedAnswer) -> None:
         """Notes a return of the store before what was read after it.
 
         Entries that are missing then may still come back.
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from mulberrydeck import errors
-from mulberrydeck.peers import messages
+from mulberrydeck.peers import feed_messages
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import store as stores
 from mulberrydeck.shell import event_loop
@@ -203,7 +203,7 @@
         if before.source != self.plan.source:
             self._ask(self.plan.source)
 
-    def asked(self, sender: str, ask: messages.FeedAsk) -> None:
+    def asked(self, sender: str, ask: feed_messages.FeedAsk) -> None:
         """Answers another VM, or begins to lead so that it can be answered."""
         self.feeder.ask(sender, ask)
         if self.lost:
@@ -367,7 +367,7 @@
             known_revision=self.positions[kind],
         )
 
-    def fed(self, part: messages.FeedPart, origin: feeds.Origin) -> None:
+    def fed(self, part: feed_messages.FeedPart, origin: feeds.Origin) -> None:
         """Applies what another VM read, unless something is missing before."""
         followed = self.followed.get(part.kind)
         known = self.positions.get(part.kind, feeds.ALL_OBJECTS)
--- a/mulberrydeck/steering/tests/test_following.py
+++ b/mulberrydeck/steering/tests/test_following.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from mulberrydeck import errors
-from mulberrydeck.peers import messages
+from mulberrydeck.peers import feed_messages
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import store as stores
 from mulberrydeck.steering import backoff
@@ -167,12 +167,12 @@
 
 def test_objects_that_a_list_of_names_leaves_out_are_removed(vm):
     vm.listed(5, "east", "west")
-    part = messages.FeedPart(
+    part = feed_messages.FeedPart(
         KIND,
         feeds.ALL_OBJECTS,
         9,
         tuple(
-            messages.FedObject(documents.encode_stored_object(one), False)
+            feed_messages.FedObject(documents.encode_stored_object(one), False)
             for one in objects(8, ["north"])
         ),
         kept=("west",),
@@ -287,7 +287,7 @@
 
 def test_a_vm_that_has_lost_the_store_declines_at_once(vm):
     vm.following.missed(KIND, errors.PlatformUnavailableError("cut"))
-    vm.following.asked("coast-a-2", messages.FeedAsk((), 1.0))
+    vm.following.asked("coast-a-2", feed_messages.FeedAsk((), 1.0))
     ((to, answer),) = vm.sent
     assert (to, answer.checked_age_s) == ("coast-a-2", None)
 
