Log what was believed of a target, how old that was, and when it was sent

Lines of requests and attempts now carry how long the target is believed to stay cold, for how long changes in the store may be unknown, and the time from the choice to the first byte; counters say how many requests went to cold targets, also where the volume of lines is bounded.

--- a/mulberrydeck/steering/effects.py
+++ b/mulberrydeck/steering/effects.py
@@ -18,6 +18,7 @@
         account: Client account, or empty.
         ends_s: When the final answer is due, in seconds.
         repeatable: Whether the request may run more than once.
+        cold: Whether the target is known to be cold.
         inputs: What decided it, with ages or versions, for logs.
     """
 
@@ -28,6 +29,7 @@
     account: str
     ends_s: float
     repeatable: bool
+    cold: bool = False
     inputs: dict[str, object] = attrs.field(factory=dict)
 
 
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -78,6 +78,8 @@
         begun: Whether the answer was begun towards the caller.
         reported_load: Requests that the target reported to have, or None.
         reason: Why it failed, for logs.
+        sent_after_s: Time from its start to the first byte of the request, in
+            seconds; None if none was sent.
     """
 
     outcome: Outcome
@@ -86,6 +88,7 @@
     begun: bool = False
     reported_load: int | None = None
     reason: str = ""
+    sent_after_s: float | None = None
 
 
 class BrokenAnswerError(Exception):
@@ -118,6 +121,8 @@
         self.hop = hop
         self.body = body
         self.now_s = now_s
+        self.started_s = now_s()
+        self.sent_after_s: float | None = None
         self.begun = False
         self.upload = uploads.Upload(None, now_s)
         self.parser = answers.AnswerParser(hop.method)
@@ -161,6 +166,7 @@
     ) -> Attempt:
         connection.sock.settimeout(self._left_s())
         try:
+            self.sent_after_s = self.now_s() - self.started_s
             self.upload.start(connection.sock, self.hop.head, self.body)
             self._read_head(connection)
             rejected = self._rejection()
@@ -278,6 +284,7 @@
             answer,
             begun=self.begun,
             reported_load=load.running + load.waiting if load else None,
+            sent_after_s=self.sent_after_s,
         )
 
     def _failed(self, outcome: Outcome, error: Exception) -> Attempt:
@@ -286,7 +293,12 @@
         if isinstance(error, TimeoutError):
             self.pool.discard_idle(self.hop.address)
         reason = str(error) or type(error).__name__
-        return Attempt(outcome, begun=self.begun, reason=reason)
+        return Attempt(
+            outcome,
+            begun=self.begun,
+            reason=reason,
+            sent_after_s=self.sent_after_s,
+        )
 
 
 def keep_alive_s(text: str) -> float | None:
--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -135,6 +135,25 @@
         feeding.checked_s = max(feeding.checked_s, checked_s)
 
 
+def news_age_s(
+    feeding: Feeding, now_s: float, lost_since_s: float | None
+) -> float:
+    """Returns for how long changes in the store may be unknown here.
+
+    Args:
+        feeding: How this VM learns of them.
+        now_s: Current time, in seconds.
+        lost_since_s: Since when this VM can't follow the store, in seconds;
+            None if it can.
+    """
+    if lost_since_s is None and feeding.plan.direct:
+        return 0.0
+    known_s = feeding.checked_s if feeding.plan.source else -math.inf
+    if lost_since_s is not None:
+        known_s = max(known_s, lost_since_s)
+    return now_s - known_s
+
+
 def failed(feeding: Feeding, now_s: float, name: str, declined: bool) -> None:
     """Notes that a VM does not answer, or answers that it does not lead."""
     pause_s = DECLINED_S if declined else PASSED_OVER_S
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -19,8 +19,6 @@
 
 Effects = list[object]
 
-NEVER_S = 99.0  # Stands in logs for the age of what was never seen.
-
 
 def reduce(state: states.State, event: object) -> Effects:
     """Applies an event and returns what is to be done.
@@ -207,7 +205,7 @@
         "source": plan.source,
         "direct": plan.direct,
         "leads": plan.leads,
-        "checked_age_s": min(NEVER_S, round(checked_age_s, 3)),
+        "checked_age_s": min(requests.NEVER_S, round(checked_age_s, 3)),
     }
     log = effects.Log("store", "The store is followed in another way.", fields)
     return [log, effects.FollowStore(plan)]
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -9,6 +9,7 @@
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import exchange
+from mulberrydeck.steering import progress as progresses
 
 # Lines a second of requests that went well; failures have their own.
 MAX_ROUTINE_LINES_PER_S = 20.0
@@ -84,6 +85,20 @@
             registry=self.registry,
         )
         self.attempts = self._counter("attempts", "Attempts.", "outcome")
+        self.sending = prometheus_client.Histogram(
+            "mulberrydeck_send_delay_seconds",
+            "Time from the choice of a target to the first byte sent.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.cold_sends = self._counter(
+            "cold_sends", "Requests sent to targets known to be cold."
+        )
+        self.news_age = prometheus_client.Gauge(
+            "mulberrydeck_news_age_seconds",
+            "For how long changes in the store may be unknown here.",
+            registry=self.registry,
+        )
         self.lines = self._counter("log_lines_left_out", "Lines left out.")
         self.messages = self._counter(
             "peer_messages", "Messages between VMs.", "direction"
@@ -105,6 +120,10 @@
     ) -> None:
         """Reports an attempt that was not answered as wanted."""
         self.attempts.labels(attempt.outcome.value).inc()
+        if attempt.sent_after_s is not None:
+            self.sending.observe(attempt.sent_after_s)
+            if decision.cold:
+                self.cold_sends.inc()
         if attempt.outcome is events.Outcome.ANSWERED and attempt.status < 500:
             return
         self.write(
@@ -118,23 +137,23 @@
             status=attempt.status,
             reason=attempt.reason,
             **decision.inputs,
+            **_sending(attempt.sent_after_s),
         )
 
     def request_ended(
         self,
         request: requests.Request,
-        decision: effects.Decision | None,
-        last: effects.Forward | None,
+        progress: progresses.Progress,
         taken_s: float,
     ) -> None:
         """Reports the end of a request.
 
         Args:
             request: The request.
-            decision: How it ended; None if the caller left.
-            last: Its last attempt, or None.
+            progress: How far it came.
             taken_s: Time since its arrival, in seconds.
         """
+        last = progress.last
         fields = {
             "request_id": request.request_id,
             "path": request.path,
@@ -143,8 +162,8 @@
         }
         if last is not None:
             fields |= {"target": last.target, "attempts": last.attempt}
-            fields |= last.inputs
-        match decision:
+            fields |= last.inputs | _sending(progress.sent_after_s)
+        match progress.decision:
             case effects.Refuse(kind=kind, inputs=inputs):
                 self.latency.labels(kind).observe(taken_s)
                 self.write(
@@ -162,9 +181,16 @@
         """Writes a line that the reducer asked for."""
         self.write(effect.part, effect.text, **effect.fields)
 
-    def ticked(self, late_s: float) -> None:
-        """Reports by how much periodic work was late, in seconds."""
+    def ticked(self, late_s: float, news_age_s: float) -> None:
+        """Reports periodic work.
+
+        Args:
+            late_s: By how much it was late, in seconds.
+            news_age_s: For how long changes in the store may be unknown here,
+                in seconds.
+        """
         self.lateness.observe(max(0.0, late_s))
+        self.news_age.set(news_age_s)
         if late_s > LATE_S:
             self.write(
                 "steer", "The process was late.", late_s=round(late_s, 3)
@@ -193,3 +219,10 @@
     def render(self) -> bytes:
         """Returns all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def _sending(sent_after_s: float | None) -> dict[str, object]:
+    """Returns the member of a line that says when a request was sent."""
+    if sent_after_s is None:
+        return {}
+    return {"sent_after_s": round(sent_after_s, 3)}
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -22,6 +22,7 @@
 FULL_RETRY_S = 0.25
 # Until a process that has just started has read the configuration.
 STARTING_RETRY_S = 0.3
+NEVER_S = 99.0  # Stands in logs for the age of what was never seen.
 MAX_CONNECT_FAILURES = 3  # Bounds the time spent on targets that are down.
 SERVER_ERROR = 500
 
@@ -177,7 +178,9 @@
         "account": request.account_name,
         "version": state.table.version,
         "load": round(target.load(state.now_s), 1),
-        "load_age_s": round(min(99.0, state.now_s - target.reported_s), 2),
+        "load_age_s": _age(state.now_s - target.reported_s),
+        "cold_s": round(max(0.0, target.cold_until_s - state.now_s), 2),
+        "news_age_s": _age(state.news_age_s()),
     }
     request.sent += 1
     request.tried.add(target.entry.name)
@@ -190,10 +193,16 @@
         account=request.account_name,
         ends_s=request.ends_s,
         repeatable=request.repeatable,
+        cold=target.is_cold(state.now_s),
         inputs=inputs,
     )
 
 
+def _age(age_s: float) -> float:
+    """Returns an age as logs show it."""
+    return round(min(NEVER_S, age_s), 2)
+
+
 def attempt_ended(state: states.State, event: events.AttemptEnded) -> Effects:
     """Records how an attempt ended and decides what follows."""
     request = state.requests.get(event.request_id)
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -14,6 +14,7 @@
 from mulberrydeck.steering import events
 from mulberrydeck.steering import exchange
 from mulberrydeck.steering import lookup
+from mulberrydeck.steering import progress as progresses
 from mulberrydeck.steering import reporting
 
 # Bodies up to this size are read whole before a target is chosen, so that they
@@ -44,19 +45,6 @@
         self.answer = answer
 
 
-@attrs.define
-class Progress:
-    """How far a request came.
-
-    Attributes:
-        decision: How it ended; None while it runs or if the caller left.
-        last: Its last attempt, or None.
-    """
-
-    decision: effects.Decision | None = None
-    last: effects.Forward | None = None
-
-
 @attrs.define(eq=False)
 class Steering:
     """Answers callers' requests.
@@ -87,7 +75,7 @@
             body_bytes=request.head.length or 0,
         )
         self._load_body(request)
-        progress = Progress()
+        progress = progresses.Progress()
         try:
             self._carry_out(request, said, event, progress)
         finally:
@@ -95,9 +83,7 @@
                 events.RequestClosed(self.loop.now_s(), event.request_id)
             )
             taken_s = self.loop.now_s() - arrived_s
-            self.reports.request_ended(
-                request, progress.decision, progress.last, taken_s
-            )
+            self.reports.request_ended(request, progress, taken_s)
 
     def _load_body(self, request: requests.Request) -> None:
         body = request.body
@@ -112,7 +98,7 @@
         request: requests.Request,
         said: headers.CallerFields,
         event: events.RequestArrived,
-        progress: "Progress",
+        progress: progresses.Progress,
     ) -> None:
         passed = headers.passed_on(request.head)
         decision = self.loop.decide(event)
@@ -124,6 +110,7 @@
                 self.pool, hop, request.body, self.loop.now_s
             )
             attempt = running.run(request.answer)
+            progress.sent_after_s = attempt.sent_after_s
             self.reports.attempt_ended(request, decision, attempt)
             ended = self._ended(request, decision, attempt)
             if attempt.begun:
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -105,6 +105,11 @@
     feed: feeding.Feeding = attrs.field(factory=feeding.Feeding)
     choose: placement.Choose = placement.choose
 
+    def news_age_s(self) -> float:
+        """Returns for how long changes in the store may be unknown here."""
+        lost_since_s = min(self.lost_kinds.values(), default=None)
+        return feeding.news_age_s(self.feed, self.now_s, lost_since_s)
+
 
 def create(
     settings: settings_module.SteeringSettings,
