Let VMs of any fleet that lost the store learn from those that reach it

Callers flooded a target that had turned cold: 19 requests in a second, 18.8 allowed. Cause: where the store turned some VMs away, or fell silent to them, they went on for as long as nine seconds with what they knew, while all others knew better and said so in heartbeats. Only VMs of large fleets learned from others, from their own zone only, and only they checked that the store still answers.

Now each VM that follows the store checks it every 0.4 s with the cheapest call, also in small fleets, and one that has lost it asks the nearest VM that reaches it, zone by zone. The same holds for versions, keys, drains and evacuations.

--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -53,6 +53,18 @@
     lost_s: float
 
 
+@attrs.frozen
+class StoreChecked:
+    """This VM has checked that it reaches the store.
+
+    Attributes:
+        checked_s: When the check was sent, in seconds.
+    """
+
+    at_s: float
+    checked_s: float
+
+
 @attrs.frozen
 class SourceChecked:
     """The VM that this one learns from has told all up to some time.
--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -7,7 +7,9 @@
 
 Each VM bounds the age of what it knows by its own clock. Once that exceeds
 `MAX_AGE_S`, for whatever reason, it follows the store itself until what it
-learns from a leader has been fresh for a while.
+learns from a leader has been fresh for a while. VMs that follow the store check
+that they still reach it, and turn to others when they do not: the store may
+turn some VMs away and serve the rest.
 """
 
 import math
@@ -42,7 +44,7 @@
     Attributes:
         source: VM that it learns from, or empty.
         direct: Whether it follows the store itself.
-        shared: Whether VMs of the zone share what they read.
+        shared: Whether VMs share what they read.
         leads: Whether others may learn from it.
     """
 
@@ -61,6 +63,8 @@
         passed_over: Until when a VM is not followed, in seconds, by name.
         checked_s: Time up to which the source is known to have told all, in
             seconds.
+        reached_s: When the last check was sent that reached the store itself,
+            in seconds.
         doubted_until_s: Until when this VM follows the store itself, in
             seconds.
         asked_s: When another VM last asked this one, in seconds.
@@ -69,6 +73,7 @@
     plan: Plan = Plan()
     passed_over: dict[str, float] = attrs.field(factory=dict)
     checked_s: float = -math.inf
+    reached_s: float = -math.inf
     doubted_until_s: float = -math.inf
     asked_s: float = -math.inf
 
@@ -79,8 +84,9 @@
     """Returns the plan that is due now.
 
     The first VM of a group that reaches the store leads it, and so does a VM
-    that is asked. A VM that has lost the store goes on trying, and learns from
-    any VM of its zone meanwhile.
+    that is asked. In a small fleet, each VM follows the store. In any fleet, a
+    VM that has lost the store goes on trying, and learns from any other VM
+    meanwhile.
 
     Args:
         feeding: State of the decision, changed in place.
@@ -89,16 +95,18 @@
         lost: Whether this VM follows the store and cannot reach it.
     """
     own = fleet.settings.name
-    if fleet.is_mesh or own not in fleet.names:
+    if own not in fleet.names:
         return Plan()
     is_old = now_s > feeding.checked_s + MAX_AGE_S
     if is_old and not feeding.plan.direct:
         feeding.doubted_until_s = now_s + DOUBT_S
-    zone = _zone(fleet)
     if lost:
-        return _plan_without_store(feeding, fleet, now_s, zone)
+        return _plan_without_store(feeding, fleet, now_s)
     if now_s < feeding.asked_s + ASKED_S:
         return Plan(shared=True, leads=True)
+    if fleet.is_mesh:
+        return Plan()
+    zone = _zone(fleet)
     first = zone.index(own) // GROUP_VMS * GROUP_VMS
     for leader in zone[first : zone.index(own)]:
         if _may_lead(fleet, now_s, leader):
@@ -110,19 +118,32 @@
 
 
 def _plan_without_store(
-    feeding: Feeding, fleet: members.Fleet, now_s: float, zone: list[str]
+    feeding: Feeding, fleet: members.Fleet, now_s: float
 ) -> Plan:
-    own = fleet.settings.name
+    """Returns the plan of a VM that has lost the store.
+
+    VMs of a place often lose it together; those of other zones are asked last.
+    """
     others = (
         name
-        for name in zone
-        if name != own
-        and _is_asked(feeding, now_s, name)
-        and _may_lead(fleet, now_s, name)
+        for name in sorted(fleet.peers, key=lambda name: _distance(fleet, name))
+        if _is_asked(feeding, now_s, name) and _may_lead(fleet, now_s, name)
     )
     return Plan(next(others, ""), shared=True)
 
 
+def _distance(fleet: members.Fleet, name: str) -> tuple[bool, bool, str, str]:
+    """Returns by what other VMs are sorted, near ones first."""
+    own = fleet.settings
+    record = fleet.peers[name].record
+    return (
+        record.zone != own.zone,
+        record.region != own.region,
+        record.zone,
+        name,
+    )
+
+
 def checked(feeding: Feeding, name: str, checked_s: float) -> None:
     """Notes up to when a source has told all.
 
@@ -135,23 +156,9 @@
         feeding.checked_s = max(feeding.checked_s, checked_s)
 
 
-def news_age_s(
-    feeding: Feeding, now_s: float, lost_since_s: float | None
-) -> float:
-    """Returns for how long changes in the store may be unknown here.
-
-    Args:
-        feeding: How this VM learns of them.
-        now_s: Current time, in seconds.
-        lost_since_s: Since when this VM can't follow the store, in seconds;
-            None if it can.
-    """
-    if lost_since_s is None and feeding.plan.direct:
-        return 0.0
-    known_s = feeding.checked_s if feeding.plan.source else -math.inf
-    if lost_since_s is not None:
-        known_s = max(known_s, lost_since_s)
-    return now_s - known_s
+def news_age_s(feeding: Feeding, now_s: float) -> float:
+    """Returns for how long changes in the store may be unknown here."""
+    return now_s - max(feeding.checked_s, feeding.reached_s)
 
 
 def failed(feeding: Feeding, now_s: float, name: str, declined: bool) -> None:
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -123,7 +123,7 @@
                     if CHECK in following.lost:
                         following.watch_anew()
                     following.reached(CHECK)
-                    following.feeder.checked(sent_s)
+                    following.checked(sent_s)
                 case _:
                     following.missed(CHECK, checked.failure())
             due_s = following.loop.now_s() + CHECK_INTERVAL_S
@@ -186,6 +186,7 @@
         self.names.setdefault(followed.kind, set())
         if self.plan.direct:
             self._follow(followed)
+            self._check(True)
 
     def apply(self, effect: effects.FollowStore) -> None:
         """Follows the store in another way."""
@@ -199,7 +200,7 @@
             self._stop_watching()
         elif begins_to_lead or not before.direct:
             self._watch_all()
-        self._check(self.plan.direct and self.plan.shared)
+        self._check(self.plan.direct)
         if before.source != self.plan.source:
             self._ask(self.plan.source)
 
@@ -281,6 +282,11 @@
             self.loop.submit(events.StoreRegained(now_s, kind, now_s - lost_s))
             self.feeder.regained()
 
+    def checked(self, sent_s: float) -> None:
+        """Notes that a check that was sent then has reached the store."""
+        self.loop.submit(events.StoreChecked(self.loop.now_s(), sent_s))
+        self.feeder.checked(sent_s)
+
     def missed(self, kind: str, error: errors.MulberrydeckError) -> int:
         """Notes that a call for a kind failed; returns how many did so."""
         if kind == CHECK:
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -99,6 +99,9 @@
             state.lost_kinds.setdefault(event.kind, event.at_s)
             fields = {"kind": event.kind, "reason": event.reason}
             return [effects.Log("store", "A kind is lost.", fields)]
+        case events.StoreChecked():
+            state.feed.reached_s = event.checked_s
+            return []
         case events.SourceChecked():
             feeding.checked(state.feed, event.name, event.checked_s)
             return []
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -107,8 +107,7 @@
 
     def news_age_s(self) -> float:
         """Returns for how long changes in the store may be unknown here."""
-        lost_since_s = min(self.lost_kinds.values(), default=None)
-        return feeding.news_age_s(self.feed, self.now_s, lost_since_s)
+        return feeding.news_age_s(self.feed, self.now_s)
 
 
 def create(
--- a/mulberrydeck/steering/tests/test_feeding.py
+++ b/mulberrydeck/steering/tests/test_feeding.py
@@ -152,6 +152,51 @@
     assert plan(vm) == feeding.Plan()
 
 
+def make_small_fleet(own="coast-a-2"):
+    vm = samples.Vm(name=own)
+    records = tuple(samples.make_record(one) for one in NAMES)
+    vm.reduce(events.VmsListed(vm.now_s, records, 4))
+    hear(vm, *(one for one in NAMES if one != own))
+    return vm
+
+
+def test_a_vm_of_a_small_fleet_that_loses_the_store_learns_from_another():
+    vm = make_small_fleet()
+    lose(vm, "check")
+    assert plan(vm) == feeding.Plan("coast-a-1", direct=True, shared=True)
+    hear(vm, "coast-a-1", beat=LOST)
+    assert plan(vm).source == "coast-a-3"
+    vm.reduce(events.StoreRegained(vm.now_s, "check", 0.1))
+    assert plan(vm) == feeding.Plan()
+
+
+def test_a_vm_of_a_small_fleet_leads_for_as_long_as_it_is_asked():
+    vm = make_small_fleet()
+    vm.reduce(events.NewsAsked(vm.now_s))
+    assert plan(vm) == LEADS
+    vm.now_s += feeding.ASKED_S
+    assert plan(vm) == feeding.Plan()
+
+
+@pytest.mark.parametrize("mesh_vms", [2, 16])
+def test_a_vm_that_loses_the_store_asks_the_nearest_that_reaches_it(mesh_vms):
+    zones = {"coast-a-2": "coast-a", "coast-b-1": "coast-b"} | {
+        "lake-a-1": "lake-a"
+    }
+    vm = samples.Vm(mesh_vms=mesh_vms)
+    records = tuple(
+        samples.make_record(name, zone)
+        for name, zone in {"coast-a-1": "coast-a", **zones}.items()
+    )
+    vm.reduce(events.VmsListed(vm.now_s, records, 4))
+    hear(vm, *zones)
+    lose(vm)
+    for name in zones:
+        assert plan(vm).source == name
+        hear(vm, name, beat=LOST)
+    assert plan(vm) == feeding.Plan("", direct=True, shared=True)
+
+
 def test_a_vm_that_hears_no_other_follows_the_store():
     assert plan(make_vm("coast-a-3", heard=())) == LEADS
 
