End answers that consist of bytes without end besides their body

Callers waited until their deadline for a target that sends trailer fields, one trailer or a chunk extension without end: 504 after 2.0 s in each of these, also for requests that may be repeated and that another target would have served. Besides, trailers of a small answer reached callers as header fields.

Cause: heads and held bodies were bounded by whoever read an answer, and what is neither by nobody. Now the parser itself bounds all that is not body, for targets, other VMs and the store alike, and drops trailers as RFC 9110 allows: 256 KB until the head is complete, then 64 KB and 8 bytes for each byte of the body, where chunks of one byte have five.

--- a/mulberrydeck/forward/answers.py
+++ b/mulberrydeck/forward/answers.py
@@ -2,6 +2,13 @@
 
 from geventhttpclient import response
 
+# Largest head of an answer, with the interim answers before it.
+MAX_HEAD_BYTES = 256 * 1024
+# Chunk sizes, chunk extensions and trailers of any answer, in bytes.
+MAX_FRAMING_BYTES = 64 * 1024
+# Beyond that, for each byte of the body; a chunk of one byte has five.
+MAX_FRAMING_PER_BODY_BYTE = 8
+
 NO_CONTENT_STATUSES = frozenset((204, 304))
 SWITCHING_PROTOCOLS = 101
 
@@ -11,12 +18,18 @@
 
 
 class AnswerParser(response.HTTPResponse):
-    """Parses one final answer; interim (1xx) answers are dropped.
+    """Parses one final answer; interim (1xx) answers and trailers are dropped.
+
+    A target may send bytes without end that are no answer. Bounds of what is
+    parsed besides the body end such an answer, whoever reads it.
 
     Attributes:
         fields: Header fields in order: lower-case name and value.
         pieces: Decoded body bytes that were not yet taken.
         surplus: Whether bytes followed the end of the answer.
+        head_bytes: Bytes received until the head was complete.
+        body_bytes: Decoded body bytes so far.
+        framing_bytes: Bytes received after the head, without the body.
     """
 
     def __init__(self, method: str) -> None:
@@ -29,6 +42,9 @@
         self.fields: list[tuple[str, str]] = []
         self.pieces: list[bytes] = []
         self.surplus = False
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.framing_bytes = 0
 
     @property
     def head_complete(self) -> bool:
@@ -68,8 +84,11 @@
         """Parses received bytes; empty means the end of the connection.
 
         Raises:
-            response.HTTPParseError: The answer is malformed or truncated.
+            response.HTTPParseError: The answer is malformed, truncated or has
+                too many bytes besides its body.
         """
+        had_head = self.head_complete
+        known_body_bytes = self.body_bytes
         try:
             self.feed(data)
         except SurplusBytesError:
@@ -80,6 +99,23 @@
             self.surplus = True
         if not data and not self.complete:
             raise response.HTTPParseError("closed before the answer ended")
+        if had_head:
+            body_bytes = self.body_bytes - known_body_bytes
+            self.framing_bytes += len(data) - body_bytes
+        else:
+            self.head_bytes += len(data)
+        if not self.complete:
+            self._check_bounds()
+
+    def _check_bounds(self) -> None:
+        """Ends an answer that consists of ever more bytes besides a body."""
+        if not self.head_complete and self.head_bytes > MAX_HEAD_BYTES:
+            raise response.HTTPParseError("the answer head is too large")
+        allowed = (
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body_bytes
+        )
+        if self.framing_bytes > allowed:
+            raise response.HTTPParseError("too many bytes besides the body")
 
     def take(self) -> bytes:
         """Returns and forgets the decoded body bytes."""
@@ -104,5 +140,14 @@
         self._current_header_field = None
         self._current_header_value = None
 
+    def _on_header_field(self, string: str) -> None:
+        if not self.headers_complete:
+            super()._on_header_field(string)
+
+    def _on_header_value(self, string: str) -> None:
+        if not self.headers_complete:
+            super()._on_header_value(string)
+
     def _on_body(self, buf: bytearray) -> None:
+        self.body_bytes += len(buf)
         self.pieces.append(bytes(buf))
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -15,7 +15,6 @@
 from mulberrydeck.forward import uploads
 
 RECEIVE_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 256 * 1024
 MIN_WAIT_S = 0.001
 RAN_FIELD = "mulberrydeck-ran"
 
@@ -170,13 +169,8 @@
             self.upload.start(connection.sock, self.hop.head, self.body)
 
     def _read_head(self, connection: pools.Connection) -> None:
-        received = 0
         while not self.parser.head_complete:
-            data = self._receive(connection)
-            received += len(data)
-            if received > MAX_HEAD_BYTES:
-                raise response.HTTPParseError("the answer head is too large")
-            self.parser.accept(data)
+            self.parser.accept(self._receive(connection))
             if self.parser.get_code() == answers.SWITCHING_PROTOCOLS:
                 raise response.HTTPParseError("unexpected upgrade")
         self.latency_s = self.pool.now_s() - self.started_s
--- /dev/null
+++ b/mulberrydeck/forward/tests/test_answers.py
@@ -0,0 +1,82 @@
+"""Parsing of answers, and of bytes that are none and never end."""
+
+import itertools
+
+from geventhttpclient import response
+import pytest
+
+from mulberrydeck.forward import answers
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Kept: 1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n"
+PIECE_BYTES = 16 * 1024
+# Some times the largest head; an endless answer must be given up before.
+ENDLESS_BYTES = 1024 * 1024
+
+
+def parsed(*pieces):
+    parser = answers.AnswerParser("GET")
+    for piece in pieces:
+        parser.accept(piece)
+    return parser
+
+
+def test_a_chunked_answer_is_parsed_whole():
+    parser = parsed(CHUNKED, b"5\r\nhello\r\n", b"0\r\n\r\n")
+    assert parser.complete
+    assert parser.keeps_connection
+    assert parser.take() == b"hello"
+
+
+def test_trailers_end_an_answer_and_are_not_passed_on_as_header_fields():
+    parser = parsed(
+        CHUNKED, b"5\r\nhello\r\n", b"0\r\nX-Late: 1\r\nX-Later: 2\r\n\r\n"
+    )
+    assert parser.complete
+    assert parser.fields == [("x-kept", "1"), ("transfer-encoding", "chunked")]
+
+
+def test_an_answer_in_chunks_of_one_byte_is_parsed_whole():
+    body = bytes(itertools.islice(itertools.cycle(range(256)), 200_000))
+    chunks = b"".join(b"1\r\n%c\r\n" % one for one in body)
+    assert parsed(CHUNKED, chunks, b"0\r\n\r\n").take() == body
+
+
+def test_a_final_answer_follows_interim_ones():
+    parser = parsed(INTERIM * 3, HEAD + b"Content-Length: 2\r\n\r\nok")
+    assert parser.complete
+    assert parser.first("x-early") == ""
+    assert parser.take() == b"ok"
+
+
+@pytest.mark.parametrize(
+    ("begun", "endless"),
+    [
+        pytest.param(HEAD, b"X-Filler: a-value-of-some-bytes\r\n", id="head"),
+        pytest.param(HEAD + b"X-Filler: ", b"aaaaaaaa", id="head field"),
+        pytest.param(b"HTTP/1.1 200 ", b"OKOKOKOK", id="status line"),
+        pytest.param(INTERIM, INTERIM, id="interim answers"),
+        pytest.param(
+            CHUNKED + b"2\r\nok\r\n0\r\n",
+            b"X-Filler: a-value-of-some-bytes\r\n",
+            id="trailers",
+        ),
+        pytest.param(
+            CHUNKED + b"2\r\nok\r\n0\r\nX-Filler: ", b"aaaaaaaa", id="trailer"
+        ),
+        pytest.param(CHUNKED + b"2;", b"aaaaaaaa", id="chunk extension"),
+        pytest.param(
+            CHUNKED, b"1;" + b"a" * 1000 + b"\r\nx\r\n", id="chunk extensions"
+        ),
+    ],
+)
+def test_bytes_without_end_that_are_no_answer_are_given_up(begun, endless):
+    piece = endless * (PIECE_BYTES // len(endless) + 1)
+    parser = parsed(begun)
+    with pytest.raises(response.HTTPParseError):
+        for _ in range(ENDLESS_BYTES // len(piece)):
+            parser.accept(piece)
+            parser.take()
+    kept = sum(len(name) + len(value) for name, value in parser.fields)
+    assert kept <= answers.MAX_HEAD_BYTES
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -189,7 +189,8 @@
         received = 0
         while not self.parser.head_complete:
             received += self._receive(connection)
-            if received > exchanges.MAX_HEAD_BYTES:
+            # Answers to other requests, which are skipped, count as well.
+            if received > answers.MAX_HEAD_BYTES:
                 raise BrokenAnswerError("the answer head is too large")
             if self.parser.get_code() == answers.SWITCHING_PROTOCOLS:
                 raise BrokenAnswerError("unexpected upgrade")
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -47,6 +47,7 @@
         running: Requests in progress.
         cut: Requests whose caller left while they ran.
         connections: Connections accepted so far.
+        endless_bytes: Bytes sent so far of answers without an end.
     """
 
     def __init__(self, name: str, slots: int = 4, work_s: float = 0.0):
@@ -59,6 +60,7 @@
         self.running = 0
         self.cut = 0
         self.connections = 0
+        self.endless_bytes = 0
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
 
@@ -137,6 +139,8 @@
             self.cut += 1
             return False
         body = b"%s of %s" % (attempt_id.encode(), self.name.encode())
+        if fault.startswith("endless"):
+            return self._answer_endlessly(sock, fault, attempt_id, body)
         return self._finish(sock, fault, attempt_id, body)
 
     def _work(self, sock, fault: str) -> bool:
@@ -185,6 +189,32 @@
                 return True
         return self._send(sock, "200 OK", attempt_id, body)
 
+    def _answer_endlessly(self, sock, fault, attempt_id, body) -> bool:
+        """Answers with bytes without end that are no answer."""
+        begun, repeated = b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"
+        match fault:
+            case "endless head":
+                begun, repeated = begun + b"A: ", b"a"
+            case "endless trailer":
+                begun = self._chunked(attempt_id, body) + b"0\r\nA: "
+                repeated = b"a"
+            case "endless trailers":
+                begun = self._chunked(attempt_id, body) + b"0\r\n"
+            case "endless extension":
+                begun = self._chunked(attempt_id, body) + b"1;"
+                repeated = b"a"
+        sock.sendall(begun)
+        piece = repeated * (RECEIVE_BYTES // len(repeated))
+        while True:
+            sock.sendall(piece)
+            self.endless_bytes += len(piece)
+
+    def _chunked(self, attempt_id, body) -> bytes:
+        """Returns an answer in chunks, without its end."""
+        coding = ["Transfer-Encoding: chunked"]
+        head = self._head("200 OK", attempt_id, None, coding)
+        return head + b"%x\r\n%s\r\n" % (len(body), body)
+
     def _send_extra(self, sock, attempt_id) -> None:
         try:
             self._send(sock, "200 OK", attempt_id, b"extra")
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -129,6 +129,39 @@
     assert answer.body.startswith(attempt_id.encode())
 
 
+ENDLESS = (
+    "endless head",
+    "endless fields",
+    "endless trailer",
+    "endless trailers",
+    "endless extension",
+)
+# Some times the largest head of an answer, and what connections hold.
+ENDLESS_BYTES = 4 * 1024 * 1024
+
+
+@pytest.mark.parametrize("fault", ENDLESS)
+def test_a_safe_request_is_not_held_by_bytes_without_end(fleet, fault):
+    _script(fleet, fault)
+    fleet.targets["t2"].script.clear()
+    began_s = time.monotonic()
+    answers = [
+        fleet.request(fleet.client(), f"/read/{number}")[1]
+        for number in range(8)
+    ]
+    assert {answer.status for answer in answers} == {200}
+    assert time.monotonic() - began_s < 1.0
+    assert 0 < fleet.targets["t1"].endless_bytes < ENDLESS_BYTES
+
+
+@pytest.mark.parametrize("fault", ENDLESS)
+def test_a_single_run_is_not_held_by_bytes_without_end(fleet, fault):
+    _script(fleet, fault)
+    _, answer = fleet.request(fleet.client(), "/once/1", "POST", b"fee")
+    assert answer.status == 502
+    assert answer.latency_s < 1.0
+
+
 def test_a_late_second_answer_reaches_nobody(fleet):
     client = fleet.client()
     _script(fleet, "extra late")
