Keep pacing a target that may be cold though its entry is read again

A target that was out of reach, or whose zone returns from an evacuation, is paced for two seconds, since it may be cold before its entry says so. Any entry that was read meanwhile ended that, also one from before the crash: VMs list all entries when they begin to lead or the store has lost its history.

What the VM suspects and what the entry says are two times now: an entry changes only its own, and one that is read again without a change never shortens it. The three new tests of such entries failed before; a target whose entry says that it is warm is warm at once, as before.

--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -179,7 +179,7 @@
         "version": state.table.version,
         "load": round(target.load(state.now_s), 1),
         "load_age_s": _age(state.now_s - target.reported_s),
-        "cold_s": round(max(0.0, target.cold_until_s - state.now_s), 2),
+        "cold_s": round(target.cold_left_s(state.now_s), 2),
         "news_age_s": _age(state.news_age_s()),
     }
     request.sent += 1
--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -37,7 +37,9 @@
         in_flight: Requests that this VM has sent and that have not ended.
         others: Requests of other VMs when it last reported its load.
         reported_s: When it last reported its load, in seconds.
-        cold_until_s: When it will be warm, in seconds.
+        cold_until_s: When it will be warm by its entry, in seconds.
+        suspected_until_s: Until when it may be cold though its entry does not
+            say so, in seconds.
         paused_until_s: It gets no requests before this time, in seconds.
         failures: Failed connections in a row.
         outcomes: Latest outcomes of requests.
@@ -52,6 +54,7 @@
     others: float = 0.0
     reported_s: float = -math.inf
     cold_until_s: float = -math.inf
+    suspected_until_s: float = -math.inf
     paused_until_s: float = -math.inf
     failures: int = 0
     outcomes: detectors.FailureWindow = attrs.field(
@@ -67,7 +70,13 @@
 
     def is_cold(self, now_s: float) -> bool:
         """Returns whether it takes only few requests."""
-        return now_s < self.cold_until_s
+        return self.cold_left_s(now_s) > 0
+
+    def cold_left_s(self, now_s: float) -> float:
+        """Returns for how long it takes only few requests, in seconds."""
+        return max(
+            0.0, self.cold_until_s - now_s, self.suspected_until_s - now_s
+        )
 
 
 @attrs.define
@@ -125,7 +134,11 @@
         entry: The entry.
     """
     target = book.by_name.get(entry.name)
+    cold_until_s = now_s + entry.cold_s
     if target is not None and _is_same_process(target.entry, entry):
+        if entry == target.entry:
+            # It was read again; that says nothing of the time in between.
+            cold_until_s = max(cold_until_s, target.cold_until_s)
         target.entry = entry
         target.missing_since_s = None
     else:
@@ -135,7 +148,7 @@
         target = Target(entry, region, hashing.digest(entry.name))
         book.by_name[entry.name] = target
         book.by_service[entry.service].append(target)
-    target.cold_until_s = now_s + entry.cold_s if entry.cold_s > 0 else now_s
+    target.cold_until_s = cold_until_s
 
 
 def remove(book: TargetBook, now_s: float, name: str) -> None:
@@ -183,9 +196,7 @@
     for zone in book.evacuated - zones:
         for target in book.by_name.values():
             if target.entry.zone == zone:
-                target.cold_until_s = max(
-                    target.cold_until_s, now_s + RETURN_COLD_S
-                )
+                _suspect(target, now_s + RETURN_COLD_S)
     book.evacuated = zones
 
 
@@ -230,9 +241,12 @@
     pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**target.failures)
     target.failures += 1
     target.paused_until_s = now_s + pause_s
-    target.cold_until_s = max(
-        target.cold_until_s, target.paused_until_s + RETURN_COLD_S
-    )
+    _suspect(target, target.paused_until_s + RETURN_COLD_S)
+
+
+def _suspect(target: Target, until_s: float) -> None:
+    """Notes that a target may be cold; no entry from before ends that."""
+    target.suspected_until_s = max(target.suspected_until_s, until_s)
 
 
 def failed(target: Target, now_s: float, was_failure: bool) -> bool:
--- a/mulberrydeck/steering/tests/test_targets.py
+++ b/mulberrydeck/steering/tests/test_targets.py
@@ -122,6 +122,41 @@
     assert pauses[-1] == targets.MAX_PAUSE_S
 
 
+@pytest.mark.parametrize("how", ["listed", "changed"])
+def test_an_entry_from_before_a_crash_does_not_end_the_pacing(how):
+    vm = samples.Vm(entries=[samples.make_entry()])
+    target = vm.state.book.by_name["t1"]
+    targets.unreachable(target, vm.now_s)
+    back_s = target.paused_until_s
+    before = samples.make_entry(slots=3)
+    match how:
+        case "listed":
+            event = events.TargetsListed(vm.now_s, (before,), 9)
+        case "changed":
+            event = events.TargetChanged(vm.now_s, before, 9)
+    vm.reduce(event)
+    assert target.is_cold(back_s + 0.9 * targets.RETURN_COLD_S)
+
+
+def test_a_list_does_not_make_the_targets_of_a_returning_zone_warm():
+    entry = samples.make_entry()
+    vm = samples.Vm(entries=[entry])
+    vm.reduce(events.ZonesEvacuated(vm.now_s, frozenset({"coast-a"}), 5))
+    vm.reduce(events.ZonesEvacuated(vm.now_s, frozenset(), 6))
+    vm.reduce(events.TargetsListed(vm.now_s, (entry,), 6))
+    target = vm.state.book.by_name["t1"]
+    assert target.is_cold(vm.now_s + 0.9 * targets.RETURN_COLD_S)
+
+
+def test_a_target_is_warm_as_soon_as_its_entry_says_so():
+    vm = samples.Vm(entries=[samples.make_entry()])
+    target = vm.state.book.by_name["t1"]
+    for cold_s in (3.0, 1.5, 0.0):
+        entry = samples.make_entry(cold_s=cold_s)
+        vm.reduce(events.TargetChanged(vm.now_s, entry, 9))
+        assert target.is_cold(vm.now_s) == (cold_s > 0)
+
+
 def test_a_target_whose_answers_fail_too_often_is_left():
     vm = samples.Vm(entries=[samples.make_entry()])
     target = vm.state.book.by_name["t1"]
