Spare targets that may have turned cold unheard while a VM is cut off

A VM whose news are older than 2.5 s, while most others may know more, now bounds its requests to each target. The VMs that know send one a second each; the group that does not shares the rest, as it sees from heartbeats. Where most VMs know no more, the store is away for all: no entry can tell, and callers would be refused for nothing.

The bound holds in each second for groups of up to four VMs of ten, on the average for larger ones. Two groups that are cut off from each other share nothing and may exceed it together.

--- a/mulberrydeck/steering/pacing.py
+++ b/mulberrydeck/steering/pacing.py
@@ -11,6 +11,7 @@
 import attrs
 
 from mulberrydeck.routing import hashing
+from mulberrydeck.steering import stale_pacing
 
 # Part of a bound that is used; the rest covers VMs that start or stop.
 USED_PART = 0.8
@@ -27,6 +28,8 @@
         overage: Factor on a target's rate that it still bears.
         extra: Requests a second beyond that which it still bears.
         next_s: When the next request may go to a target, by its name.
+        stale: Bounds requests to targets that this VM may wrongly believe to
+            be warm.
     """
 
     vm_digest: int
@@ -34,6 +37,9 @@
     extra: float
     vm_digests: tuple[int, ...] = ()
     next_s: dict[str, float] = attrs.field(factory=dict)
+    stale: stale_pacing.StalePacer = attrs.field(
+        factory=stale_pacing.StalePacer
+    )
 
     def may_send(
         self, now_s: float, name: str, digest: int, rate_per_s: float
@@ -53,7 +59,7 @@
             return True
         if now_s < self.next_s.get(name, -math.inf):
             return False
-        most = self._most_senders(rate_per_s)
+        most = self.most_senders(rate_per_s)
         if len(self.vm_digests) <= most:
             return True
         ranked = sorted(
@@ -61,19 +67,38 @@
         )
         return self.vm_digest in ranked[:most]
 
+    def may_send_warm(self, now_s: float, name: str, rate_per_s: float) -> bool:
+        """Returns whether this VM may send to a target believed to be warm.
+
+        Args:
+            now_s: Current time, in seconds.
+            name: Name of the target.
+            rate_per_s: Requests per second that it takes when cold; 0 if
+                unlimited.
+        """
+        return rate_per_s <= 0 or self.stale.may_send(
+            now_s,
+            name,
+            self.bound_per_s(rate_per_s),
+            self.most_senders(rate_per_s),
+        )
+
     def sent(self, now_s: float, name: str, rate_per_s: float) -> None:
         """Notes a request to a cold target."""
         if rate_per_s <= 0:
             return
-        most = self._most_senders(rate_per_s)
+        most = self.most_senders(rate_per_s)
         senders = max(MIN_VMS, min(most, len(self.vm_digests)))
         spacing_s = max(1.0, senders / rate_per_s)
         self.next_s[name] = now_s + spacing_s
 
-    def _most_senders(self, rate_per_s: float) -> int:
+    def bound_per_s(self, rate_per_s: float) -> float:
+        """Returns how many requests a second a cold target bears."""
+        return rate_per_s * self.overage + self.extra
+
+    def most_senders(self, rate_per_s: float) -> int:
         """Returns how many VMs may send to a target in one second."""
-        bound = rate_per_s * self.overage + self.extra
-        return max(1, int(bound * USED_PART))
+        return max(1, int(self.bound_per_s(rate_per_s) * USED_PART))
 
     def forget(self, now_s: float) -> None:
         """Drops targets whose spacing has passed."""
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -84,15 +84,13 @@
 
     Args:
         book: Known targets.
-        pacer: Spaces requests to cold targets.
+        pacer: Spaces requests to targets that are or may be cold.
         now_s: Current time, in seconds.
         wanted: What the request asks for.
     """
     ranked = _ranked(book, now_s, wanted)
     warm = [
-        target
-        for target in ranked
-        if _is_warm_enough(pacer, now_s, target, wanted)
+        target for target in ranked if _may_send(pacer, now_s, target, wanted)
     ]
     warm.sort(key=lambda target: target.pace.is_slow(now_s))
     if warm and _filled(warm[0], now_s) < 1 + QUEUE_PER_SLOT:
@@ -136,12 +134,14 @@
     return found
 
 
-def _is_warm_enough(
+def _may_send(
     pacer: pacing.ColdPacer,
     now_s: float,
     target: targets_module.Target,
     wanted: Wanted,
 ) -> bool:
-    return not target.is_cold(now_s) or pacer.may_send(
-        now_s, target.entry.name, target.digest, wanted.cold_rate_per_s
-    )
+    name = target.entry.name
+    rate_per_s = wanted.cold_rate_per_s
+    if target.is_cold(now_s):
+        return pacer.may_send(now_s, name, target.digest, rate_per_s)
+    return pacer.may_send_warm(now_s, name, rate_per_s)
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -14,6 +14,7 @@
 from mulberrydeck.steering import lookup
 from mulberrydeck.steering import members
 from mulberrydeck.steering import requests
+from mulberrydeck.steering import stale_pacing
 from mulberrydeck.steering import state as states
 from mulberrydeck.steering import targets
 
@@ -218,6 +219,7 @@
     is_beat_due = heartbeats.is_due(state.beat_schedule, state.now_s)
     produced = _heartbeat(state) if is_beat_due else []
     produced += _follow(state)
+    produced += _regroup(state)
     if members.found_clear(state.fleet, state.now_s):
         quota.no_loans_left(state.quota, state.now_s)
         produced.append(
@@ -237,6 +239,25 @@
     return produced
 
 
+def _regroup(state: states.State) -> Effects:
+    """Notes who shares what this VM may not know, and says so on a change."""
+    stale = state.pacer.stale
+    age_s = state.news_age_s()
+    if not stale.regroup(
+        stale_pacing.group_of(state.fleet, state.now_s, age_s)
+    ):
+        return []
+    fields = {
+        "news_age_s": min(requests.NEVER_S, round(age_s, 3)),
+        "uninformed": stale.group.uninformed,
+        "informed": stale.group.informed,
+    }
+    text = "Targets that may be cold are spared."
+    if not stale.group.is_bound:
+        text = "Targets that may be cold are no longer spared."
+    return [effects.Log("store", text, fields)]
+
+
 def _heartbeat(state: states.State) -> Effects:
     return heartbeats.send(
         state.beat_schedule,
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -76,7 +76,7 @@
         feed: How this VM learns what the store holds.
         beat_schedule: When and to whom heartbeats go.
         quota: This VM's part of account limits.
-        pacer: Spaces requests to cold targets.
+        pacer: Spaces requests to targets that are or may be cold.
         retry_budgets: This VM's part of each service's retries.
         route_times: Mean times of requests.
         requests: Requests in progress by identifier.
