--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,15 +16,23 @@
 @click.option("--duration", default=20.0, help="Length of each, in seconds.")
 @click.option("--mesh/--zones", default=True, help="How VMs hear each other.")
 @click.option("--crowded", is_flag=True, help="Many VMs in one zone.")
+@click.option("--cold", is_flag=True, help="Targets turn cold besides.")
 def main(
-    first: int, seeds: int, duration: float, mesh: bool, crowded: bool
+    first: int,
+    seeds: int,
+    duration: float,
+    mesh: bool,
+    crowded: bool,
+    cold: bool,
 ) -> None:
     """Plays seeds and prints what broke; keeps the logs of those."""
     failed = []
     for seed in range(first, first + seeds):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         began_s = time.monotonic()
-        played = runs.play(seed, duration, directory, mesh, crowded=crowded)
+        played = runs.play(
+            seed, duration, directory, mesh, crowded=crowded, cold=cold
+        )
         taken_s = time.monotonic() - began_s
         click.echo(f"seed {seed}: {played.summary} in {taken_s:.0f} s")
         for line in played.broken:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,8 @@
 from standins import http_client
 
 CALLERS_A_VM = 3
+# Half of them send a target more than it bears while it is cold.
+MANY_CALLERS_A_VM = 9
 PAUSE_S = 0.08
 PROBE_PAUSE_S = 0.2
 LATE_S = 12.0  # A caller gives up then; the deadline that it names is 2 s.
@@ -63,7 +65,9 @@
         stopping: Set to make the callers end.
     """
 
-    def __init__(self, world: worlds.World, seed: int):
+    def __init__(
+        self, world: worlds.World, seed: int, callers_a_vm: int = CALLERS_A_VM
+    ):
         self.world = world
         self.calls: list[Call] = []
         self.probes: list[Probe] = []
@@ -71,7 +75,7 @@
         self.greenlets = [
             gevent.spawn(self._run, vm, random.Random(f"{seed}/{vm}/{number}"))
             for vm in world.zone_by_vm
-            for number in range(CALLERS_A_VM)
+            for number in range(callers_a_vm)
         ]
         self.greenlets += [
             gevent.spawn(self._probe, vm) for vm in world.zone_by_vm
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,6 +18,8 @@
 APPLIED_S = 3.0
 STABLE_S = 4.0
 LOSS_SLACK_S = 0.2
+# ColdPerS x ColdOverage + ColdSlack of the services that are configured.
+COLD_MOST = 6.9 * 1.5 + 5.0
 LIMIT_WINDOW_S = 5.0
 LIMIT_FACTOR = 1.1
 LIMIT_EXTRA = 20
@@ -46,7 +48,7 @@
         _configured,
     ]
     if timed:
-        checks += [_drained, _evacuated, _limited]
+        checks += [_drained, _evacuated, _limited, _spared]
     broken = [line for check in checks for line in check(world, clients.calls)]
     if timed:
         broken += _applied(world, clients.probes)
@@ -229,6 +231,37 @@
     return False
 
 
+def _spared(world: worlds.World, calls: list[Call]) -> Iterator[str]:
+    """Yields cold targets that get too much, from VMs in touch or not."""
+    del calls
+    for one in world.happened:
+        match one.fault:
+            case faults.Cool(name):
+                ends_s = one.begun_s + faults.COLD_S
+                times = sorted(
+                    run.arrived_s
+                    for run in world.targets[name].runs
+                    if one.begun_s <= run.arrived_s < ends_s
+                )
+                worst = max(
+                    (sum(a <= b < a + 1.0 for b in times) for a in times),
+                    default=0,
+                )
+                if worst > COLD_MOST and not _is_unheard(world, one):
+                    yield f"{name}: {worst} runs in a second while cold"
+
+
+def _is_unheard(world: worlds.World, cold: worlds.Happened) -> bool:
+    """Returns whether no VM can have heard that a target is cold."""
+    return any(
+        one.begun_s < cold.ended_s
+        and cold.begun_s < one.ended_s + STABLE_S
+        and isinstance(one.fault, faults.Store | faults.Link)
+        and _disturbs(one.fault, "")
+        for one in world.happened
+    )
+
+
 def _applied(world: worlds.World, probes: list[callers.Probe]) -> Iterator[str]:
     """Yields VMs in touch that answered as an older version says."""
     seen = set()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,10 @@
 SERIES = (1, 3)
 GAP_S = (0.1, 1.2)
 FOR_S = (0.2, 4.0)
+COLD_S = 3.0  # ColdStartS of the users' platform.
+COLD_GAP_S = (0.5, 6.0)
+# Time for which VMs are out of touch with the store before a target turns cold.
+LOST_BEFORE_S = 3.0
 
 
 @attrs.frozen
@@ -134,6 +138,13 @@
     rate_per_s: int
 
 
+@attrs.frozen
+class Cool:
+    """A target that runs turns cold, and warm again after a while."""
+
+    target: str
+
+
 Fault = (
     Kill
     | Stop
@@ -147,6 +158,7 @@
     | Remove
     | Evacuate
     | Configure
+    | Cool
 )
 
 
@@ -182,6 +194,32 @@
     return tuple(sorted(planned, key=lambda one: one.at_s))
 
 
+def cold_spells(
+    seed: int, duration_s: float, vms: dict[str, str]
+) -> tuple[Planned, ...]:
+    """Returns targets that turn cold, mostly unheard by half of the VMs.
+
+    Args:
+        seed: Seed of all choices.
+        duration_s: Time in which they begin.
+        vms: Zones of the VMs by name.
+    """
+    rng = random.Random(f"cold/{seed}")
+    planned = []
+    at_s = LOST_BEFORE_S
+    while at_s < duration_s:
+        target = rng.choice(sorted(TARGETS))
+        planned.append(Planned(at_s, COLD_S, Cool(target)))
+        how = rng.choice(("", "cut", "silent", "one way"))
+        if how:
+            for vm in rng.sample(sorted(vms), len(vms) // 2):
+                lost = Link(vm, "store", how)
+                for_s = LOST_BEFORE_S + COLD_S
+                planned.append(Planned(at_s - LOST_BEFORE_S, for_s, lost))
+        at_s += COLD_S + rng.uniform(*COLD_GAP_S)
+    return tuple(planned)
+
+
 def _draw(rng: random.Random, vms: dict[str, str]) -> Fault:
     vm = rng.choice(sorted(vms))
     target = rng.choice(sorted(TARGETS))
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -38,6 +38,7 @@
     mesh: bool,
     timed: bool = True,
     crowded: bool = False,
+    cold: bool = False,
 ) -> Played:
     """Plays the faults of a seed beside callers and checks what was seen.
 
@@ -48,17 +49,24 @@
         mesh: Whether all VMs hear each other, as in a small fleet.
         timed: Whether promises of times are checked too.
         crowded: Whether one zone has many VMs.
+        cold: Whether targets turn cold besides.
     """
     mesh_vms = ALL_MESH if mesh else ZONES_FROM
     broken: list[str] = []
     vms = faults.CROWDED_VMS if crowded else faults.VMS
+    callers_a_vm = caller_sets.CALLERS_A_VM
+    if cold:
+        callers_a_vm = caller_sets.MANY_CALLERS_A_VM
     with worlds.World(directory, vms, mesh_vms=mesh_vms) as world:
         world.start()
         began_s = time.monotonic()
-        callers = caller_sets.Callers(world, seed)
+        callers = caller_sets.Callers(world, seed, callers_a_vm)
+        plan = faults.plan(seed, duration_s, vms)
+        if cold:
+            plan += faults.cold_spells(seed, duration_s, vms)
         for fault in [
             gevent.spawn_later(planned.at_s, world.inject, planned)
-            for planned in faults.plan(seed, duration_s, vms)
+            for planned in plan
         ]:
             fault.get()
         try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,6 +21,7 @@
 STOP_TIMEOUT_S = 6.0  # That of the users' platform.
 DELAY_S = 0.15
 SLOW_WORK_S = 1.5
+MS_PER_S = 1000
 KEY = "key-1"
 BURST = 10
 
@@ -50,6 +51,7 @@
         version: Version of the configuration.
         rates: Rate in force from a time on, in seconds and requests a second.
         written_s: When each version was acknowledged, in seconds.
+        cold_until_s: When targets that were cold are warm, in seconds.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.version = 0
         self.rates: list[tuple[float, int]] = []
         self.written_s: dict[int, float] = {}
+        self.cold_until_s: dict[str, float] = {}
         self.links: dict[str, str] = {}
         self.busy: set[str] = set()
         self.away = 0
@@ -129,7 +132,20 @@
         zone = faults.TARGETS[name]
         entry = self.targets[name].entry(fleets.SERVICE, zone, **status)
         entry["Address"] = self.links[name]
-        self.store.put("servers", name, entry)
+        self._put_entry(name, entry)
+
+    def _put_entry(self, name: str, entry: dict) -> None:
+        """Writes an entry that says how long the target stays cold."""
+        cold_s = self.cold_until_s.get(name, 0.0) - time.monotonic()
+        cold_ms = max(0, int(cold_s * MS_PER_S))
+        status = {**entry["Status"], "ColdRemainingMs": cold_ms}
+        self.store.put("servers", name, {**entry, "Status": status})
+
+    def _tell_cold(self, name: str) -> None:
+        """Writes the entry of a target anew, if it has one."""
+        stored = self.store.objects["servers"].get(name)
+        if stored is not None:
+            self._put_entry(name, stored["Spec"])
 
     def inject(self, planned: faults.Planned) -> None:
         """Carries one fault out, from its beginning to its end."""
@@ -217,6 +233,10 @@
             case faults.Drain(target):
                 self.register(target, State="draining")
                 undone.callback(self.register, target)
+            case faults.Cool(target):
+                self.cold_until_s[target] = time.monotonic() + faults.COLD_S
+                self._tell_cold(target)
+                undone.callback(self._tell_cold, target)
             case faults.Remove(target):
                 if target in self.store.objects["servers"]:
                     self.store.remove("servers", target)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,12 @@
     assert not played.broken, played.series
 
 
+@pytest.mark.parametrize("mesh", [True, False])
+def test_promises_hold_while_targets_turn_cold(mesh, tmp_path):
+    played = runs.play(1001, DURATION_S, tmp_path, mesh, timed=False, cold=True)
+    assert not played.broken, played.series
+
+
 # Each with the cause of its failure.
 FAILED_ONCE = (
     # A signal to reload ended a VM that was loading its parts.
