--- a/mulberrydeck/steering/effects.py
+++ b/mulberrydeck/steering/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from mulberrydeck.steering import feeding
+from mulberrydeck.steering import plans
 from mulberrydeck.steering import registry
 
 
@@ -68,7 +68,7 @@
 class FollowStore:
     """Learn from now on in another way what the store holds."""
 
-    plan: feeding.Plan
+    plan: plans.Plan
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/feeding.py
+++ b/mulberrydeck/steering/feeding.py
@@ -17,6 +17,7 @@
 import attrs
 
 from mulberrydeck.steering import members
+from mulberrydeck.steering import plans
 
 # A leader checks the store every `following.CHECK_INTERVAL_S` and then answers
 # its followers, so that they are up to about half a second behind. The rest of
@@ -37,23 +38,6 @@
 GROUP_VMS = 16
 
 
-@attrs.frozen
-class Plan:
-    """How this VM learns what the store holds.
-
-    Attributes:
-        source: VM that it learns from, or empty.
-        direct: Whether it follows the store itself.
-        shared: Whether VMs share what they read.
-        leads: Whether others may learn from it.
-    """
-
-    source: str = ""
-    direct: bool = True
-    shared: bool = False
-    leads: bool = False
-
-
 @attrs.define
 class Feeding:
     """What decides the plan.
@@ -70,7 +54,7 @@
         asked_s: When another VM last asked this one, in seconds.
     """
 
-    plan: Plan = Plan()
+    plan: plans.Plan = plans.Plan()
     passed_over: dict[str, float] = attrs.field(factory=dict)
     checked_s: float = -math.inf
     reached_s: float = -math.inf
@@ -80,7 +64,7 @@
 
 def choose(
     feeding: Feeding, fleet: members.Fleet, now_s: float, lost: bool
-) -> Plan:
+) -> plans.Plan:
     """Returns the plan that is due now.
 
     The first VM of a group that reaches the store leads it, and so does a VM
@@ -96,16 +80,16 @@
     """
     own = fleet.settings.name
     if own not in fleet.names:
-        return Plan()
+        return plans.Plan()
     is_old = now_s > feeding.checked_s + MAX_AGE_S
     if is_old and not feeding.plan.direct:
         feeding.doubted_until_s = now_s + DOUBT_S
     if lost:
         return _plan_without_store(feeding, fleet, now_s)
     if now_s < feeding.asked_s + ASKED_S:
-        return Plan(shared=True, leads=True)
+        return plans.Plan(shared=True, leads=True)
     if fleet.is_mesh:
-        return Plan()
+        return plans.Plan()
     zone = _zone(fleet)
     first = zone.index(own) // GROUP_VMS * GROUP_VMS
     for leader in zone[first : zone.index(own)]:
@@ -113,13 +97,13 @@
             is_asked = _is_asked(feeding, now_s, leader)
             is_doubted = is_old or now_s < feeding.doubted_until_s
             direct = is_doubted or not is_asked
-            return Plan(leader if is_asked else "", direct, shared=True)
-    return Plan(shared=True, leads=True)
+            return plans.Plan(leader if is_asked else "", direct, shared=True)
+    return plans.Plan(shared=True, leads=True)
 
 
 def _plan_without_store(
     feeding: Feeding, fleet: members.Fleet, now_s: float
-) -> Plan:
+) -> plans.Plan:
     """Returns the plan of a VM that has lost the store.
 
     VMs of a place often lose it together; those of other zones are asked last.
@@ -129,7 +113,7 @@
         for name in sorted(fleet.peers, key=lambda name: _distance(fleet, name))
         if _is_asked(feeding, now_s, name) and _may_lead(fleet, now_s, name)
     )
-    return Plan(next(others, ""), shared=True)
+    return plans.Plan(next(others, ""), shared=True)
 
 
 def _distance(fleet: members.Fleet, name: str) -> tuple[bool, bool, str, str]:
--- a/mulberrydeck/steering/following.py
+++ b/mulberrydeck/steering/following.py
@@ -14,8 +14,8 @@
 from mulberrydeck.steering import backoff
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
-from mulberrydeck.steering import feeding
 from mulberrydeck.steering import feeds
+from mulberrydeck.steering import plans
 from mulberrydeck.steering import reporting
 from mulberrydeck.steering import sources
 
@@ -163,7 +163,7 @@
         self.loop = loop
         self.reports = reports
         self.spawn = spawn
-        self.plan = feeding.Plan()
+        self.plan = plans.Plan()
         self.followed: dict[str, sources.Followed] = {}
         self.positions: dict[str, int] = {}
         self.names: dict[str, set[str]] = {}
