Send no request whose admission ended before its attempt began

KNOWN-RED: test_the_only_vm_of_a_region_is_replaced, 9 to 237 requests too many for an account with a rate of 100 and a burst of 50.

Callers of the account sent while no zone had room; when it came back, a VM decided on many requests in one step. Their greenlets began one after the other, up to seconds later on a busy machine. The time in which an admitted request must be sent (0.15 s) was passed on as a duration and counted from the beginning of its attempt, so that requests were sent together with those that were admitted meanwhile.

Evidence: sends in bunches of 10 to 20 within a millisecond from one VM, 165 in the first 0.72 s after its zone had room again; 122 are allowed.

The decision now carries the time itself.

--- a/mulberrydeck/core/effects.py
+++ b/mulberrydeck/core/effects.py
@@ -53,8 +53,8 @@
         account: Client account, or empty on open routes.
         remaining_s: Time left for the request, in seconds.
         repeatable: Whether the request is idempotent.
-        start_within_s: Time left until its first byte must be sent, since
-            its admission ends, in seconds.
+        start_by_s: When its first byte must be sent at the latest, since its
+            admission ends, on the VM's clock, in seconds.
     """
 
     request_id: str
@@ -64,7 +64,7 @@
     account: str
     remaining_s: float
     repeatable: bool
-    start_within_s: float = float("inf")
+    start_by_s: float = float("inf")
 
 
 @attrs.frozen
@@ -80,8 +80,8 @@
         remaining_s: Time left for the request, in seconds.
         repeatable: Whether the request is idempotent.
         link: `source/destination` regions, or empty within a region.
-        start_within_s: Time left until its first byte must be sent, since
-            its admission ends, in seconds.
+        start_by_s: When its first byte must be sent at the latest, since its
+            admission ends, on the VM's clock, in seconds.
     """
 
     request_id: str
@@ -92,7 +92,7 @@
     remaining_s: float
     repeatable: bool
     link: str = ""
-    start_within_s: float = float("inf")
+    start_by_s: float = float("inf")
 
 
 @attrs.frozen
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -161,7 +161,7 @@
         remaining_s=request.deadline_at_s - state.now_s,
         repeatable=request.route.repeatable,
         link=_link(state, heartbeat.zone),
-        start_within_s=admission.start_within_s(state, request),
+        start_by_s=admission.start_by_s(state, request),
     )
     return [forward]
 
@@ -275,7 +275,7 @@
         account=request.account,
         remaining_s=remaining_s,
         repeatable=request.route.repeatable,
-        start_within_s=admission.start_within_s(state, request),
+        start_by_s=admission.start_by_s(state, request),
     )
     return [forward]
 
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -51,8 +51,8 @@
         is_vm: Whether the next hop is another VM.
         fresh: Whether to open a new connection, since a kept one that the
             peer has just closed would leave the outcome unknown.
-        start_within_s: Time left until the first byte must be sent, in
-            seconds.
+        start_by_s: When the first byte must be sent at the latest, on the
+            clock of the pool, in seconds.
     """
 
     address: str
@@ -62,7 +62,7 @@
     pace: Callable[[int], int] | None = None
     is_vm: bool = False
     fresh: bool = False
-    start_within_s: float = float("inf")
+    start_by_s: float = float("inf")
 
 
 @attrs.frozen
@@ -112,9 +112,7 @@
         self.ends_s = self.started_s + hop.remaining_s
         self.latency_s = 0.0
         self.begun = False
-        self.upload = uploads.Upload(
-            hop.pace, pool.now_s, self.started_s + hop.start_within_s
-        )
+        self.upload = uploads.Upload(hop.pace, pool.now_s, hop.start_by_s)
         self.parser = answers.AnswerParser(hop.method)
 
     def run(self, sink: Sink) -> Attempt:
--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -74,7 +74,7 @@
         method=outgoing.method,
         remaining_s=decision.remaining_s,
         fresh=not decision.repeatable,
-        start_within_s=decision.start_within_s,
+        start_by_s=decision.start_by_s,
     )
 
 
@@ -117,7 +117,7 @@
         pace=(lambda count: allow_bytes(link, count)) if link else None,
         is_vm=True,
         fresh=not decision.repeatable,
-        start_within_s=decision.start_within_s,
+        start_by_s=decision.start_by_s,
     )
 
 
