End answers with too many header fields, which take far more memory than bytes

A target that sends header fields without end was given up after 256 KB, as is wanted; parsed into 40,000 fields of 6 bytes they took 6 MB of a VM's memory at its peak. Heads have 1,000 fields at most now.

It counted what the target could send, and so what the kernel holds for both ends, up to 10 MB that say nothing of the VM. Now the VM's peak memory may grow by 2 MB, and the target must have seen its connection closed when the eighth answer is there.

--- a/mulberrydeck/forward/answers.py
+++ b/mulberrydeck/forward/answers.py
@@ -4,6 +4,8 @@
 
 # Largest head of an answer, with the interim answers before it.
 MAX_HEAD_BYTES = 256 * 1024
+# Header fields of an answer; each takes some 130 bytes besides its own.
+MAX_FIELDS = 1000
 # Chunk sizes, chunk extensions and trailers of any answer, in bytes.
 MAX_FRAMING_BYTES = 64 * 1024
 # Beyond that, for each byte of the body; a chunk of one byte has five.
@@ -135,6 +137,8 @@
         name = self._current_header_field
         if name is None:
             return
+        if len(self.fields) >= MAX_FIELDS:
+            raise response.HTTPParseError("the answer has too many fields")
         value = self._current_header_value or ""
         self.fields.append((name.lower(), value))
         self._current_header_field = None
--- a/mulberrydeck/forward/tests/test_answers.py
+++ b/mulberrydeck/forward/tests/test_answers.py
@@ -80,3 +80,11 @@
             parser.take()
     kept = sum(len(name) + len(value) for name, value in parser.fields)
     assert kept <= answers.MAX_HEAD_BYTES
+    assert len(parser.fields) <= answers.MAX_FIELDS
+
+
+def test_fields_that_take_more_memory_than_bytes_are_given_up_early():
+    parser = parsed(HEAD)
+    with pytest.raises(response.HTTPParseError):
+        parser.accept(b"A: b\r\n" * 2000)
+    assert len(parser.fields) <= 1000
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -47,7 +47,8 @@
         running: Requests in progress.
         cut: Requests whose caller left while they ran.
         connections: Connections accepted so far.
-        endless_bytes: Bytes sent so far of answers without an end.
+        endless: Answers without an end that were begun so far.
+        endless_open: Those whose caller has not closed the connection.
     """
 
     def __init__(self, name: str, slots: int = 4, work_s: float = 0.0):
@@ -60,7 +61,8 @@
         self.running = 0
         self.cut = 0
         self.connections = 0
-        self.endless_bytes = 0
+        self.endless = 0
+        self.endless_open = 0
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
 
@@ -203,11 +205,15 @@
             case "endless extension":
                 begun = self._chunked(attempt_id, body) + b"1;"
                 repeated = b"a"
-        sock.sendall(begun)
         piece = repeated * (RECEIVE_BYTES // len(repeated))
-        while True:
-            sock.sendall(piece)
-            self.endless_bytes += len(piece)
+        self.endless += 1
+        self.endless_open += 1
+        try:
+            sock.sendall(begun)
+            while True:
+                sock.sendall(piece)
+        finally:
+            self.endless_open -= 1
 
     def _chunked(self, attempt_id, body) -> bytes:
         """Returns an answer in chunks, without its end."""
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1,5 +1,6 @@
 """Promises of steering VMs as processes, beside the users' platform."""
 
+import pathlib
 import signal
 import socket
 import time
@@ -136,14 +137,22 @@
     "endless trailers",
     "endless extension",
 )
-# Some times the largest head of an answer, and what connections hold.
-ENDLESS_BYTES = 4 * 1024 * 1024
+# Some times the largest head of an answer.
+MOST_KEPT_BYTES = 2 * 1024 * 1024
+
+
+def _peak_bytes(fleet, name="coast-a-1"):
+    """Returns the most memory that a VM had so far."""
+    path = pathlib.Path(f"/proc/{fleet.vms[name].pid}/status")
+    fields = dict(line.split(":", 1) for line in path.read_text().splitlines())
+    return int(fields["VmHWM"].split()[0]) * 1024
 
 
 @pytest.mark.parametrize("fault", ENDLESS)
 def test_a_safe_request_is_not_held_by_bytes_without_end(fleet, fault):
     _script(fleet, fault)
     fleet.targets["t2"].script.clear()
+    peak_bytes = _peak_bytes(fleet)
     began_s = time.monotonic()
     answers = [
         fleet.request(fleet.client(), f"/read/{number}")[1]
@@ -151,7 +160,9 @@
     ]
     assert {answer.status for answer in answers} == {200}
     assert time.monotonic() - began_s < 1.0
-    assert 0 < fleet.targets["t1"].endless_bytes < ENDLESS_BYTES
+    assert fleet.targets["t1"].endless == 1
+    assert fleet.targets["t1"].endless_open == 0
+    assert _peak_bytes(fleet) - peak_bytes < MOST_KEPT_BYTES
 
 
 @pytest.mark.parametrize("fault", ENDLESS)
