Report an answer that ended midway as broken off, not as answered

A body without end that was given up at its deadline was logged as «Answered.» with status 200, so that on-call engineers would not find it by its identifier's line.

--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -172,6 +172,9 @@
             case None:
                 self.latency.labels("abandoned").observe(taken_s)
                 self.write("request", "The caller left.", **fields)
+            case _ if not request.answer.finished:
+                self.latency.labels("broken off").observe(taken_s)
+                self.write("request", "Broken off.", **fields)
             case _:
                 self.latency.labels("answered").observe(taken_s)
                 if self.routine.allows():
--- a/mulberrydeck/steering/tests/test_reporting.py
+++ b/mulberrydeck/steering/tests/test_reporting.py
@@ -32,11 +32,25 @@
     assert parts[-1] == "configuration"
 
 
+def served(finished=True):
+    answer = types.SimpleNamespace(status=200, finished=finished)
+    return types.SimpleNamespace(request_id="r1", path="/", answer=answer)
+
+
+def test_an_answer_that_ended_midway_is_not_reported_as_answered(written):
+    reports = reporting.Reports(lambda: 100.0)
+    forward = effects.Forward("r1", 1, "t1", "10.0.0.1:80", "", 101.0, True)
+    done = progresses.Progress(forward, forward, 0.0)
+    reports.request_ended(served(finished=False), done, 1.0)
+    metrics = reports.render().decode()
+    assert written
+    assert 'request_seconds_count{outcome="broken off"} 1.0' in metrics
+    assert 'outcome="answered"' not in metrics
+
+
 def test_requests_to_cold_targets_are_counted_with_their_delay(written):
     reports = reporting.Reports(lambda: 100.0)
-    request = types.SimpleNamespace(
-        request_id="r1", path="/", answer=types.SimpleNamespace(status=200)
-    )
+    request = served()
     forward = effects.Forward(
         "r1", 1, "t1", "10.0.0.1:80", "", 101.0, True, cold=True
     )
