--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -9,6 +9,7 @@
 from mulberrydeck.steering import paces
 from mulberrydeck.steering import pacing
 from mulberrydeck.steering import placement
+from mulberrydeck.steering import refusals
 from mulberrydeck.steering import state as states
 from mulberrydeck.steering import tables
 from mulberrydeck.steering import targets
@@ -32,15 +33,15 @@
 def arrived(state: states.State, event: events.RequestArrived) -> Effects:
     """Decides on a request whose head was read."""
     if state.table is None or not state.book.listed:
-        return [_early(event, 503, "starting", STARTING_RETRY_S)]
+        return [refusals.early(event, 503, "starting", STARTING_RETRY_S)]
     route = state.table.route_of(event.host, event.path)
     if route is None:
-        return [_early(event, 404, "no-route")]
+        return [refusals.early(event, 404, "no-route")]
     account = state.table.account_by_key.get(event.key)
     if account is None and not route.public and state.table.keys_required:
-        return [_early(event, 401, "unknown-key")]
+        return [refusals.early(event, 401, "unknown-key")]
     if event.body_bytes > state.table.limits.max_body_bytes:
-        return [_early(event, 413, "body-too-large")]
+        return [refusals.early(event, 413, "body-too-large")]
     if route.public:
         account = None
     request = _open(state, event, route, account)
@@ -116,7 +117,7 @@
         inputs["own_units"] = held.own_units
         inputs["lent_units"] = held.lent_units
         inputs["borrowed_units"] = held.borrowed_units
-    return _failure(request, 429, "rate-limited", retry_after_s, inputs)
+    return refusals.failure(request, 429, "rate-limited", retry_after_s, inputs)
 
 
 def quota_decided(
@@ -134,7 +135,7 @@
 def _place(state: states.State, request: states.Request) -> Effects:
     """Sends the request to a target, or refuses it."""
     if request.ends_s - state.now_s < MIN_REMAINING_S:
-        return [_failure(request, 504, "deadline-exceeded", None)]
+        return [refusals.failure(request, 504, "deadline-exceeded", None)]
     service = state.table.services.get(request.service)
     cold_rate_per_s = service.cold_rate_per_s if service else 0.0
     choice = state.choose(
@@ -153,7 +154,7 @@
         case placement.NoneFree(usable):
             _give_token_back(state, request)
             inputs = {"usable_targets": usable}
-            refusal = _failure(
+            refusal = refusals.failure(
                 request, 503, "no-capacity", FULL_RETRY_S, inputs
             )
             return [refusal]
@@ -354,49 +355,10 @@
 ) -> effects.Refuse:
     match event.outcome:
         case Outcome.EXPIRED:
-            return _failure(request, 504, "deadline-exceeded", None)
+            return refusals.failure(request, 504, "deadline-exceeded", None)
         case Outcome.BROKEN:
-            return _failure(request, 502, "outcome-unknown", None)
-    return _failure(request, 503, "no-capacity", FULL_RETRY_S)
-
-
-DETAILS = {
-    "starting": "This VM has not read its configuration yet; come back soon.",
-    "no-route": "No route has this host and path; see the configuration.",
-    "unknown-key": "The key is unknown or withdrawn; ask for a new one.",
-    "body-too-large": "The body exceeds the configured limit; send less.",
-    "rate-limited": "The client account is over its rate; come back later.",
-    "no-capacity": "No target has room now; come back later.",
-    "deadline-exceeded": "The deadline has passed; allow more time.",
-    "outcome-unknown": "The target broke off; it may have run the request.",
-}
-
-
-def _failure(
-    request: states.Request,
-    status: int,
-    kind: str,
-    retry_after_s: float | None,
-    inputs: dict[str, object] | None = None,
-) -> effects.Refuse:
-    """Returns a refusal; one that may have run is never called not run."""
-    if request.may_have_run and status in (429, 503):
-        status, kind, retry_after_s = 502, "outcome-unknown", None
-    said = {"service": request.service, "sent": request.sent, **(inputs or {})}
-    return effects.Refuse(
-        request.request_id, status, kind, DETAILS[kind], retry_after_s, said
-    )
-
-
-def _early(
-    event: events.RequestArrived,
-    status: int,
-    kind: str,
-    retry_after_s: float | None = None,
-) -> effects.Refuse:
-    return effects.Refuse(
-        event.request_id, status, kind, DETAILS[kind], retry_after_s
-    )
+            return refusals.failure(request, 502, "outcome-unknown", None)
+    return refusals.failure(request, 503, "no-capacity", FULL_RETRY_S)
 
 
 def closed(state: states.State, event: events.RequestClosed) -> Effects:
