--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 
 
 @pytest.mark.parametrize("mesh", [True, False])
-def test_promises_hold_while_targets_turn_cold(mesh, tmp_path):
+def test_promises_without_times_hold_while_targets_turn_cold(mesh, tmp_path):
     played = runs.play(1001, DURATION_S, tmp_path, mesh, timed=False, cold=True)
     assert not played.broken, played.series
 
