Keep connections to few VMs, and ask nothing at a first start

Seen (large site, 195 VMs): 1,323 messages and 194 connections of a VM before the first caller came. Each connection is probed every second by both ends, so that a VM of 60 idle ones used 0.79% of a core, without probes 0.14% (a trial of the transport alone, beside other work); that grows with the number of VMs.

Cause: each VM opened a connection to each other one; digests went to receivers that rotated over all VMs; and at the very first start VMs asked each other for loans of earlier processes, of which there are none.

Change: a connection is opened by the first message, which waits for it for 0.5 s, and closed after 15 s without one; only the sending side probes. The senders of digests to a VM stay the same while they work; one that misses a heartbeat is replaced at once.

Ruled out: choosing the senders by rendezvous hashing, which gave one VM up to 34 messages a heartbeat in place of 24.

--- a/mulberrydeck/peers/tests/test_transport.py
+++ b/mulberrydeck/peers/tests/test_transport.py
@@ -1,11 +1,13 @@
 """Tests of the peer transport over loopback."""
 
 import gevent
+import pytest
 
 from mulberrydeck.peers import feed_messages
 from mulberrydeck.peers import messages
 from mulberrydeck.peers import transport
 from standins import addresses
+from standins import waiting
 
 PORT = 8390
 MESSAGE_COUNT = 60  # More than `transport.MAX_MESSAGES_PER_TURN`.
@@ -61,3 +63,54 @@
         each.stop()
         assert each.context.closed
     subnet.release()
+
+
+@pytest.fixture(name="pair")
+def fixture_pair():
+    """Two transports, of which the first knows the second, and its messages."""
+    subnet = addresses.reserve()
+    received = []
+    second_address = f"{subnet.ip(1, 2)}:{PORT}"
+    first = start("a", f"{subnet.ip(1, 1)}:{PORT}", [])
+    second = start("b", second_address, received)
+    first.connect("b", second_address)
+    yield first, received
+    first.stop()
+    second.stop()
+    subnet.release()
+
+
+def open_connections(first):
+    return list(first._connections)
+
+
+def test_the_first_message_opens_the_connection_and_arrives_once(pair):
+    first, received = pair
+    gevent.sleep(0.1)
+    assert not open_connections(first)
+    for _ in range(3):
+        first.send("b", HEARTBEAT)
+    waiting.until(lambda: len(received) >= 3, "all messages arrive")
+    gevent.sleep(2 * transport.CONNECT_POLL_INTERVAL_S)
+    assert received == [("a", HEARTBEAT)] * 3
+
+
+def test_an_idle_connection_is_closed_and_opened_again(pair, monkeypatch):
+    first, received = pair
+    first.send("b", HEARTBEAT)
+    waiting.until(lambda: len(received) == 1, "the message arrives")
+    monkeypatch.setattr(transport, "IDLE_TIMEOUT_S", 0.0)
+    first.close_idle()
+    assert not open_connections(first)
+    first.send("b", HEARTBEAT)
+    waiting.until(lambda: len(received) == 2, "the next message arrives")
+
+
+def test_messages_to_a_peer_that_does_not_respond_are_dropped(pair):
+    first, received = pair
+    first.connect("c", "127.0.0.1:9")
+    first.send("c", HEARTBEAT)
+    gevent.sleep(transport.CONNECT_WAIT_S + 0.1)
+    assert not first._connections["c"].connecting
+    first.send("b", HEARTBEAT)
+    waiting.until(lambda: received, "other peers get messages")
--- a/mulberrydeck/peers/transport.py
+++ b/mulberrydeck/peers/transport.py
@@ -1,14 +1,20 @@
 """Transport of peer messages over ZeroMQ push and pull sockets.
 
-Each VM binds one pull socket and opens one push socket per peer. Messages to an
+Each VM binds one pull socket and opens one push socket per peer, when it first
+sends to that peer, and closes it again when it has sent nothing for a while: in
+a fleet of hundreds, a VM sends to few of the others, and probing connections to
+all of them would cost more processor time than requests do. Messages to an
 unreachable peer are dropped, because every message is sent periodically or
 retried by its sender.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+import time
 from typing import Protocol
 
+import attrs
 import gevent
 import zmq
 import zmq.green
@@ -23,6 +29,16 @@
 MAX_RECONNECT_INTERVAL_MS = 300
 HEARTBEAT_INTERVAL_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 2500
+# The peer closes a connection without probes after this time.
+HEARTBEAT_LIFETIME_MS = 10_000
+# Longer than the interval of any message that is sent periodically to a VM.
+IDLE_TIMEOUT_S = 15.0
+SWEEP_INTERVAL_S = 5.0
+# Messages wait this long for a new connection; several round trips between
+# distant regions. Later they would carry outdated state.
+CONNECT_WAIT_S = 0.5
+MAX_CONNECTING_MESSAGES = 16
+CONNECT_POLL_INTERVAL_S = 0.01
 HANDSHAKE_TIMEOUT_MS = 2000
 # Messages read in a row before other greenlets, such as those that serve
 # requests, can run.
@@ -44,8 +60,31 @@
         """Counts a received message that fails authentication or decoding."""
 
 
+@attrs.define(eq=False)
+class _Connection:
+    """Connection to a peer.
+
+    Attributes:
+        socket: The push socket.
+        opened_s: When it was opened, in seconds.
+        used_s: When a message was last sent, in seconds.
+        connecting: Messages that wait for the connection to be established.
+    """
+
+    socket: zmq.Socket
+    opened_s: float
+    used_s: float
+    connecting: collections.deque[bytes] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_CONNECTING_MESSAGES)
+    )
+
+
 class PeerTransport:
-    """Sends and receives peer messages."""
+    """Sends and receives peer messages.
+
+    Attributes:
+        addresses: Address of each peer, by name.
+    """
 
     def __init__(
         self,
@@ -76,45 +115,61 @@
         self.context = zmq.green.Context()
         self._plain_context = zmq.Context(self.context)
         self._pull = None
-        self._push_by_peer: dict[str, zmq.Socket] = {}
+        self.addresses: dict[str, str] = {}
+        self._connections: dict[str, _Connection] = {}
         self._reader = None
+        self._flusher = None
+        self._sweeper = None
 
     def start(self) -> None:
         """Binds the listening socket and starts receiving."""
         self._pull = self.context.socket(zmq.PULL)
         self._configure(self._pull)
+        # The senders probe the connections.
+        self._pull.setsockopt(zmq.HEARTBEAT_IVL, 0)
         self._pull.setsockopt(zmq.MAXMSGSIZE, 2 * codec.MAX_MESSAGE_BYTES)
         self._pull.bind(f"tcp://{self.listen_address}")
         self._reader = gevent.spawn(self._read)
+        self._sweeper = gevent.spawn(self._sweep)
 
     def stop(self) -> None:
         """Closes all sockets; unsent messages get 200 ms to be flushed."""
-        if self._reader is not None:
-            self._reader.kill()
-        for name in list(self._push_by_peer):
-            self.disconnect(name, linger_ms=200)
+        for greenlet in (self._reader, self._flusher, self._sweeper):
+            if greenlet is not None:
+                greenlet.kill()
+        for name in list(self._connections):
+            self._close(name, linger_ms=200)
         if self._pull is not None:
             self._pull.close(linger=0)
         # Termination at interpreter exit takes seconds while peers still send.
         self.context.term()
 
     def connect(self, name: str, address: str) -> None:
-        """Opens a connection to a peer, replacing any existing one."""
+        """Sets the address of a peer, closing any existing connection."""
         self.disconnect(name)
+        self.addresses[name] = address
+
+    def disconnect(self, name: str) -> None:
+        """Closes the connection to a peer and forgets its address."""
+        self.addresses.pop(name, None)
+        self._close(name)
+
+    def _open(self, name: str) -> _Connection:
         # Sends never block, so the socket need not be integrated with gevent.
         push = self._plain_context.socket(zmq.PUSH)
         self._configure(push)
         push.setsockopt(zmq.IMMEDIATE, 1)
         push.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         source = f"{self.source_ip}:0;" if self.source_ip else ""
-        push.connect(f"tcp://{source}{address}")
-        self._push_by_peer[name] = push
+        push.connect(f"tcp://{source}{self.addresses[name]}")
+        now_s = time.monotonic()
+        self._connections[name] = _Connection(push, now_s, now_s)
+        return self._connections[name]
 
-    def disconnect(self, name: str, linger_ms: int = 0) -> None:
-        """Closes the connection to a peer, if any."""
-        push = self._push_by_peer.pop(name, None)
-        if push is not None:
-            push.close(linger=linger_ms)
+    def _close(self, name: str, linger_ms: int = 0) -> None:
+        connection = self._connections.pop(name, None)
+        if connection is not None:
+            connection.socket.close(linger=linger_ms)
 
     def send(self, name: str, message: object) -> None:
         """Sends a message; drops it if the peer is unreachable.
@@ -122,23 +177,75 @@
         A message is also dropped if the send queue of the peer is full. Only
         sent messages are counted.
         """
-        push = self._push_by_peer.get(name)
-        if push is None:
+        if name not in self.addresses:
             return
+        connection = self._connections.get(name) or self._open(name)
         payload = codec.encode(message)
         sealed = envelope.seal(
             self.secret, envelope.Envelope(self.vm_name, payload)
         )
+        connection.used_s = time.monotonic()
+        if connection.connecting or not self._try_send(connection, sealed):
+            self._send_when_connected(connection, sealed)
+
+    def _try_send(self, connection: _Connection, sealed: bytes) -> bool:
+        """Returns whether a message was passed to the connection."""
         try:
-            push.send(sealed, flags=zmq.NOBLOCK)
+            connection.socket.send(sealed, flags=zmq.NOBLOCK)
         except zmq.Again:
-            return
+            return False
         self.metrics.peer_message("out", len(sealed))
+        return True
+
+    def _send_when_connected(
+        self, connection: _Connection, sealed: bytes
+    ) -> None:
+        """Queues a message while the connection is being established."""
+        if time.monotonic() >= connection.opened_s + CONNECT_WAIT_S:
+            return
+        connection.connecting.append(sealed)
+        if self._flusher is None or self._flusher.dead:
+            self._flusher = gevent.spawn(self._flush)
+
+    def _flush(self) -> None:
+        """Sends the messages that wait for connections."""
+        while True:
+            waiting = [
+                connection
+                for connection in self._connections.values()
+                if connection.connecting
+            ]
+            if not waiting:
+                return
+            for connection in waiting:
+                self._flush_connection(connection)
+            gevent.sleep(CONNECT_POLL_INTERVAL_S)
+
+    def _flush_connection(self, connection: _Connection) -> None:
+        if time.monotonic() >= connection.opened_s + CONNECT_WAIT_S:
+            connection.connecting.clear()
+        while connection.connecting and self._try_send(
+            connection, connection.connecting[0]
+        ):
+            connection.connecting.popleft()
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_INTERVAL_S)
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes connections that have not been used for a while."""
+        oldest_s = time.monotonic() - IDLE_TIMEOUT_S
+        for name, connection in list(self._connections.items()):
+            if connection.used_s < oldest_s:
+                self._close(name)
 
     def _configure(self, socket: zmq.Socket) -> None:
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_LIFETIME_MS)
         socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_INTERVAL_MS)
--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -7,12 +7,15 @@
 of the zone's heartbeats to VMs of other zones.
 """
 
+from collections.abc import Iterator
+import heapq
 import math
 
 import attrs
 
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import effects as quota_effects
+from mulberrydeck.routing import hashing
 from mulberrydeck.steering import members
 
 # Heartbeat interval until loans of earlier processes are excluded. This VM
@@ -21,9 +24,9 @@
 JOINING_IN_MESH_INTERVAL_S = 0.2
 # Longer in a large fleet, where more responses have to be sent and read.
 JOINING_IN_ZONES_INTERVAL_S = 0.3
-# VMs of each other zone to which a VM sends a digest at each heartbeat; two, to
-# compensate for senders that are down.
-DIGEST_RECEIVERS_PER_ZONE = 2
+# A VM that has missed a heartbeat is replaced as a sender of digests. Its
+# receivers then get the next digest before they consider the zone unreachable.
+SUSPECTED_AFTER_INTERVALS = 1.6
 
 
 @attrs.define
@@ -32,14 +35,18 @@
 
     Attributes:
         next_s: When the next heartbeat is due, in seconds.
-        rounds: Number of heartbeats sent so far.
         to_all: Whether the next heartbeat goes to all VMs, which a planned stop
             requires.
+        known_names: Names of the VMs for which receivers were computed.
+        senders: VMs among which the receivers of digests were divided.
+        digest_receivers: VMs to which this VM sends digests.
     """
 
     next_s: float = -math.inf
-    rounds: int = 0
     to_all: bool = False
+    known_names: tuple[str, ...] = ()
+    senders: tuple[str, ...] = ()
+    digest_receivers: tuple[str, ...] = ()
 
 
 def send_to_all_soon(schedule: Schedule) -> None:
@@ -75,7 +82,6 @@
         lenders: VMs from which it holds loans.
     """
     schedule.next_s = now_s + _interval_s(fleet)
-    schedule.rounds += 1
     produced: list[object] = [
         quota_effects.SendMessage(
             name, attrs.evolve(own, holds_loans=name in lenders)
@@ -86,7 +92,7 @@
         digest = _digest(fleet, now_s, own)
         produced += [
             quota_effects.SendMessage(name, digest)
-            for name in _digest_receivers(schedule, fleet)
+            for name in _digest_receivers(schedule, fleet, now_s)
         ]
     schedule.to_all = False
     return produced
@@ -161,27 +167,105 @@
     return messages.SteeringDigest(tuple(relayed))
 
 
-def _digest_receivers(schedule: Schedule, fleet: members.Fleet) -> list[str]:
-    """Returns the receivers of this heartbeat's digest, which rotate.
+def take_over(
+    schedule: Schedule,
+    fleet: members.Fleet,
+    now_s: float,
+    own: messages.SteeringHeartbeat,
+) -> list[object]:
+    """Returns digests to VMs that have lost one of their senders.
+
+    Args:
+        schedule: Changed in place.
+        fleet: Known VMs.
+        now_s: Current time, in seconds.
+        own: Heartbeat of this VM.
+    """
+    if fleet.is_mesh or not schedule.digest_receivers:
+        return []
+    previous = schedule.digest_receivers
+    receivers = _digest_receivers(schedule, fleet, now_s)
+    if receivers is previous:
+        return []
+    known = frozenset(previous)
+    digest = _digest(fleet, now_s, own)
+    return [
+        quota_effects.SendMessage(name, digest)
+        for name in receivers
+        if name not in known
+    ]
+
+
+def _digest_receivers(
+    schedule: Schedule, fleet: members.Fleet, now_s: float
+) -> tuple[str, ...]:
+    """Returns the VMs of other zones to which this VM sends digests.
+
+    They stay the same while the senders do, so that few connections are used.
+    """
+    working = _working_senders(fleet, now_s)
+    if (fleet.names, working) != (schedule.known_names, schedule.senders):
+        schedule.known_names = fleet.names
+        schedule.senders = working
+        schedule.digest_receivers = tuple(_assigned_receivers(fleet, working))
+    return schedule.digest_receivers
+
+
+def _assigned_receivers(
+    fleet: members.Fleet, working: tuple[str, ...]
+) -> Iterator[str]:
+    """Yields the VMs of other zones that get digests from this VM.
 
-    The VMs of a zone start at different positions. Each receiver thus gets
-    digests from different senders in turn, and a sender that is down delays
-    updates only briefly.
+    The senders of a zone have equal numbers of receivers in each other zone.
     """
+    own = fleet.settings
     names_by_zone: dict[str, list[str]] = {}
     for name in fleet.names:
         peer = fleet.peers.get(name)
-        if peer is not None:
-            names_by_zone.setdefault(peer.record.zone, []).append(name)
-    own = fleet.settings
-    in_zone = sorted([own.name, *names_by_zone.pop(own.zone, [])])
-    offset = in_zone.index(own.name) + schedule.rounds
-    receivers: list[str] = []
+        zone = own.zone if peer is None else peer.record.zone
+        names_by_zone.setdefault(zone, []).append(name)
+    in_zone = names_by_zone.pop(own.zone)
     for names in names_by_zone.values():
-        count = min(DIGEST_RECEIVERS_PER_ZONE, len(names))
-        step = len(names) // count
-        receivers += [
-            names[(offset + number * step) % len(names)]
-            for number in range(count)
-        ]
-    return receivers
+        for index, receiver in enumerate(names):
+            regular = (
+                in_zone[index % len(in_zone)],
+                in_zone[(index + len(in_zone) // 2) % len(in_zone)],
+            )
+            if own.name in _senders_to(receiver, regular, working):
+                yield receiver
+
+
+def _working_senders(fleet: members.Fleet, now_s: float) -> tuple[str, ...]:
+    """Returns the working VMs of this VM's zone, including this one."""
+    oldest_s = (
+        now_s - SUSPECTED_AFTER_INTERVALS * fleet.settings.beat_interval_s
+    )
+    working = [
+        name
+        for name, peer in fleet.peers.items()
+        if peer.record.zone == fleet.settings.zone
+        and peer.last_heartbeat_s > oldest_s
+    ]
+    return (fleet.settings.name, *working)
+
+
+def _senders_to(
+    receiver: str, regular: tuple[str, ...], working: tuple[str, ...]
+) -> set[str]:
+    """Returns the senders of digests to a VM.
+
+    Args:
+        receiver: Name of that VM.
+        regular: Its senders while all VMs work.
+        working: Working VMs of their zone.
+    """
+    senders = {name for name in regular if name in working}
+    if len(senders) == len(regular):
+        return senders
+    digest = hashing.digest(receiver)
+    substitutes = heapq.nsmallest(
+        len(regular),
+        (name for name in working if name not in senders),
+        key=lambda name: hashing.combine(hashing.digest(name), digest),
+    )
+    return senders.union(substitutes[: len(regular) - len(senders)])
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -237,7 +237,15 @@
 
 def _ticked(state: states.State) -> Effects:
     is_heartbeat_due = heartbeats.is_due(state.heartbeat_schedule, state.now_s)
-    produced = _send_heartbeat(state) if is_heartbeat_due else []
+    if is_heartbeat_due:
+        produced = _send_heartbeat(state)
+    else:
+        produced = heartbeats.take_over(
+            state.heartbeat_schedule,
+            state.fleet,
+            state.now_s,
+            _own_heartbeat(state),
+        )
     produced += _update_plan(state)
     produced += _update_stale_group(state)
     if members.exclude_old_loans(state.fleet, state.now_s):
--- a/mulberrydeck/steering/tests/test_heartbeats.py
+++ b/mulberrydeck/steering/tests/test_heartbeats.py
@@ -10,6 +10,7 @@
 from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import heartbeats
+from mulberrydeck.steering import limit_owners
 from mulberrydeck.steering import lookup
 from mulberrydeck.steering import members
 from mulberrydeck.steering import registry
@@ -33,6 +34,7 @@
         self.in_transit = []
         self.sequence = itertools.count()
         self.sent = collections.Counter()
+        self.links = set()
         self.down = set()
         accounts = (
             (tables.Account("acme", rate_per_s=100.0, burst=100.0), ("k",)),
@@ -83,6 +85,7 @@
         for effect in vm.reduce(event):
             if isinstance(effect, quota_effects.SendMessage):
                 self.sent[name, type(effect.message)] += 1
+                self.links.add((name, effect.to))
                 arrives_s = event.at_s + MESSAGE_DELAY_S
                 heapq.heappush(
                     self.in_transit,
@@ -114,6 +117,39 @@
     ) <= 11 * (8 + 16)
 
 
+def test_a_vm_sends_to_few_others_while_all_work():
+    fleet = LargeFleet()
+    fleet.run(CONVERGENCE_S)
+    fleet.links.clear()
+    fleet.run(20.0)
+    for name in fleet.vms:
+        receivers = {to for sender, to in fleet.links if sender == name}
+        assert len(receivers) <= (VMS_PER_ZONE - 1) + 2 * (len(ZONES) - 1)
+
+
+def test_a_fleet_that_starts_for_the_first_time_asks_for_no_loans():
+    fleet = LargeFleet()
+    fleet.run(2.0)
+    heartbeats_per_vm = max(
+        count
+        for (_, kind), count in fleet.sent.items()
+        if kind is messages.SteeringHeartbeat
+    )
+    # Two or three of its own to each VM of the zone, and a response to each.
+    assert heartbeats_per_vm <= 4 * (VMS_PER_ZONE - 1)
+
+
+def test_no_zone_is_lost_while_senders_of_digests_fail():
+    fleet = LargeFleet()
+    fleet.run(CONVERGENCE_S)
+    fleet.down = {"a-1-vm0", "a-1-vm4"}
+    for _ in range(50):
+        fleet.run(0.1)
+        for name in fleet.vms.keys() - fleet.down:
+            omitted = 3 * VMS_PER_ZONE - len(fleet.lookup_result(name, "a"))
+            assert omitted <= len(fleet.down)
+
+
 def test_failed_vms_are_omitted_from_lookups_in_time():
     fleet = LargeFleet()
     fleet.run(CONVERGENCE_S)
@@ -165,15 +201,15 @@
 
 @pytest.mark.parametrize(
     ("burst", "expected"),
-    [(2.0, 3), (20.0, 4), (1000.0, members.MAX_LIMIT_OWNERS)],
+    [(2.0, 3), (20.0, 4), (1000.0, limit_owners.MAX_LIMIT_OWNERS)],
 )
 def test_few_agreed_vms_own_the_units_of_an_account(burst, expected):
     fleet = LargeFleet()
     account = tables.Account("acme", rate_per_s=10.0, burst=burst)
     units_by_vm = {}
     for name, vm in fleet.vms.items():
-        limit_owners = members.limit_owners(vm.state.fleet, account)
-        units_by_vm[name] = members.own_units(vm.state.fleet, limit_owners)
+        names = members.limit_owners(vm.state.fleet, account)
+        units_by_vm[name] = members.own_units(vm.state.fleet, names)
     owners = {name for name, units in units_by_vm.items() if units}
     assert sum(units_by_vm.values()) == members.UNITS_PER_LIMIT
     assert len(owners) == expected
