Rank the owners of a limit anew only where a VM that came or left matters

Each change of the list of VMs ranked all of them for all accounts: 27,300 ranks with 195 VMs and 140 accounts, on every VM. A rolling restart of a quarter of the fleet changes the list about a hundred times. Changes that are read together give one list.

--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -6,21 +6,14 @@
 
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import state as quota_state
-from mulberrydeck.routing import hashing
 from mulberrydeck.steering import effects
+from mulberrydeck.steering import limit_owners as limit_owners_module
 from mulberrydeck.steering import registry
 from mulberrydeck.steering import settings as settings_module
 from mulberrydeck.steering import tables
 
 # Each account limit is divided into this many units, which VMs own and lend.
 UNITS_PER_LIMIT = 1000
-# Outside a full mesh, at most this many VMs own an account's units, but at
-# least one in each region: a borrower sends one message per lender, and the
-# units of a VM that fails are unavailable.
-MAX_LIMIT_OWNERS = 16
-# Minimum share of the burst per owner, in tokens, so that one request to a
-# lender usually finds a token.
-BURST_TOKENS_PER_OWNER = 5.0
 
 
 @attrs.define
@@ -59,6 +52,7 @@
             from this VM's earlier processes.
         old_loans_excluded: Whether loans from earlier processes of this VM
             can no longer exist.
+        limit_owners: Owners of the units of limits in a large fleet.
     """
 
     settings: settings_module.SteeringSettings
@@ -68,6 +62,9 @@
     started_s: float = 0.0
     vms_without_old_loans: set[str] = attrs.field(factory=set)
     old_loans_excluded: bool = False
+    limit_owners: limit_owners_module.LimitOwners = attrs.field(
+        factory=limit_owners_module.LimitOwners
+    )
 
     @property
     def is_mesh(self) -> bool:
@@ -111,6 +108,9 @@
             # The record names a new process, which has yet to send a heartbeat.
             fleet.peers[name] = Peer(record)
     fleet.names = tuple(sorted({r.name for r in records}))
+    fleet.limit_owners.update(
+        {name: fleet.region_of(name) for name in fleet.names}
+    )
     return produced
 
 
@@ -189,26 +189,10 @@
 
 
 def limit_owners(fleet: Fleet, account: tables.Account) -> tuple[str, ...]:
-    """Returns the registered VMs that own the units of an account's limit.
-
-    All VMs rank the owners by the same hash, so that few owners change when a
-    VM is added or removed. Each region has an owner, so that its callers are
-    served while it is cut off from the other regions.
-    """
+    """Returns the registered VMs that own the units of an account's limit."""
     if fleet.is_mesh:
         return fleet.names
-    digest = hashing.digest(account.name)
-    ranked = sorted(
-        fleet.names,
-        key=lambda name: hashing.combine(hashing.digest(name), digest),
-    )
-    first_by_region: dict[str, str] = {}
-    for name in ranked:
-        first_by_region.setdefault(fleet.region_of(name), name)
-    count = min(MAX_LIMIT_OWNERS, int(account.burst / BURST_TOKENS_PER_OWNER))
-    chosen = list(first_by_region.values())
-    rest = [name for name in ranked if name not in chosen]
-    return tuple(sorted(chosen + rest[: max(0, count - len(chosen))]))
+    return fleet.limit_owners.of(account)
 
 
 def own_units(fleet: Fleet, owners: tuple[str, ...]) -> int:
--- a/mulberrydeck/steering/store_kinds.py
+++ b/mulberrydeck/steering/store_kinds.py
@@ -37,6 +37,8 @@
         allow_stale: Whether responses may be seconds old, which the store
             prices lower.
         pause_s: Pause after changes, in seconds.
+        complete_events: Whether the event of a change holds all objects, so
+            that the last of several changes suffices.
         leader_wait_s: Longest time for which a VM that leads lets a watch wait
             for changes, in seconds.
     """
@@ -46,6 +48,7 @@
     change_events: Callable[[float, stores.Change], list[object]]
     allow_stale: bool = False
     pause_s: float = 0.0
+    complete_events: bool = False
     leader_wait_s: float = math.inf
 
 
@@ -95,6 +98,7 @@
             self._vm_changed,
             allow_stale=True,
             pause_s=VMS_PAUSE_S,
+            complete_events=True,
         )
 
     def _configurations(
