Let one VM of a region follow the store for the leaders of its groups

Change: the leaders of a region's groups get their updates from the first of them and pass them on, with the age of the check behind them. They read the store themselves after 0.8 s, before their followers have to after 1.2 s. A VM keeps copies from its start until it knows whether it leads, so that it lists once.

Ruled out for now: one leader for all regions (a cut between regions would make every VM read the store), and longer watches (a silent connection would be noticed too late).

--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -92,15 +92,55 @@
         self.revision = listing.revision
 
     def apply(self, changes: stores.Changes) -> None:
-        """Applies changes and logs them."""
+        """Applies changes and logs them, except those that are known.
+
+        Some are while this VM reads the store itself beside another source.
+        """
+        if changes.revision <= self.revision:
+            return
         for change in changes.changes:
+            if self._is_known(change):
+                continue
             name = change.stored.metadata.name
             if change.deleted:
                 self.objects.pop(name, None)
             else:
                 self.objects[name] = change.stored
             self._append(changes.revision, change)
-        self.revision = max(self.revision, changes.revision)
+        self.revision = changes.revision
+
+    def _is_known(self, change: stores.Change) -> bool:
+        revision = change.stored.metadata.revision
+        if not change.deleted:
+            return revision <= self.revision
+        # A deletion carries the revision of the last change before it.
+        current = self.objects.get(change.stored.metadata.name)
+        return current is None or current.metadata.revision > revision
+
+    def apply_part(
+        self,
+        part: feed_messages.FeedPart,
+        changes: tuple[stores.Change, ...],
+    ) -> bool:
+        """Applies updates of another VM; returns whether they were complete.
+
+        Args:
+            part: The updates.
+            changes: Its decoded objects.
+        """
+        if part.revision <= self.revision:
+            return True
+        if part.since != ALL_OBJECTS:
+            if part.since > self.revision:
+                return False
+            self.apply(stores.Changes(changes, (), part.revision))
+            return True
+        if not self.objects.keys() >= set(part.kept):
+            return False
+        kept = [self.objects[name] for name in part.kept]
+        listed = (*kept, *(change.stored for change in changes))
+        self.replace(stores.Listing(listed, (), part.revision))
+        return True
 
     def _append(self, revision: int, change: stores.Change) -> None:
         self.change_log.append((revision, change))
@@ -176,6 +216,8 @@
     Attributes:
         mirrors: Copies of the objects of each kind, while this VM leads.
         leads: Whether other VMs may get updates from this one.
+        keeps_copies: Whether what this VM reads is copied: while it leads, and
+            from its start until that is decided.
         checked_s: When the last check that reached the store was sent, in
             seconds.
         pending: Requests that wait for updates, by VM.
@@ -193,24 +235,33 @@
         self.reports = reports
         self.mirrors: dict[str, Mirror] = {}
         self.leads = False
+        self.keeps_copies = True
         self.checked_s = -math.inf
         self.pending: dict[str, _PendingRequest] = {}
         self.regained_s = -math.inf
 
-    def start(self) -> None:
-        """Starts to keep what this VM reads from the store, for followers."""
+    def start(self) -> bool:
+        """Starts to pass on what this VM reads from the store.
+
+        Returns:
+            Whether all that this VM reads was copied already.
+        """
+        has_copies = self.keeps_copies
         self.leads = True
+        self.keeps_copies = True
+        return has_copies
 
     def stop(self) -> None:
         """Tells the followers that this VM no longer leads."""
         self.leads = False
+        self.keeps_copies = False
         self.mirrors.clear()
         for name in list(self.pending):
             self._respond(name)
 
     def apply_list(self, kind: str, listing: stores.Listing) -> None:
         """Applies a list that this VM read, and responds with the changes."""
-        if self.leads:
+        if self.keeps_copies:
             self.mirrors.setdefault(kind, Mirror()).replace(listing)
             self._respond_to_all()
 
@@ -220,23 +271,48 @@
             self.mirrors[kind].apply(changes)
             self._respond_to_all()
 
+    def apply_part(
+        self,
+        part: feed_messages.FeedPart,
+        changes: tuple[stores.Change, ...],
+    ) -> None:
+        """Applies updates of another VM, and passes them on.
+
+        Args:
+            part: The updates.
+            changes: Its decoded objects.
+        """
+        if not self.leads:
+            return
+        mirror = self.mirrors.setdefault(part.kind, Mirror())
+        if mirror.apply_part(part, changes):
+            self._respond_to_all()
+        else:
+            # A later check must not make this copy look current.
+            del self.mirrors[part.kind]
+
+    def known_revision(self, kind: str) -> int:
+        """Returns the revision of the copy of a kind."""
+        mirror = self.mirrors.get(kind)
+        return ALL_OBJECTS if mirror is None else mirror.revision
+
     def check_succeeded(self, sent_s: float) -> None:
-        """Records that a check of the store succeeded.
+        """Records that all changes up to a time are known.
 
-        The watches of this VM would have received any change before the check,
-        so that each pending request can be completed.
+        The watches of this VM, or its source, have passed on any change before
+        the check, so that each pending request can be completed.
 
         Args:
-            sent_s: When the check was sent, in seconds.
+            sent_s: When the check of the store was sent, in seconds.
         """
-        self.checked_s = sent_s
+        self.checked_s = max(self.checked_s, sent_s)
         for name, pending in list(self.pending.items()):
             if self._has_all_kinds(pending.request):
                 self._respond(name)
 
-    def store_regained(self) -> None:
-        """Records that the store is reachable again."""
-        self.regained_s = self.now_s()
+    def store_regained(self, regained_s: float) -> None:
+        """Records when the store became reachable again, in seconds."""
+        self.regained_s = max(self.regained_s, regained_s)
 
     def handle_request(
         self, sender: str, request: feed_messages.FeedRequest
@@ -314,6 +390,7 @@
     Attributes:
         revisions: Known revision of each kind, shared with the watchers of the
             store.
+        server: Passes the updates on while this VM leads.
         responses: Responses that arrived and are not applied yet.
     """
 
@@ -323,7 +400,9 @@
         send: Send,
         apply: Callable[[feed_messages.FeedPart, Origin], None],
         revisions: dict[str, int],
+        server: FeedServer,
     ) -> None:
+        self.server = server
         self.loop = loop
         self.send = send
         self.apply = apply
@@ -350,8 +429,8 @@
         while True:
             self.response_arrived.clear()
             known = tuple(
-                feed_messages.KnownRevision(kind, revision)
-                for kind, revision in self.revisions.items()
+                feed_messages.KnownRevision(kind, self._known_revision(kind))
+                for kind in self.revisions
             )
             self.send(
                 source, feed_messages.FeedRequest(known, self.loop.now_s())
@@ -364,6 +443,16 @@
                     self._report_failure(declined=True)
                     return
 
+    def _known_revision(self, kind: str) -> int:
+        """Returns the revision from which updates of a kind are needed.
+
+        A VM that leads needs the contents of all objects, also of those that
+        were applied before it led.
+        """
+        if self.server.leads:
+            return self.server.known_revision(kind)
+        return self.revisions[kind]
+
     def _apply_response(self, response: feed_messages.FeedResponse) -> bool:
         """Applies a response; returns whether its sender leads."""
         self._report_regained(response)
@@ -379,6 +468,7 @@
         self.loop.submit(
             events.SourceChecked(self.loop.now_s(), self.source, checked_s)
         )
+        self.server.check_succeeded(checked_s)
         return True
 
     def _report_regained(self, response: feed_messages.FeedResponse) -> None:
@@ -392,6 +482,7 @@
         if is_new and response.regained_age_s < targets.EXPIRED_ENTRY_GRACE_S:
             self.regained_s = regained_s
             self.loop.submit(events.StoreRegained(regained_s, FEED_KIND, 0.0))
+            self.server.store_regained(regained_s)
 
     def _report_failure(self, declined: bool) -> None:
         now_s = self.loop.now_s()
--- a/mulberrydeck/steering/source_selection.py
+++ b/mulberrydeck/steering/source_selection.py
@@ -3,8 +3,10 @@
 In large fleets, a watch on each VM would turn every change of a target into as
 many priced calls as there are VMs. Therefore the VMs of a zone form groups, and
 one VM of each group leads: it watches the store and sends updates to the
-others. VMs agree on the leader without additional messages, by the order of
-names and the state that heartbeats carry.
+others. Leaders of a region in turn get their updates from the first of them, so
+that calls to the store grow with regions rather than with VMs. VMs agree on the
+leader without additional messages, by the order of names and the state that
+heartbeats carry.
 
 Each VM bounds the staleness of its data by its own clock. Once staleness
 exceeds `MAX_STALENESS_S`, for whatever reason, the VM watches the store itself
@@ -25,6 +27,8 @@
 # the shortest propagation bounds, 2 s, remains for reading the store and
 # applying the update.
 MAX_STALENESS_S = 1.2
+# A VM that leads others reads the store itself before they have to.
+MAX_LEADER_STALENESS_S = 0.8
 # After a source became too stale, a VM watches the store itself for at least
 # this long, since frequent restarts of watches cost more than keeping them.
 DIRECT_PERIOD_S = 2.0
@@ -60,7 +64,7 @@
             seconds.
     """
 
-    plan: sync_plans.SyncPlan = sync_plans.SyncPlan()
+    plan: sync_plans.SyncPlan = sync_plans.UNDECIDED
     excluded_until_s: dict[str, float] = attrs.field(factory=dict)
     source_checked_s: float = -math.inf
     store_checked_s: float = -math.inf
@@ -73,8 +77,9 @@
 ) -> sync_plans.SyncPlan:
     """Returns the plan that is due now.
 
-    The first VM of a group that reaches the store leads the group; a VM that
-    received a request recently leads, too. In a small fleet, each VM watches
+    The first VM of a group that reaches the store leads the group, and follows
+    the first VM of its region; a VM that received a request recently leads,
+    too. In a small fleet, each VM watches
     the store itself. In any fleet, a VM that cannot reach the store keeps
     retrying, and meanwhile gets updates from any other VM.
 
@@ -86,27 +91,67 @@
     """
     own = fleet.settings.name
     if own not in fleet.names:
-        return sync_plans.SyncPlan()
-    is_stale = now_s > selection.source_checked_s + MAX_STALENESS_S
+        return sync_plans.UNDECIDED
+    max_staleness_s = MAX_STALENESS_S
+    if selection.plan.leads:
+        max_staleness_s = MAX_LEADER_STALENESS_S
+    is_stale = now_s > selection.source_checked_s + max_staleness_s
     if is_stale and not selection.plan.direct:
         selection.direct_until_s = now_s + DIRECT_PERIOD_S
     if lost:
         return _plan_without_store(selection, fleet, now_s)
-    if now_s < selection.requested_s + LEAD_AFTER_REQUEST_S:
-        return sync_plans.SyncPlan(shared=True, leads=True)
+    was_requested = now_s < selection.requested_s + LEAD_AFTER_REQUEST_S
     if fleet.is_mesh:
-        return sync_plans.SyncPlan()
+        return sync_plans.SyncPlan(shared=was_requested, leads=was_requested)
+    leader = _group_leader(fleet, now_s)
+    leads = leader == own
+    if leads:
+        leader = _region_leader(fleet, now_s)
+    elif was_requested:
+        return sync_plans.SyncPlan(shared=True, leads=True)
+    if leader == own:
+        return sync_plans.SyncPlan(shared=True, leads=True)
+    is_eligible = _is_eligible(selection, now_s, leader)
+    prefers_direct = is_stale or now_s < selection.direct_until_s
+    return sync_plans.SyncPlan(
+        leader if is_eligible else "",
+        prefers_direct or not is_eligible,
+        shared=True,
+        leads=leads,
+    )
+
+
+def _group_leader(fleet: members.Fleet, now_s: float) -> str:
+    """Returns the leader of this VM's group, which may be this VM."""
+    own = fleet.settings.name
     zone_names = _zone_vms(fleet)
-    group_start = zone_names.index(own) // VMS_PER_GROUP * VMS_PER_GROUP
-    for leader in zone_names[group_start : zone_names.index(own)]:
-        if _may_lead(fleet, now_s, leader):
-            is_eligible = _is_eligible(selection, now_s, leader)
-            prefers_direct = is_stale or now_s < selection.direct_until_s
-            direct = prefers_direct or not is_eligible
-            return sync_plans.SyncPlan(
-                leader if is_eligible else "", direct, shared=True
-            )
-    return sync_plans.SyncPlan(shared=True, leads=True)
+    index = zone_names.index(own)
+    earlier = zone_names[index // VMS_PER_GROUP * VMS_PER_GROUP : index]
+    return _first_that_may_lead(fleet, now_s, earlier) or own
+
+
+def _region_leader(fleet: members.Fleet, now_s: float) -> str:
+    """Returns the leader of this VM's region, which may be this VM.
+
+    It also leads a group, as the first VM of its zone.
+    """
+    own = fleet.settings
+    earlier = sorted(
+        (peer.record.zone, name)
+        for name, peer in fleet.peers.items()
+        if peer.record.region == own.region
+        and (peer.record.zone, name) < (own.zone, own.name)
+    )
+    names = [name for _, name in earlier]
+    return _first_that_may_lead(fleet, now_s, names) or own.name
+
+
+def _first_that_may_lead(
+    fleet: members.Fleet, now_s: float, names: list[str]
+) -> str:
+    """Returns the first of some VMs that may lead, or an empty string."""
+    leaders = (name for name in names if _may_lead(fleet, now_s, name))
+    return next(leaders, "")
 
 
 def _plan_without_store(
--- a/mulberrydeck/steering/store_sync.py
+++ b/mulberrydeck/steering/store_sync.py
@@ -169,7 +169,7 @@
         self.loop = loop
         self.reports = reports
         self.spawn = spawn
-        self.plan = sync_plans.SyncPlan()
+        self.plan = sync_plans.UNDECIDED
         self.watched_kinds: dict[str, store_kinds.WatchedKind] = {}
         self.revisions: dict[str, int] = {}
         self.object_names: dict[str, set[str]] = {}
@@ -179,7 +179,7 @@
         self.reachable.set()
         self.feed_server = feeds.FeedServer(send, loop.now_s, reports)
         self.feed_client = feeds.FeedClient(
-            loop, send, self.apply_part, self.revisions
+            loop, send, self.apply_part, self.revisions, self.feed_server
         )
         self._watchers: list[gevent.Greenlet] = []
         self._checker: gevent.Greenlet | None = None
@@ -197,14 +197,14 @@
     def apply(self, effect: effects.FollowStore) -> None:
         """Puts a new plan in force."""
         previous, self.plan = self.plan, effect.plan
-        starts_to_lead = self.plan.leads and not previous.leads
-        if starts_to_lead:
-            self.feed_server.start()
-        elif previous.leads and not self.plan.leads:
+        must_list = False
+        if self.plan.leads and not previous.leads:
+            must_list = not self.feed_server.start()
+        elif self.plan.decided and not self.plan.leads:
             self.feed_server.stop()
         if not self.plan.direct:
             self._stop_watchers()
-        elif starts_to_lead or not previous.direct:
+        elif must_list or not previous.direct:
             self._start_watchers()
         self._enable_checker(self.plan.direct)
         if previous.source != self.plan.source:
@@ -275,7 +275,8 @@
 
     def pause_s(self, watched_kind: store_kinds.WatchedKind) -> float:
         """Returns the pause after changes of a kind, in seconds."""
-        if self.plan.shared and not self.plan.leads and watched_kind.pause_s:
+        may_be_many = self.plan.shared or not self.plan.decided
+        if may_be_many and not self.plan.leads and watched_kind.pause_s:
             return max(DIRECT_PAUSE_S, watched_kind.pause_s)
         return watched_kind.pause_s
 
@@ -288,7 +289,7 @@
         if since_s is not None:
             now_s = self.loop.now_s()
             self.loop.submit(events.StoreRegained(now_s, kind, now_s - since_s))
-            self.feed_server.store_regained()
+            self.feed_server.store_regained(now_s)
 
     def check_succeeded(self, sent_s: float) -> None:
         """Records that a check succeeded that was sent at `sent_s`."""
@@ -346,14 +347,18 @@
         if changes.revision <= known_revision:
             return
         now_s = self.loop.now_s()
+        pending: list[object] = []
         for change in changes.changes:
-            for event in watched_kind.change_events(now_s, change):
-                self.loop.submit(event)
+            if watched_kind.complete_events:
+                pending.clear()
+            pending += watched_kind.change_events(now_s, change)
             name = change.stored.metadata.name
             if change.deleted:
                 self.object_names[watched_kind.kind].discard(name)
             else:
                 self.object_names[watched_kind.kind].add(name)
+        for event in pending:
+            self.loop.submit(event)
         if changes.changes:
             count = len(changes.changes)
             self._report_read(
@@ -390,26 +395,25 @@
     ) -> None:
         """Applies updates of another VM, unless earlier ones are missing."""
         watched_kind = self.watched_kinds.get(part.kind)
-        known_revision = self.revisions.get(part.kind, feeds.ALL_OBJECTS)
-        if (
-            watched_kind is None
-            or part.revision <= known_revision
-            or part.since > known_revision
-        ):
+        if watched_kind is None:
             return
         stored = [
             documents.decode_stored_object(encoded.content)
             for encoded in part.objects
         ]
-        if part.since == known_revision == feeds.ALL_OBJECTS:
-            listing = stores.Listing(tuple(stored), (), part.revision)
-            self.apply_list(watched_kind, listing, origin)
-            return
         pairs = zip(stored, part.objects, strict=True)
         changes = [
             stores.Change(decoded, encoded.deleted)
             for decoded, encoded in pairs
         ]
+        self.feed_server.apply_part(part, tuple(changes))
+        known_revision = self.revisions[part.kind]
+        if part.revision <= known_revision or part.since > known_revision:
+            return
+        if part.since == known_revision == feeds.ALL_OBJECTS:
+            listing = stores.Listing(tuple(stored), (), part.revision)
+            self.apply_list(watched_kind, listing, origin)
+            return
         if part.since == feeds.ALL_OBJECTS:
             listed_names = {decoded.metadata.name for decoded in stored}.union(
                 part.kept
--- a/mulberrydeck/steering/sync_plans.py
+++ b/mulberrydeck/steering/sync_plans.py
@@ -12,9 +12,15 @@
         direct: Whether it watches the store itself.
         shared: Whether VMs share what they read from the store.
         leads: Whether other VMs may get updates from this one.
+        decided: Whether the other VMs are known; if not, this VM may be about
+            to lead.
     """
 
     source: str = ""
     direct: bool = True
     shared: bool = False
     leads: bool = False
+    decided: bool = True
+
+
+UNDECIDED = SyncPlan(decided=False)
--- a/mulberrydeck/steering/tests/test_feeds.py
+++ b/mulberrydeck/steering/tests/test_feeds.py
@@ -183,7 +183,7 @@
 
 def test_response_carries_the_age_of_the_stores_return():
     pair = FeedPair()
-    pair.feed_server.store_regained()
+    pair.feed_server.store_regained(pair.now_s)
     pair.now_s += 0.5
     pair.feed_server.apply_list("servers", listing(7))
     pair.request(feeds.ALL_OBJECTS)
@@ -210,3 +210,86 @@
     (response,) = pair.take_responses()
     assert response.parts[0].since == feeds.ALL_OBJECTS
     assert names(response.parts[0]) == ["t1"]
+
+
+def part(since, revision, *objects, kept=()):
+    return feed_messages.FeedPart("servers", since, revision, (), kept), tuple(
+        stores.Change(each, False) for each in objects
+    )
+
+
+def test_a_leader_passes_updates_of_another_one_on():
+    pair = FeedPair()
+    pair.feed_server.apply_part(
+        *part(feeds.ALL_OBJECTS, 7, stored("t1", 3), stored("t2", 5))
+    )
+    pair.request(7)
+    assert pair.take_responses() == []
+    pair.feed_server.apply_part(*part(7, 9, stored("t2", 9)))
+    (response,) = pair.take_responses()
+    assert names(response.parts[0]) == ["t2"]
+    assert response.parts[0].revision == 9
+
+
+def test_a_leader_keeps_the_objects_that_a_full_part_only_names():
+    pair = FeedPair()
+    pair.feed_server.apply_part(
+        *part(feeds.ALL_OBJECTS, 7, stored("t1", 3), stored("t2", 5))
+    )
+    pair.feed_server.apply_part(
+        *part(feeds.ALL_OBJECTS, 9, stored("t3", 9), kept=("t1",))
+    )
+    assert set(pair.feed_server.mirrors["servers"].objects) == {"t1", "t3"}
+
+
+@pytest.mark.parametrize(
+    "incomplete",
+    [
+        part(8, 9, stored("t2", 9)),
+        part(feeds.ALL_OBJECTS, 9, kept=("unknown",)),
+    ],
+)
+def test_a_leader_that_missed_updates_does_not_pass_a_check_on(incomplete):
+    pair = FeedPair()
+    pair.feed_server.apply_part(*part(feeds.ALL_OBJECTS, 7, stored("t1", 3)))
+    pair.feed_server.apply_part(*incomplete)
+    pair.request(7)
+    pair.feed_server.check_succeeded(pair.now_s)
+    assert pair.take_responses() == []
+    pair.now_s += feeds.MAX_HOLD_S
+    pair.feed_server.expire()
+    (response,) = pair.take_responses()
+    assert response.checked_age_s is None
+
+
+def test_reading_the_store_beside_a_source_never_restores_older_objects():
+    pair = FeedPair()
+    pair.feed_server.apply_list("servers", listing(5, stored("t1", 3)))
+    pair.feed_server.apply_part(*part(5, 9, stored("t1", 9)))
+    pair.feed_server.apply_changes(
+        "servers",
+        changes(10, (stored("t1", 7), False), (stored("t2", 10), False)),
+    )
+    objects = pair.feed_server.mirrors["servers"].objects
+    revisions = {n: each.metadata.revision for n, each in objects.items()}
+    assert revisions == {"t1": 9, "t2": 10}
+
+
+def test_an_old_deletion_does_not_remove_a_newer_object():
+    pair = FeedPair()
+    pair.feed_server.apply_list("servers", listing(5, stored("t1", 3)))
+    pair.feed_server.apply_part(*part(5, 9, stored("t1", 9)))
+    pair.feed_server.apply_changes(
+        "servers", changes(10, (stored("t1", 3), True))
+    )
+    assert "t1" in pair.feed_server.mirrors["servers"].objects
+
+
+def test_a_check_that_arrives_late_makes_nothing_older():
+    pair = FeedPair()
+    pair.feed_server.apply_list("servers", listing(5))
+    pair.feed_server.check_succeeded(pair.now_s - 1.0)
+    pair.request(5)
+    pair.feed_server.check_succeeded(pair.now_s - 2.0)
+    (response,) = pair.take_responses()
+    assert response.checked_age_s == 0.0
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -88,7 +88,12 @@
     vm.reduce(events.StopRequested(vm.now_s))
     assert addresses(vm) == ("127.0.0.2:80",)
     assert not lookup.is_ready(vm.state)
-    sent = vm.reduce(events.Ticked(vm.now_s))
+    sent = [
+        effect
+        for effect in vm.reduce(events.Ticked(vm.now_s))
+        if isinstance(effect, quota_effects.SendMessage)
+    ]
+    assert sent
     assert all(effect.message.leaving for effect in sent)
 
 
--- a/mulberrydeck/steering/tests/test_source_selection.py
+++ b/mulberrydeck/steering/tests/test_source_selection.py
@@ -149,20 +149,78 @@
 def test_each_group_has_its_own_leader():
     names = [f"coast-a-{number:02}" for number in range(40)]
     records = tuple(samples.make_record(vm_name) for vm_name in names)
-    sources = {}
+    plans = first_plans(names, records)
+    leaders = [
+        names[0],
+        names[source_selection.VMS_PER_GROUP],
+        names[2 * source_selection.VMS_PER_GROUP],
+    ]
+    assert [name for name in names if plans[name].leads] == leaders
+    assert plans[names[-1]].source == leaders[-1]
+    # The first of them follows the store for the others.
+    assert [plans[name].source for name in leaders] == ["", names[0], names[0]]
+
+
+def first_plans(names, records):
+    """Returns the plan of each VM after heartbeats from all others."""
+    plans = {}
     for own in names:
-        vm = samples.Vm(name=own, mesh_vms=2)
+        zone = own.rpartition("-")[0]
+        region = samples.REGION_BY_ZONE[zone]
+        vm = samples.Vm(name=own, zone=zone, region=region, mesh_vms=2)
         vm.reduce(events.VmsListed(vm.now_s, records, 4))
         receive_heartbeats(
             vm, *(vm_name for vm_name in names if vm_name != own)
         )
-        sources[own] = tick(vm).source
-    assert [name for name in names if not sources[name]] == [
-        names[0],
-        names[source_selection.VMS_PER_GROUP],
-        names[2 * source_selection.VMS_PER_GROUP],
+        plans[own] = tick(vm)
+    return plans
+
+
+def test_one_vm_of_a_region_follows_the_store_for_all_its_zones():
+    names = [
+        f"{zone}-{number}"
+        for zone in samples.REGION_BY_ZONE
+        for number in (1, 2, 3)
     ]
-    assert sources[names[-1]] == names[2 * source_selection.VMS_PER_GROUP]
+    records = tuple(
+        samples.make_record(name, name.rpartition("-")[0]) for name in names
+    )
+    plans = first_plans(names, records)
+    assert plans["coast-a-1"] == LEADS
+    assert plans["lake-a-1"] == LEADS
+    assert plans["coast-b-1"].source == "coast-a-1"
+    assert plans["coast-b-1"].leads
+    assert plans["coast-b-2"].source == "coast-b-1"
+    for name, plan in plans.items():
+        assert plan.source != name
+
+
+def test_a_zone_follows_the_store_itself_once_its_regions_leader_is_stale():
+    vm = samples.Vm(name="coast-b-1", zone="coast-b", mesh_vms=2)
+    records = (
+        samples.make_record("coast-a-1"),
+        samples.make_record("coast-b-1", "coast-b"),
+        samples.make_record("coast-b-2", "coast-b"),
+    )
+    vm.reduce(events.VmsListed(vm.now_s, records, 4))
+    receive_heartbeats(vm, "coast-a-1", "coast-b-2")
+    tick(vm)
+    report_check(vm, "coast-a-1")
+    assert tick(vm) == sync_plans.SyncPlan(
+        "coast-a-1", direct=False, shared=True, leads=True
+    )
+    vm.now_s += source_selection.MAX_LEADER_STALENESS_S
+    plan = tick(vm)
+    assert plan.direct
+    assert plan.leads
+    # Its followers still rely on it then.
+    follower = samples.Vm(name="coast-b-2", zone="coast-b", mesh_vms=2)
+    follower.reduce(events.VmsListed(vm.now_s, records, 4))
+    receive_heartbeats(follower, "coast-a-1", "coast-b-1")
+    tick(follower)
+    report_check(follower, "coast-b-1")
+    follower.now_s += source_selection.MAX_LEADER_STALENESS_S
+    assert tick(follower) == follows("coast-b-1")
 
 
 def test_all_vms_of_a_small_fleet_watch_store():
--- a/mulberrydeck/steering/tests/test_store_sync.py
+++ b/mulberrydeck/steering/tests/test_store_sync.py
@@ -19,6 +19,7 @@
 from mulberrydeck.steering import sync_plans
 
 KIND = documents.EVACUATIONS_KIND
+DIRECT = sync_plans.SyncPlan()
 LEADS = sync_plans.SyncPlan(shared=True, leads=True)
 
 
@@ -78,7 +79,7 @@
 class SyncedVm:
     """A VM's synchronization with the store, for one kind of object."""
 
-    def __init__(self, plan=None):
+    def __init__(self, plan=DIRECT):
         self.store = FakeStore()
         self.loop = FakeLoop()
         self.reports = FakeReports()
@@ -98,7 +99,7 @@
             ).request_kinds()
             if watched_kind.kind == KIND
         )
-        if plan is not None:
+        if plan.decided:
             self.apply(plan)
         self.sync.add(self.watched_kind)
         self.run_greenlets()
@@ -152,6 +153,46 @@
     gevent.killall(vm.greenlets)
 
 
+@pytest.fixture(name="starting_vm")
+def fixture_starting_vm():
+    """A VM that does not know the other VMs yet."""
+    vm = SyncedVm(sync_plans.UNDECIDED)
+    yield vm
+    gevent.killall(vm.greenlets)
+
+
+def test_starting_vm_that_leads_lists_once(starting_vm):
+    starting_vm.apply_changes(5, "east")
+    starting_vm.apply(LEADS)
+    starting_vm.run_greenlets(0.01)
+    assert starting_vm.store.list_calls == 1
+    assert starting_vm.sync.feed_server.mirrors[KIND].revision == 1
+
+
+def test_starting_vm_that_follows_keeps_no_copies(starting_vm):
+    starting_vm.run_greenlets(0.01)
+    starting_vm.apply(
+        sync_plans.SyncPlan("coast-a-1", direct=True, shared=True)
+    )
+    assert not starting_vm.sync.feed_server.mirrors
+    starting_vm.apply(LEADS)
+    starting_vm.run_greenlets(0.01)
+    assert starting_vm.store.list_calls == 2
+    assert starting_vm.sync.feed_server.mirrors[KIND].revision == 1
+
+
+def test_starting_vm_rests_after_changes_like_vms_of_a_large_fleet(starting_vm):
+    (targets,) = (
+        kind
+        for kind in store_kinds.StoreKinds(None).request_kinds()
+        if kind.kind == documents.TARGETS_KIND
+    )
+    pause_s = starting_vm.sync.pause_s(targets)
+    assert pause_s == store_sync.DIRECT_PAUSE_S
+    starting_vm.apply(DIRECT)
+    assert starting_vm.sync.pause_s(targets) == targets.pause_s
+
+
 def test_outdated_list_does_not_revert_newer_changes(vm):
     vm.apply_list(5, "east")
     vm.apply_changes(9, "east", deleted=True)
--- a/tests/test_store_feeds.py
+++ b/tests/test_store_feeds.py
@@ -13,6 +13,7 @@
 VMS = ("coast-a-1", "coast-a-2", "coast-a-3")
 SOURCE = VMS[0]
 FOURTH_VM = "coast-a-4"
+SECOND_ZONE_VMS = ("coast-b-1", "coast-b-2")
 # ConfigApplyMs and DrainMs of the deployments with fleets of this kind.
 MAX_APPLY_S = 3.0
 MAX_DRAIN_S = 3.0
@@ -118,6 +119,47 @@
         assert calls[_ip(fleet, name)] == 0
 
 
+@pytest.fixture(name="two_zone_fleet")
+def fixture_two_zone_fleet(fleet):
+    """The fleet with two VMs of another zone of the region."""
+    for name in SECOND_ZONE_VMS:
+        fleet.start_vm(name, "coast-b")
+    _wait_followed(fleet, SECOND_ZONE_VMS[0], SOURCE)
+    _wait_followed(fleet, SECOND_ZONE_VMS[1], SECOND_ZONE_VMS[0])
+    return fleet
+
+
+def test_a_leader_of_another_zone_passes_updates_on(two_zone_fleet):
+    fleet = two_zone_fleet
+    before = fleet.store.calls_by_ip.copy()
+    for version in (2, 3, 4):
+        _wait_applied(fleet, version, *SECOND_ZONE_VMS)
+    calls = fleet.store.calls_by_ip - before
+    # A stall of a second makes a VM read the store itself for 2 s.
+    assert all(calls[_ip(fleet, name)] < 10 for name in SECOND_ZONE_VMS)
+    second = fleet.add_target("t2")
+    for name in SECOND_ZONE_VMS:
+        _wait_used(fleet, second, name)
+
+
+@pytest.mark.parametrize("failure_signal", [signal.SIGKILL, signal.SIGSTOP])
+def test_versions_are_in_force_in_time_after_the_regions_leader_fails(
+    two_zone_fleet, failure_signal
+):
+    fleet = two_zone_fleet
+    fleet.vms[SOURCE].send_signal(failure_signal)
+    assert _apply_time_s(fleet, 2, SECOND_ZONE_VMS[1]) < MAX_APPLY_S
+    fleet.vms[SOURCE].send_signal(signal.SIGCONT)
+
+
+def test_a_version_is_in_force_in_time_while_the_regions_leader_lost_the_store(
+    two_zone_fleet,
+):
+    fleet = two_zone_fleet
+    fleet.store.silence(_ip(fleet, SOURCE))
+    assert _apply_time_s(fleet, 2, SECOND_ZONE_VMS[1]) < MAX_APPLY_S
+
+
 def test_a_drained_target_is_avoided_by_vms_that_follow_another(fleet):
     second = fleet.add_target("t2")
     for name in VMS:
