--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -4,6 +4,7 @@
 says whether the call may have changed anything.
 """
 
+from collections.abc import Callable
 import urllib.parse
 
 import attrs
@@ -82,11 +83,18 @@
     Attributes:
         address: `ip:port` of the store.
         pool: Pool of connections to the store.
+        count_call: Called with the cause of each call, such as `watch servers`.
     """
 
-    def __init__(self, address: str, pool: pools.ConnectionPool) -> None:
+    def __init__(
+        self,
+        address: str,
+        pool: pools.ConnectionPool,
+        count_call: Callable[[str], None] = lambda cause: None,
+    ) -> None:
         self.address = address
         self.pool = pool
+        self.count_call = count_call
 
     @_as_result
     def list(self, kind: str) -> Listing:
@@ -97,6 +105,7 @@
         first_revision: int | None = None
         while True:
             query = {"after": after} if after else {}
+            self.count_call(f"list {kind}")
             page = documents.decode_page(
                 self._call("GET", _path(kind, query=query))
             )
@@ -132,6 +141,7 @@
         if stale:
             query["AllowStale"] = 1
         path = _path(kind, query=query)
+        self.count_call(f"watch {kind}")
         decoded = documents.decode_changes(
             self._call("GET", path, wait_s + WATCH_MARGIN_S)
         )
@@ -153,11 +163,13 @@
             timeout_s: How long to wait for the response, in seconds.
         """
         path = _path(documents.EVACUATIONS_KIND, query={"AllowStale": 1})
+        self.count_call("check")
         self._call("GET", path, timeout_s)
 
     @_as_result
     def get(self, kind: str, name: str) -> documents.StoredObject:
         """Reads one object; fails with `NotFoundError` if it does not exist."""
+        self.count_call(f"get {kind}")
         return documents.decode_stored_object(
             self._call("GET", _path(kind, name))
         )
@@ -167,6 +179,7 @@
         self, kind: str, name: str, spec: object
     ) -> documents.StoredObject:
         """Creates an object; fails with `ConflictError` if it exists."""
+        self.count_call(f"create {kind}")
         return self._write("POST", _path(kind), name, spec)
 
     @_as_result
@@ -174,11 +187,13 @@
         self, kind: str, name: str, spec: object
     ) -> documents.StoredObject:
         """Replaces an object regardless of its revision."""
+        self.count_call(f"replace {kind}")
         return self._write("PUT", _path(kind, name), name, spec)
 
     @_as_result
     def delete(self, kind: str, name: str) -> None:
         """Deletes an object."""
+        self.count_call(f"delete {kind}")
         self._call("DELETE", _path(kind, name))
 
     def _write(
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -104,7 +104,9 @@
             STORE_UNACKNOWLEDGED_TIMEOUT_S,
             tcp_keepalive=True,
         )
-        self.client = stores.StoreClient(settings.platform_address, store_pool)
+        self.client = stores.StoreClient(
+            settings.platform_address, store_pool, self.reports.store_call
+        )
         self.store_kinds = store_kinds.StoreKinds(self.reports)
         self.peers: transport.PeerTransport | None = None
         self.store_sync = store_sync.StoreSync(
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -103,6 +103,9 @@
         self.dropped_lines = self._counter(
             "log_lines_left_out", "Lines left out."
         )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store.", "cause"
+        )
         self.messages = self._counter(
             "peer_messages", "Messages between VMs.", "direction"
         )
@@ -220,6 +223,14 @@
             fields["lines_left_out"] = dropped
         logs.write(part, text, **fields)
 
+    def store_call(self, cause: str) -> None:
+        """Counts a call to the store.
+
+        Args:
+            cause: Method of `StoreClient` and kind of object.
+        """
+        self.store_calls.labels(cause).inc()
+
     def peer_message(self, direction: str, size: int) -> None:
         """Counts a message between VMs, as the transport requires.
 
