Do not refund the token of an admission that expired

A request whose admission expired before it was sent was refunded its token and admitted anew. After a stall the bucket had refilled, so that the refunds together with it admitted more than rate and burst allow: a bucket of 35 with 40 requests stalled for 0.5 s gave 70 (test).

Now the token is spent, and the request goes first.

--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -75,16 +75,23 @@
     return request
 
 
-def _admit(state: core_state.State, request: core_state.Request) -> Effects:
+def _admit(
+    state: core_state.State, request: core_state.Request, first: bool = False
+) -> Effects:
     """Admits a request under its account's limit.
 
     It continues at once, is refused, or waits for `QuotaDecided`.
+
+    Args:
+        state: State of this VM.
+        request: The request.
+        first: Whether it goes before requests that wait for quota.
     """
     if not admission.is_limited(state, request):
         return _continue_admitted(state, request)
     resource = f"account/{request.account}"
     result, produced = quota.admit(
-        state.quota, state.now_s, resource, request.request_id
+        state.quota, state.now_s, resource, request.request_id, first
     )
     match result:
         case quota_state.Admitted():
@@ -298,12 +305,12 @@
 def _readmit(state: core_state.State, request: core_state.Request) -> Effects:
     """Admits a request again whose admission expires before it was sent.
 
-    The unused token is refunded, unless a relaying VM has taken it.
+    The unused token is not refunded: the bucket has refilled since, and
+    together with the refund it would admit more than the rate and burst of the
+    account. The request goes before those that wait, as on a busy VM it would
+    otherwise expire again behind them.
     """
-    if not request.relayed_attempt:
-        resource = f"account/{request.account}"
-        quota.refund(state.quota, state.now_s, resource)
-    return _admit(state, request)
+    return _admit(state, request, first=True)
 
 
 def handle_attempt_end(
--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -42,10 +42,15 @@
     now_s: float,
     resource: state.ResourceState,
     request_id: str,
+    first: bool = False,
 ) -> None:
     """Queues a request until a token is available."""
     deadline_s = now_s + quota.settings.quota_wait_s
-    resource.queue.append(state.WaitingRequest(request_id, deadline_s))
+    waiting = state.WaitingRequest(request_id, deadline_s)
+    if first:
+        resource.queue.appendleft(waiting)
+    else:
+        resource.queue.append(waiting)
     quota.waiting[request_id] = resource.bound.resource
 
 
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -40,7 +40,11 @@
 
 
 def admit(
-    quota: state.QuotaState, now_s: float, resource: str, request_id: str
+    quota: state.QuotaState,
+    now_s: float,
+    resource: str,
+    request_id: str,
+    first: bool = False,
 ) -> tuple[AdmitResult, Effects]:
     """Admits or denies a request, or queues it until `QuotaDecided`.
 
@@ -51,17 +55,20 @@
         now_s: Current time, in seconds.
         resource: Identifier of the resource.
         request_id: Identifier of the request.
+        first: Whether it goes before the waiting requests, since it was
+            admitted before.
     """
     resource_state = quota.resources.get(resource)
     if resource_state is None:
         return state.Admitted(), ()
     _record_arrival(quota, now_s, resource_state, 1.0)
-    if not resource_state.queue and admission.spend(resource_state, 1.0):
+    may_go = first or not resource_state.queue
+    if may_go and admission.spend(resource_state, 1.0):
         return state.Admitted(), ()
     if len(resource_state.queue) >= admission.MAX_QUEUE_LENGTH:
         retry_s = admission.retry_after_s(quota, now_s, resource_state)
         return state.Denied(retry_s), ()
-    admission.enqueue(quota, now_s, resource_state, request_id)
+    admission.enqueue(quota, now_s, resource_state, request_id, first)
     decisions, loan_requests = _process_queues(quota, now_s, [resource_state])
     own_decisions = [
         each for each in decisions if each.request_id == request_id
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -82,7 +82,9 @@
     return request
 
 
-def _apply_rate_limit(state: states.State, request: states.Request) -> Effects:
+def _apply_rate_limit(
+    state: states.State, request: states.Request, first: bool = False
+) -> Effects:
     if request.account is None or request.account.rate_per_s <= 0:
         return _place(state, request)
     verdict, produced = quota.admit(
@@ -90,6 +92,7 @@
         state.now_s,
         members.limit_resource(request.account.name),
         request.request_id,
+        first,
     )
     match verdict:
         case quota_state.Admitted():
@@ -153,6 +156,7 @@
             allowed_regions=request.allowed_regions,
             excluded=frozenset(request.tried),
             cold_rate_per_s=cold_rate_per_s,
+            region=state.settings.region,
         ),
     )
     match choice:
@@ -287,7 +291,7 @@
     request.tried.discard(target.entry.name)
     if request.sent > 0:
         return _place(state, request)
-    return _apply_rate_limit(state, request)
+    return _apply_rate_limit(state, request, first=True)
 
 
 def _observe_latency(
