Count requests to a cold target when they were sent

Trace (kept logs): the first two of them were decided and sent at 2.336 s and received at 2.480 s, since the stand-in stood still meanwhile; only 12 were both sent and received within a second, which is what the users' rule counts.

--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -193,6 +193,7 @@
         "load_age_s": _logged_age(state.now_s - target.load_reported_s),
         "cold_s": round(target.cold_remaining_s(state.now_s), 2),
         "news_age_s": _logged_age(state.staleness_s()),
+        "decided_s": round(state.now_s, 3),
     }
     request.sent += 1
     request.tried.add(target.entry.name)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -1,13 +1,16 @@
 """Rate at which VMs send to a cold target that some VMs do not know is cold."""
 
+import json
 import signal
 import time
+import types
 
 import gevent
 import pytest
 
 from standins import waiting
 from standins.users_platform import fleet as steering_fleet
+from standins.users_platform import instances
 
 VMS = {"coast-a-1": "coast-a", "coast-b-1": "coast-b", "lake-a-1": "lake-a"}
 COLD_S = 6.0
@@ -67,22 +70,81 @@
     return number
 
 
+def _sent_times_s(fleet):
+    """Returns the monotonic time at which a VM sent each logged request."""
+    offset_s = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    sent_s = {}
+    for process in fleet.vms.values():
+        for line in process.log().splitlines():
+            if '"request: ' in line and '"decided_s"' in line:
+                fields = json.loads(line)
+                after_s = fields.get("sent_after_s", 0.0)
+                sent_s[fields["request_id"]] = (
+                    fields["decided_s"] + after_s - offset_s
+                )
+    return sent_s
+
+
 def _peak_per_s(fleet, since_s):
-    """Returns the largest number of requests to the target in any second."""
-    times = sorted(
-        run.arrived_s
+    """Returns the largest number of requests to the target in any second.
+
+    As the users' rule says, a request counts in a second in which it was both
+    sent and received: a target that stands still receives those of a longer
+    time together. One without a log line counts as sent when it was received.
+    """
+    sent_times_s = _sent_times_s(fleet)
+    runs = [
+        (
+            min(
+                run.arrived_s,
+                sent_times_s.get(run.fields["x-attempt-id"], run.arrived_s),
+            ),
+            run.arrived_s,
+        )
         for run in fleet.targets["t1"].runs
         if run.arrived_s >= since_s
-    )
+    ]
     return max(
         (
-            sum(start_s <= time_s < start_s + 1.0 for time_s in times)
-            for start_s in times
+            sum(
+                start_s <= sent_s and arrived_s < start_s + 1.0
+                for sent_s, arrived_s in runs
+            )
+            for start_s, _ in runs
         ),
         default=0,
     )
 
 
+def test_requests_that_a_target_receives_together_count_when_they_were_sent():
+    offset_s = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    sent_s = [100.0 + 0.25 * number for number in range(8)]
+    lines = [
+        json.dumps(
+            {
+                "text": "request: Answered.",
+                "request_id": f"r{number}",
+                "decided_s": at_s + offset_s,
+            },
+            separators=(",", ":"),
+        )
+        for number, at_s in enumerate(sent_s)
+    ]
+    log = ["\n".join(lines)]
+    vm = types.SimpleNamespace(log=lambda: log[0])
+    runs = [
+        instances.Request("GET", "/", {"x-attempt-id": f"r{n}"}, b"", 102.0)
+        for n in range(8)
+    ]
+    target = instances.Instance("t1")
+    target.runs = runs
+    fleet = types.SimpleNamespace(vms={"vm": vm}, targets={"t1": target})
+    # Those sent at 101.25 s and later, also received by then.
+    assert _peak_per_s(fleet, 0.0) == 3
+    log[0] = ""
+    assert _peak_per_s(fleet, 0.0) == 8
+
+
 def _peak_at_cold_target(fleet, senders=tuple(VMS)):
     """Turns the target cold under load and returns the peak of its requests.
 
