Connect VMs to all others again, with probes each 10 s

Change: connections are opened at once as before; what cost processor time were the probes of both ends each second.

--- a/mulberrydeck/peers/transport.py
+++ b/mulberrydeck/peers/transport.py
@@ -1,11 +1,10 @@
 """Transport of peer messages over ZeroMQ push and pull sockets.
 
-Each VM binds one pull socket and opens one push socket per peer, when it first
-sends to that peer, and closes it again when it has sent nothing for a while: in
-a fleet of hundreds, a VM sends to few of the others, and probing connections to
-all of them would cost more processor time than requests do. Messages to an
+Each VM binds one pull socket and opens one push socket per peer. Messages to an
 unreachable peer are dropped, because every message is sent periodically or
-retried by its sender.
+retried by its sender. Only the sending end of a connection probes it: in a
+fleet of hundreds, probes of both ends each second would cost more processor
+time than requests do.
 """
 
 import collections
@@ -27,13 +26,13 @@
 RECONNECT_INTERVAL_MS = 100
 # Short, since VMs of a restarting fleet wait for each other's messages.
 MAX_RECONNECT_INTERVAL_MS = 300
-HEARTBEAT_INTERVAL_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 2500
-# The peer closes a connection without probes after this time.
-HEARTBEAT_LIFETIME_MS = 10_000
-# Longer than the interval of any message that is sent periodically to a VM.
-IDLE_TIMEOUT_S = 15.0
-SWEEP_INTERVAL_S = 5.0
+DEFAULT_PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_MS = 2500
+# The kernel closes a connection whose data stays unacknowledged for this long.
+UNACKNOWLEDGED_TIMEOUT_MS = 2500
+# The receiving end closes a connection after this many missed probes.
+MAX_MISSED_PROBES = 5
+MS_PER_S = 1000
 # Messages wait this long for a new connection; several round trips between
 # distant regions. Later they would carry outdated state.
 CONNECT_WAIT_S = 0.5
@@ -67,24 +66,18 @@
     Attributes:
         socket: The push socket.
         opened_s: When it was opened, in seconds.
-        used_s: When a message was last sent, in seconds.
         connecting: Messages that wait for the connection to be established.
     """
 
     socket: zmq.Socket
     opened_s: float
-    used_s: float
     connecting: collections.deque[bytes] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_CONNECTING_MESSAGES)
     )
 
 
 class PeerTransport:
-    """Sends and receives peer messages.
-
-    Attributes:
-        addresses: Address of each peer, by name.
-    """
+    """Sends and receives peer messages."""
 
     def __init__(
         self,
@@ -94,6 +87,7 @@
         secret: str,
         deliver: Callable[[str, object], None],
         metrics: TransportMetrics,
+        probe_interval_s: float = DEFAULT_PROBE_INTERVAL_S,
     ) -> None:
         """Initializes the transport without opening sockets.
 
@@ -105,6 +99,8 @@
             secret: Secret shared by all VMs.
             deliver: Called with the sender's name and the message.
             metrics: Counts messages and bytes.
+            probe_interval_s: Interval of the probes of a connection, in
+                seconds.
         """
         self.vm_name = vm_name
         self.listen_address = listen_address
@@ -112,61 +108,49 @@
         self.secret = secret.encode()
         self.deliver = deliver
         self.metrics = metrics
+        self.probe_interval_ms = int(probe_interval_s * MS_PER_S)
         self.context = zmq.green.Context()
         self._plain_context = zmq.Context(self.context)
         self._pull = None
-        self.addresses: dict[str, str] = {}
         self._connections: dict[str, _Connection] = {}
         self._reader = None
         self._flusher = None
-        self._sweeper = None
 
     def start(self) -> None:
         """Binds the listening socket and starts receiving."""
         self._pull = self.context.socket(zmq.PULL)
         self._configure(self._pull)
-        # The senders probe the connections.
         self._pull.setsockopt(zmq.HEARTBEAT_IVL, 0)
         self._pull.setsockopt(zmq.MAXMSGSIZE, 2 * codec.MAX_MESSAGE_BYTES)
         self._pull.bind(f"tcp://{self.listen_address}")
         self._reader = gevent.spawn(self._read)
-        self._sweeper = gevent.spawn(self._sweep)
 
     def stop(self) -> None:
         """Closes all sockets; unsent messages get 200 ms to be flushed."""
-        for greenlet in (self._reader, self._flusher, self._sweeper):
+        for greenlet in (self._reader, self._flusher):
             if greenlet is not None:
                 greenlet.kill()
         for name in list(self._connections):
-            self._close(name, linger_ms=200)
+            self.disconnect(name, linger_ms=200)
         if self._pull is not None:
             self._pull.close(linger=0)
         # Termination at interpreter exit takes seconds while peers still send.
         self.context.term()
 
     def connect(self, name: str, address: str) -> None:
-        """Sets the address of a peer, closing any existing connection."""
+        """Opens a connection to a peer, replacing any existing one."""
         self.disconnect(name)
-        self.addresses[name] = address
-
-    def disconnect(self, name: str) -> None:
-        """Closes the connection to a peer and forgets its address."""
-        self.addresses.pop(name, None)
-        self._close(name)
-
-    def _open(self, name: str) -> _Connection:
         # Sends never block, so the socket need not be integrated with gevent.
         push = self._plain_context.socket(zmq.PUSH)
         self._configure(push)
         push.setsockopt(zmq.IMMEDIATE, 1)
         push.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         source = f"{self.source_ip}:0;" if self.source_ip else ""
-        push.connect(f"tcp://{source}{self.addresses[name]}")
-        now_s = time.monotonic()
-        self._connections[name] = _Connection(push, now_s, now_s)
-        return self._connections[name]
+        push.connect(f"tcp://{source}{address}")
+        self._connections[name] = _Connection(push, time.monotonic())
 
-    def _close(self, name: str, linger_ms: int = 0) -> None:
+    def disconnect(self, name: str, linger_ms: int = 0) -> None:
+        """Closes the connection to a peer, if any."""
         connection = self._connections.pop(name, None)
         if connection is not None:
             connection.socket.close(linger=linger_ms)
@@ -177,14 +161,13 @@
         A message is also dropped if the send queue of the peer is full. Only
         sent messages are counted.
         """
-        if name not in self.addresses:
+        connection = self._connections.get(name)
+        if connection is None:
             return
-        connection = self._connections.get(name) or self._open(name)
         payload = codec.encode(message)
         sealed = envelope.seal(
             self.secret, envelope.Envelope(self.vm_name, payload)
         )
-        connection.used_s = time.monotonic()
         if connection.connecting or not self._try_send(connection, sealed):
             self._send_when_connected(connection, sealed)
 
@@ -229,23 +212,13 @@
         ):
             connection.connecting.popleft()
 
-    def _sweep(self) -> None:
-        while True:
-            gevent.sleep(SWEEP_INTERVAL_S)
-            self.close_idle()
-
-    def close_idle(self) -> None:
-        """Closes connections that have not been used for a while."""
-        oldest_s = time.monotonic() - IDLE_TIMEOUT_S
-        for name, connection in list(self._connections.items()):
-            if connection.used_s < oldest_s:
-                self._close(name)
-
     def _configure(self, socket: zmq.Socket) -> None:
         socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_LIFETIME_MS)
+        interval_ms = self.probe_interval_ms
+        socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PROBE_TIMEOUT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TTL, MAX_MISSED_PROBES * interval_ms)
+        socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS)
         socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_INTERVAL_MS)
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -41,6 +41,9 @@
 SWEEP_INTERVAL_S = 1.0
 # Interval between checks for a settings file that changed without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 2.0
+# Connections between VMs carry messages each second or are rarely used; in a
+# fleet of hundreds, each second's probes would cost more than the messages.
+PEER_PROBE_INTERVAL_S = 10.0
 # Limits the processor time used by a task that fails repeatedly.
 TASK_RESTART_DELAY_S = 1.0
 DEREGISTER_TIMEOUT_S = 0.3  # A stopping VM must not wait for the store.
@@ -220,6 +223,7 @@
             secret,
             self._deliver,
             self.reports,
+            PEER_PROBE_INTERVAL_S,
         )
 
     def _registration(self) -> registration.Registration:
