Search no list of all VMs or targets at each tick and request

A tick and a request of one VM took longer with each VM of the fleet: lists of the zone and the region were made ten times a second, all targets were searched for missing ones, and each request searched all VMs for the holders of its account several times. The lists change with the registered VMs only, and are kept until then.

--- a/mulberrydeck/quota/choosing.py
+++ b/mulberrydeck/quota/choosing.py
@@ -194,10 +194,21 @@
     quota: state.QuotaState, resource: state.ResourceState
 ) -> tuple[str, ...]:
     """Returns the holders of other zones that own units of a resource."""
-    owners = quota.owners.get(resource.bound.resource)
+    name = resource.bound.resource
+    owners = quota.owners.get(name)
     if owners is None:
         return quota.other_holders
-    return tuple(name for name in quota.other_holders if name in owners)
+    known = quota.holders_of.get(name)
+    # Searching a fleet of hundreds takes longer than all else about a request.
+    if (
+        known is None
+        or known.holders is not quota.other_holders
+        or known.owners is not owners
+    ):
+        others = tuple(vm for vm in quota.other_holders if vm in owners)
+        known = state.KnownHolders(quota.other_holders, owners, others)
+        quota.holders_of[name] = known
+    return known.others
 
 
 def _ready_s(view: state.LenderView) -> float:
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -36,7 +36,8 @@
             first.
     """
     quota.zone_holder = zone_holder
-    quota.other_holders = other_holders
+    if other_holders != quota.other_holders:
+        quota.other_holders = other_holders
 
 
 def admit(
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -269,6 +269,21 @@
     ask_id: int
 
 
+@attrs.frozen
+class KnownHolders:
+    """Holders that own units of a resource, with what they were chosen from.
+
+    Attributes:
+        holders: All other holders.
+        owners: VMs that own units of the resource.
+        others: Those of the holders that are owners, nearest first.
+    """
+
+    holders: tuple[str, ...]
+    owners: frozenset[str]
+    others: tuple[str, ...]
+
+
 @attrs.define
 class QuotaState:
     """Quota of all resources on one VM.
@@ -284,6 +299,7 @@
             first.
         owners: VMs that own units of a resource; for a resource that is not
             listed, all holders.
+        holders_of: Other holders that own units, by resource.
         waiting: Resource of each waiting request, by request identifier.
         unlimited_requests: Waiting requests whose bound was removed.
         loan_requests: Outstanding loan requests by identifier.
@@ -304,6 +320,7 @@
     zone_holder: str = ""
     other_holders: tuple[str, ...] = ()
     owners: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    holders_of: dict[str, KnownHolders] = attrs.field(factory=dict)
     waiting: dict[str, str] = attrs.field(factory=dict)
     unlimited_requests: list[str] = attrs.field(factory=list)
     loan_requests: dict[int, SentLoanRequest] = attrs.field(factory=dict)
--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -240,13 +240,13 @@
     oldest_s = (
         now_s - SUSPECTED_AFTER_INTERVALS * fleet.settings.beat_interval_s
     )
+    own = fleet.settings.name
     working = [
         name
-        for name, peer in fleet.peers.items()
-        if peer.record.zone == fleet.settings.zone
-        and peer.last_heartbeat_s > oldest_s
+        for name in fleet.zone_names
+        if name != own and fleet.peers[name].last_heartbeat_s > oldest_s
     ]
-    return (fleet.settings.name, *working)
+    return (own, *working)
 
 
 def _senders_to(
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -47,6 +47,8 @@
         incarnation: Identifier of this process.
         peers: Other VMs by name.
         names: Names of all registered VMs, this one included, sorted.
+        zone_names: Those of this VM's zone, sorted.
+        region_names: Those of this VM's region, sorted by zone.
         started_s: When this process started, in seconds.
         vms_without_old_loans: VMs that have reported that they hold no loans
             from this VM's earlier processes.
@@ -59,6 +61,8 @@
     incarnation: str
     peers: dict[str, Peer] = attrs.field(factory=dict)
     names: tuple[str, ...] = ()
+    zone_names: tuple[str, ...] = ()
+    region_names: tuple[str, ...] = ()
     started_s: float = 0.0
     vms_without_old_loans: set[str] = attrs.field(factory=set)
     old_loans_excluded: bool = False
@@ -108,6 +112,16 @@
             # The record names a new process, which has yet to send a heartbeat.
             fleet.peers[name] = Peer(record)
     fleet.names = tuple(sorted({r.name for r in records}))
+    own = fleet.settings
+    region_records = sorted(
+        (record.zone, record.name)
+        for record in records
+        if record.region == own.region
+    )
+    fleet.region_names = tuple(name for _, name in region_records)
+    fleet.zone_names = tuple(
+        name for zone, name in region_records if zone == own.zone
+    )
     fleet.limit_owners.update(
         {name: fleet.region_of(name) for name in fleet.names}
     )
--- a/mulberrydeck/steering/source_selection.py
+++ b/mulberrydeck/steering/source_selection.py
@@ -124,9 +124,8 @@
 def _group_leader(fleet: members.Fleet, now_s: float) -> str:
     """Returns the leader of this VM's group, which may be this VM."""
     own = fleet.settings.name
-    zone_names = _zone_vms(fleet)
-    index = zone_names.index(own)
-    earlier = zone_names[index // VMS_PER_GROUP * VMS_PER_GROUP : index]
+    index = fleet.zone_names.index(own)
+    earlier = fleet.zone_names[index // VMS_PER_GROUP * VMS_PER_GROUP : index]
     return _first_that_may_lead(fleet, now_s, earlier) or own
 
 
@@ -135,19 +134,13 @@
 
     It also leads a group, as the first VM of its zone.
     """
-    own = fleet.settings
-    earlier = sorted(
-        (peer.record.zone, name)
-        for name, peer in fleet.peers.items()
-        if peer.record.region == own.region
-        and (peer.record.zone, name) < (own.zone, own.name)
-    )
-    names = [name for _, name in earlier]
-    return _first_that_may_lead(fleet, now_s, names) or own.name
+    own = fleet.settings.name
+    earlier = fleet.region_names[: fleet.region_names.index(own)]
+    return _first_that_may_lead(fleet, now_s, earlier) or own
 
 
 def _first_that_may_lead(
-    fleet: members.Fleet, now_s: float, names: list[str]
+    fleet: members.Fleet, now_s: float, names: tuple[str, ...]
 ) -> str:
     """Returns the first of some VMs that may lead, or an empty string."""
     leaders = (name for name in names if _may_lead(fleet, now_s, name))
@@ -212,16 +205,6 @@
     selection.excluded_until_s[name] = now_s + pause_s
 
 
-def _zone_vms(fleet: members.Fleet) -> list[str]:
-    """Returns the names of the VMs in this VM's zone, sorted."""
-    own = fleet.settings
-    return [
-        name
-        for name in fleet.names
-        if name == own.name or fleet.peers[name].record.zone == own.zone
-    ]
-
-
 def _is_eligible(selection: SourceSelection, now_s: float, name: str) -> bool:
     """Returns whether a VM may be a source, as it did not fail recently."""
     return now_s >= selection.excluded_until_s.get(name, -math.inf)
--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -92,6 +92,7 @@
         region_by_zone: Region of each zone.
         by_name: Targets by name.
         by_service: Targets of each service.
+        missing: Targets whose entries were found missing, by name.
         evacuated: Evacuated zones, whose targets get no requests.
         returning: End of the evacuation, in seconds, by zone.
         grace_until_s: Time until which missing entries may be registered
@@ -104,6 +105,7 @@
     by_service: dict[str, list[Target]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    missing: dict[str, Target] = attrs.field(factory=dict)
     evacuated: set[str] = attrs.field(factory=set)
     returning: dict[str, float] = attrs.field(factory=dict)
     grace_until_s: float = -math.inf
@@ -151,6 +153,7 @@
             cold_until_s = max(cold_until_s, target.cold_until_s)
         target.entry = entry
         target.missing_since_s = None
+        directory.missing.pop(entry.name, None)
     else:
         if target is not None:
             _drop(directory, target)
@@ -173,6 +176,7 @@
     if now_s < directory.grace_until_s and not target.entry.draining:
         if target.missing_since_s is None:
             target.missing_since_s = now_s
+            directory.missing[name] = target
     else:
         _drop(directory, target)
 
@@ -185,7 +189,7 @@
     """
     missing = [
         target
-        for target in directory.by_name.values()
+        for target in directory.missing.values()
         if _is_grace_over(directory, target, now_s)
     ]
     for target in missing:
@@ -292,4 +296,5 @@
 
 def _drop(directory: TargetDirectory, target: Target) -> None:
     del directory.by_name[target.entry.name]
+    directory.missing.pop(target.entry.name, None)
     directory.by_service[target.entry.service].remove(target)
