--- a/mulberrydeck/steering/feeds.py
+++ b/mulberrydeck/steering/feeds.py
@@ -15,10 +15,10 @@
 
 from mulberrydeck import errors
 from mulberrydeck.peers import feed_messages
-from mulberrydeck.platform import documents
 from mulberrydeck.platform import store as stores
 from mulberrydeck.shell import event_loop
 from mulberrydeck.steering import events
+from mulberrydeck.steering import mirrors
 from mulberrydeck.steering import reporting
 from mulberrydeck.steering import targets
 
@@ -28,13 +28,7 @@
 # Added to the hold before a request times out; ten round trips between distant
 # regions.
 RESPONSE_MARGIN_S = 0.4
-# Changes kept for VMs that know an older revision; a release of 650 targets
-# causes about this many.
-MAX_LOGGED_CHANGES = 1300
 FEED_KIND = "feed"  # Stands for all kinds in events that a leader reported.
-# In place of a revision. As a known revision: no objects are known yet. As the
-# start of a part: the part lists all objects.
-ALL_OBJECTS = -1
 STORE_ORIGIN = "store"  # Name of the origin of data read from the store.
 
 Send = Callable[[str, object], None]
@@ -53,157 +47,6 @@
     requested_s: float
 
 
-@attrs.define
-class Mirror:
-    """Copy of the objects of one kind, with their latest changes.
-
-    Attributes:
-        revision: Revision of the store that the objects correspond to.
-        compacted_revision: Changes after this revision are in the log; earlier
-            ones are not.
-        objects: Objects by name.
-        change_log: Changes, each with the revision that it led to.
-    """
-
-    revision: int = ALL_OBJECTS
-    compacted_revision: int = ALL_OBJECTS
-    objects: dict[str, documents.StoredObject] = attrs.field(factory=dict)
-    change_log: collections.deque[tuple[int, stores.Change]] = attrs.field(
-        factory=collections.deque
-    )
-
-    def replace(self, listing: stores.Listing) -> None:
-        """Replaces all objects by a complete list, unless it is older."""
-        if listing.revision < self.revision:
-            return
-        previous = self.objects
-        listed = {stored.metadata.name: stored for stored in listing.objects}
-        if self.revision == ALL_OBJECTS:
-            self.compacted_revision = listing.revision
-        else:
-            for name, stored in previous.items():
-                if name not in listed:
-                    self._append(listing.revision, stores.Change(stored, True))
-            for name, stored in listed.items():
-                if _revision(previous.get(name)) != _revision(stored):
-                    change = stores.Change(stored, False)
-                    self._append(listing.revision, change)
-        self.objects = listed
-        self.revision = listing.revision
-
-    def apply(self, changes: stores.Changes) -> None:
-        """Applies changes and logs them, except those that are known.
-
-        Some are while this VM reads the store itself beside another source.
-        """
-        if changes.revision <= self.revision:
-            return
-        for change in changes.changes:
-            if self._is_known(change):
-                continue
-            name = change.stored.metadata.name
-            if change.deleted:
-                self.objects.pop(name, None)
-            else:
-                self.objects[name] = change.stored
-            self._append(changes.revision, change)
-        self.revision = changes.revision
-
-    def _is_known(self, change: stores.Change) -> bool:
-        revision = change.stored.metadata.revision
-        if not change.deleted:
-            return revision <= self.revision
-        # A deletion carries the revision of the last change before it.
-        current = self.objects.get(change.stored.metadata.name)
-        return current is None or current.metadata.revision > revision
-
-    def apply_part(
-        self,
-        part: feed_messages.FeedPart,
-        changes: tuple[stores.Change, ...],
-    ) -> bool:
-        """Applies updates of another VM; returns whether they were complete.
-
-        Args:
-            part: The updates.
-            changes: Its decoded objects.
-        """
-        if part.revision <= self.revision:
-            return True
-        if part.since != ALL_OBJECTS:
-            if part.since > self.revision:
-                return False
-            self.apply(stores.Changes(changes, (), part.revision))
-            return True
-        if not self.objects.keys() >= set(part.kept):
-            return False
-        kept = [self.objects[name] for name in part.kept]
-        listed = (*kept, *(change.stored for change in changes))
-        self.replace(stores.Listing(listed, (), part.revision))
-        return True
-
-    def _append(self, revision: int, change: stores.Change) -> None:
-        self.change_log.append((revision, change))
-        if len(self.change_log) > MAX_LOGGED_CHANGES:
-            self.compacted_revision, _ = self.change_log.popleft()
-
-    def changes_since(
-        self, kind: str, known_revision: int
-    ) -> feed_messages.FeedPart | None:
-        """Returns the changes after a revision; None if there are none."""
-        if self.revision <= known_revision or self.revision == ALL_OBJECTS:
-            return None
-        if known_revision < self.compacted_revision:
-            return self._full_part(kind, known_revision)
-        newer = [
-            change
-            for revision, change in self.change_log
-            if revision > known_revision
-        ]
-        return feed_messages.FeedPart(
-            kind, known_revision, self.revision, _encode_changes(newer)
-        )
-
-    def _full_part(
-        self, kind: str, known_revision: int
-    ) -> feed_messages.FeedPart:
-        """Returns all objects, by name only where the receiver knows them.
-
-        A VM that begins to lead does not know which objects were removed
-        before, so that it has to list them all. Sending all of them with their
-        contents would occupy the links of a large group for seconds.
-        """
-        newer = []
-        kept_names = []
-        for name, stored in self.objects.items():
-            if stored.metadata.revision > known_revision:
-                newer.append(stores.Change(stored, False))
-            else:
-                kept_names.append(name)
-        return feed_messages.FeedPart(
-            kind,
-            ALL_OBJECTS,
-            self.revision,
-            _encode_changes(newer),
-            tuple(kept_names),
-        )
-
-
-def _encode_changes(
-    changes: list[stores.Change],
-) -> tuple[feed_messages.EncodedObject, ...]:
-    return tuple(
-        feed_messages.EncodedObject(
-            documents.encode_stored_object(change.stored), change.deleted
-        )
-        for change in changes
-    )
-
-
-def _revision(stored: documents.StoredObject | None) -> int:
-    return ALL_OBJECTS if stored is None else stored.metadata.revision
-
-
 @attrs.define
 class _PendingRequest:
     request: feed_messages.FeedRequest
@@ -233,7 +76,7 @@
         self.send = send
         self.now_s = now_s
         self.reports = reports
-        self.mirrors: dict[str, Mirror] = {}
+        self.mirrors: dict[str, mirrors.Mirror] = {}
         self.leads = False
         self.keeps_copies = True
         self.checked_s = -math.inf
@@ -262,7 +105,7 @@
     def apply_list(self, kind: str, listing: stores.Listing) -> None:
         """Applies a list that this VM read, and responds with the changes."""
         if self.keeps_copies:
-            self.mirrors.setdefault(kind, Mirror()).replace(listing)
+            self.mirrors.setdefault(kind, mirrors.Mirror()).replace(listing)
             self._respond_to_all()
 
     def apply_changes(self, kind: str, changes: stores.Changes) -> None:
@@ -284,7 +127,7 @@
         """
         if not self.leads:
             return
-        mirror = self.mirrors.setdefault(part.kind, Mirror())
+        mirror = self.mirrors.setdefault(part.kind, mirrors.Mirror())
         if mirror.apply_part(part, changes):
             self._respond_to_all()
         else:
@@ -294,7 +137,7 @@
     def known_revision(self, kind: str) -> int:
         """Returns the revision of the copy of a kind."""
         mirror = self.mirrors.get(kind)
-        return ALL_OBJECTS if mirror is None else mirror.revision
+        return mirrors.ALL_OBJECTS if mirror is None else mirror.revision
 
     def check_succeeded(self, sent_s: float) -> None:
         """Records that all changes up to a time are known.
--- a/mulberrydeck/steering/store_sync.py
+++ b/mulberrydeck/steering/store_sync.py
@@ -19,6 +19,7 @@
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import feeds
+from mulberrydeck.steering import mirrors
 from mulberrydeck.steering import reporting
 from mulberrydeck.steering import store_kinds
 from mulberrydeck.steering import sync_plans
@@ -188,7 +189,7 @@
     def add(self, watched_kind: store_kinds.WatchedKind) -> None:
         """Adds a kind, and watches it if the plan says so."""
         self.watched_kinds[watched_kind.kind] = watched_kind
-        self.revisions.setdefault(watched_kind.kind, feeds.ALL_OBJECTS)
+        self.revisions.setdefault(watched_kind.kind, mirrors.ALL_OBJECTS)
         self.object_names.setdefault(watched_kind.kind, set())
         if self.plan.direct:
             self._start_watcher(watched_kind)
@@ -262,7 +263,7 @@
             mirror = self.feed_server.mirrors.get(kind)
             return None if mirror is None else mirror.revision
         revision = self.revisions[kind]
-        return None if revision == feeds.ALL_OBJECTS else revision
+        return None if revision == mirrors.ALL_OBJECTS else revision
 
     def watch_wait_s(self, watched_kind: store_kinds.WatchedKind) -> float:
         """Returns how long a watch waits for changes of a kind, in seconds."""
@@ -410,11 +411,11 @@
         known_revision = self.revisions[part.kind]
         if part.revision <= known_revision or part.since > known_revision:
             return
-        if part.since == known_revision == feeds.ALL_OBJECTS:
+        if part.since == known_revision == mirrors.ALL_OBJECTS:
             listing = stores.Listing(tuple(stored), (), part.revision)
             self.apply_list(watched_kind, listing, origin)
             return
-        if part.since == feeds.ALL_OBJECTS:
+        if part.since == mirrors.ALL_OBJECTS:
             listed_names = {decoded.metadata.name for decoded in stored}.union(
                 part.kept
             )
--- a/mulberrydeck/steering/tests/test_feeds.py
+++ b/mulberrydeck/steering/tests/test_feeds.py
@@ -8,6 +8,7 @@
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import store as stores
 from mulberrydeck.steering import feeds
+from mulberrydeck.steering import mirrors
 
 
 def stored(name, revision, text="x"):
@@ -66,10 +67,10 @@
     pair.feed_server.apply_list(
         "servers", listing(7, stored("t1", 3), stored("t2", 5))
     )
-    pair.request(feeds.ALL_OBJECTS)
+    pair.request(mirrors.ALL_OBJECTS)
     (response,) = pair.take_responses()
     (part,) = response.parts
-    assert (part.since, part.revision) == (feeds.ALL_OBJECTS, 7)
+    assert (part.since, part.revision) == (mirrors.ALL_OBJECTS, 7)
     assert names(part) == ["t1", "t2"]
     assert response.checked_age_s == 0.0
 
@@ -112,7 +113,7 @@
     pair.request(7)
     (response,) = pair.take_responses()
     (part,) = response.parts
-    assert (part.since, part.revision) == (feeds.ALL_OBJECTS, 12)
+    assert (part.since, part.revision) == (mirrors.ALL_OBJECTS, 12)
     assert names(part) == ["t2"]
     assert part.kept == ("t1",)
 
@@ -186,7 +187,7 @@
     pair.feed_server.store_regained(pair.now_s)
     pair.now_s += 0.5
     pair.feed_server.apply_list("servers", listing(7))
-    pair.request(feeds.ALL_OBJECTS)
+    pair.request(mirrors.ALL_OBJECTS)
     (response,) = pair.take_responses()
     assert response.regained_age_s == 0.5
 
@@ -195,7 +196,7 @@
     pair = FeedPair()
     pair.feed_server.apply_list("servers", listing(7, stored("t1", 3)))
     pair.feed_server.apply_list("servers", listing(5, stored("t2", 4)))
-    pair.request(feeds.ALL_OBJECTS)
+    pair.request(mirrors.ALL_OBJECTS)
     (response,) = pair.take_responses()
     assert names(response.parts[0]) == ["t1"]
 
@@ -203,12 +204,12 @@
 def test_change_log_is_bounded():
     pair = FeedPair()
     pair.feed_server.apply_list("servers", listing(1))
-    for revision in range(2, feeds.MAX_LOGGED_CHANGES + 10):
+    for revision in range(2, mirrors.MAX_LOGGED_CHANGES + 10):
         change = (stored("t1", revision), False)
         pair.feed_server.apply_changes("servers", changes(revision, change))
     pair.request(2)
     (response,) = pair.take_responses()
-    assert response.parts[0].since == feeds.ALL_OBJECTS
+    assert response.parts[0].since == mirrors.ALL_OBJECTS
     assert names(response.parts[0]) == ["t1"]
 
 
@@ -221,7 +222,7 @@
 def test_a_leader_passes_updates_of_another_one_on():
     pair = FeedPair()
     pair.feed_server.apply_part(
-        *part(feeds.ALL_OBJECTS, 7, stored("t1", 3), stored("t2", 5))
+        *part(mirrors.ALL_OBJECTS, 7, stored("t1", 3), stored("t2", 5))
     )
     pair.request(7)
     assert pair.take_responses() == []
@@ -234,10 +235,10 @@
 def test_a_leader_keeps_the_objects_that_a_full_part_only_names():
     pair = FeedPair()
     pair.feed_server.apply_part(
-        *part(feeds.ALL_OBJECTS, 7, stored("t1", 3), stored("t2", 5))
+        *part(mirrors.ALL_OBJECTS, 7, stored("t1", 3), stored("t2", 5))
     )
     pair.feed_server.apply_part(
-        *part(feeds.ALL_OBJECTS, 9, stored("t3", 9), kept=("t1",))
+        *part(mirrors.ALL_OBJECTS, 9, stored("t3", 9), kept=("t1",))
     )
     assert set(pair.feed_server.mirrors["servers"].objects) == {"t1", "t3"}
 
@@ -246,12 +247,12 @@
     "incomplete",
     [
         part(8, 9, stored("t2", 9)),
-        part(feeds.ALL_OBJECTS, 9, kept=("unknown",)),
+        part(mirrors.ALL_OBJECTS, 9, kept=("unknown",)),
     ],
 )
 def test_a_leader_that_missed_updates_does_not_pass_a_check_on(incomplete):
     pair = FeedPair()
-    pair.feed_server.apply_part(*part(feeds.ALL_OBJECTS, 7, stored("t1", 3)))
+    pair.feed_server.apply_part(*part(mirrors.ALL_OBJECTS, 7, stored("t1", 3)))
     pair.feed_server.apply_part(*incomplete)
     pair.request(7)
     pair.feed_server.check_succeeded(pair.now_s)
--- a/mulberrydeck/steering/tests/test_store_sync.py
+++ b/mulberrydeck/steering/tests/test_store_sync.py
@@ -14,6 +14,7 @@
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import feeds
+from mulberrydeck.steering import mirrors
 from mulberrydeck.steering import store_kinds
 from mulberrydeck.steering import store_sync
 from mulberrydeck.steering import sync_plans
@@ -214,7 +215,7 @@
     vm.apply_list(5, "east", "west")
     part = feed_messages.FeedPart(
         KIND,
-        feeds.ALL_OBJECTS,
+        mirrors.ALL_OBJECTS,
         9,
         tuple(
             feed_messages.EncodedObject(
