--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -73,8 +73,8 @@
 
     A request keeps waiting while a lender may still respond or can be sent
     another loan request in time, or while this VM's own tokens refill in time,
-    or while pending units are expected to become usable. All others are denied
-    immediately.
+    or while units are expected to become usable after a start. All others are
+    denied immediately.
 
     Args:
         quota: State of this VM.
@@ -85,7 +85,7 @@
     if not resource.queue:
         return []
     lender_s = choosing.lender_wait_s(quota, resource, now_s)
-    if resource.pending and now_s < quota.joining_until_s:
+    if now_s < quota.joining_until_s:
         lender_s = 0.0
     still_waiting: collections.deque[state.WaitingRequest] = collections.deque()
     denied = []
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -309,8 +309,8 @@
         next_loan_id: Identifier of the next loan.
         removed_s: When a resource lost its bound, in seconds, by resource.
         stopping: Whether a planned stop has begun.
-        joining_until_s: Until when pending units are expected to become usable,
-            in seconds; requests wait for them.
+        joining_until_s: Until when units are expected to become usable after
+            the start of the process, in seconds; requests wait for them.
     """
 
     incarnation: str
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -250,6 +250,16 @@
     assert all(isinstance(each, effects.Forward) for each in decisions)
 
 
+def test_requests_wait_before_a_restarted_vm_has_read_the_list_of_vms():
+    account = tables.Account("acme", rate_per_s=100.0, burst=50.0)
+    table = samples.make_table(
+        samples.make_route(public=False), accounts=((account, ("secret",)),)
+    )
+    vm = samples.Vm(table, [samples.make_entry()], first_start=False)
+    vm.reduce(events.VmsListed(vm.now_s, (), 5))
+    assert vm.arrive(key="secret") is None
+
+
 def test_requests_are_refused_if_a_restarted_fleet_stays_silent():
     vm = restarted_vm()
     assert vm.arrive(key="secret") is None
