--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -181,7 +181,7 @@
         now_s: Current time, in seconds.
         own: Heartbeat of this VM.
     """
-    if fleet.is_mesh or not schedule.digest_receivers:
+    if fleet.is_mesh or not schedule.senders:
         return []
     previous = schedule.digest_receivers
     receivers = _digest_receivers(schedule, fleet, now_s)
@@ -201,7 +201,8 @@
 ) -> tuple[str, ...]:
     """Returns the VMs of other zones to which this VM sends digests.
 
-    They stay the same while the senders do, so that few connections are used.
+    They stay the same while the senders do, so that a digest repeats what its
+    receiver knows from the same two VMs.
     """
     working = _working_senders(fleet, now_s)
     if (fleet.names, working) != (schedule.known_names, schedule.senders):
