--- a/mulberrydeck/quota/admission.py
+++ b/mulberrydeck/quota/admission.py
@@ -45,7 +45,7 @@
     first: bool = False,
 ) -> None:
     """Queues a request until a token is available."""
-    deadline_s = max(now_s + quota.settings.quota_wait_s, quota.joining_until_s)
+    deadline_s = now_s + quota.settings.quota_wait_s
     waiting = state.WaitingRequest(request_id, deadline_s)
     if first:
         resource.queue.appendleft(waiting)
@@ -72,9 +72,8 @@
     """Denies waiting requests that cannot get a token before their deadline.
 
     A request keeps waiting while a lender may still respond or can be sent
-    another loan request in time, or while this VM's own tokens refill in time,
-    or while units are expected to become usable after a start. All others are
-    denied immediately.
+    another loan request in time, or while this VM's own tokens refill in time.
+    All others are denied immediately.
 
     Args:
         quota: State of this VM.
@@ -85,8 +84,6 @@
     if not resource.queue:
         return []
     lender_s = choosing.lender_wait_s(quota, resource, now_s)
-    if now_s < quota.joining_until_s:
-        lender_s = 0.0
     still_waiting: collections.deque[state.WaitingRequest] = collections.deque()
     denied = []
     for request in resource.queue:
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -222,13 +222,11 @@
     """Makes pending own units usable without waiting for loans to expire.
 
     Call it only when no other VM holds loans of an earlier process of this VM.
-    Requests no longer wait for further units then.
 
     Args:
         quota: State of this VM.
         now_s: Current time, in seconds.
     """
-    quota.joining_until_s = float("-inf")
     for resource in quota.resources.values():
         bucket.advance(resource, now_s)
         resource.pending = [
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -309,8 +309,6 @@
         next_loan_id: Identifier of the next loan.
         removed_s: When a resource lost its bound, in seconds, by resource.
         stopping: Whether a planned stop has begun.
-        joining_until_s: Until when units are expected to become usable after
-            the start of the process, in seconds; requests wait for them.
     """
 
     incarnation: str
@@ -329,4 +327,3 @@
     next_loan_id: int = 1
     removed_s: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
-    joining_until_s: float = -math.inf
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -16,11 +16,6 @@
 from mulberrydeck.steering import tables
 from mulberrydeck.steering import targets
 
-# Time from the start of a process within which the VMs of a fleet that restarts
-# have told each other which loans they hold. Requests that need units of limits
-# wait for that: a refusal would make their callers wait longer.
-JOIN_WAIT_S = 1.0
-
 
 @attrs.define(eq=False)
 class Request:
@@ -135,9 +130,6 @@
         now_s: Current time, in seconds.
         seed: Seed of the random number generator.
     """
-    quota = quota_state.QuotaState(incarnation, settings)
-    if not settings.first_start:
-        quota.joining_until_s = now_s + JOIN_WAIT_S
     return State(
         settings=settings,
         now_s=now_s,
@@ -149,7 +141,7 @@
             started_s=now_s,
             old_loans_excluded=settings.first_start,
         ),
-        quota=quota,
+        quota=quota_state.QuotaState(incarnation, settings),
         pacer=pacing.ColdPacer(
             hashing.digest(settings.name),
             settings.cold_overage,
