Make units usable at a first start whatever is read first

Trace (kept logs): coast-b-1 had read a configuration with the limit before the list of VMs, so that its units waited 4.5 s for loans of earlier processes (own_units 0), which a first start rules out. They are as soon as the list is read now.

--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -189,14 +189,16 @@
 
     Old loans are those that earlier processes of this VM granted. The result is
     true once per process: when all other VMs have reported that they hold
-    none, or when all of them must have expired.
+    none, or when all of them must have expired; at the very first start of the
+    fleet, once the registered VMs are known.
     """
     if fleet.old_loans_excluded or not fleet.names:
         return False
     settings = fleet.settings
     max_loan_s = settings.quota_lease_s + settings.lease_margin_s
     fleet.old_loans_excluded = (
-        fleet.peers.keys() <= fleet.vms_without_old_loans
+        settings.first_start
+        or fleet.peers.keys() <= fleet.vms_without_old_loans
         or now_s >= fleet.started_s + max_loan_s
     )
     return fleet.old_loans_excluded
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -197,9 +197,21 @@
         fields = {"vms": len(state.fleet.names), "revision": event.revision}
         log = effects.Log("fleet", "The registered VMs changed.", fields)
         produced.append(log)
+        if state.settings.first_start:
+            # Before the next tick would ask all other VMs for loans.
+            produced += _exclude_old_loans(state)
     return produced
 
 
+def _exclude_old_loans(state: states.State) -> Effects:
+    """Makes own units usable once no loans of earlier processes remain."""
+    if not members.exclude_old_loans(state.fleet, state.now_s):
+        return []
+    quota.activate_pending_units(state.quota, state.now_s)
+    text = "No loans of an earlier process remain."
+    return [effects.Log("quota", text, {})]
+
+
 def _store_regained(
     state: states.State, event: events.StoreRegained
 ) -> Effects:
@@ -248,11 +260,7 @@
         )
     produced += _update_plan(state)
     produced += _update_stale_group(state)
-    if members.exclude_old_loans(state.fleet, state.now_s):
-        quota.activate_pending_units(state.quota, state.now_s)
-        produced.append(
-            effects.Log("quota", "No loans of an earlier process remain.", {})
-        )
+    produced += _exclude_old_loans(state)
     if produced:
         state.pacer.drop_expired(state.now_s)
     # Sorting a large fleet ten times per second takes as much processor time as
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -135,12 +135,7 @@
         now_s=now_s,
         rng=random.Random(seed),
         target_directory=targets.TargetDirectory(settings.region_by_zone),
-        fleet=members.Fleet(
-            settings,
-            incarnation,
-            started_s=now_s,
-            old_loans_excluded=settings.first_start,
-        ),
+        fleet=members.Fleet(settings, incarnation, started_s=now_s),
         quota=quota_state.QuotaState(incarnation, settings),
         pacer=pacing.ColdPacer(
             hashing.digest(settings.name),
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -206,3 +206,20 @@
     table = samples.make_table(accounts=accounts)
     limit_bounds = members.bounds(table)
     assert [bound.resource for bound in limit_bounds] == ["account/paid"]
+
+
+def test_units_are_usable_at_a_first_start_whatever_is_read_first():
+    account = tables.Account("acme", rate_per_s=100.0, burst=50.0)
+    vm = samples.Vm(first_start=True)
+    vm.state.fleet.names = ()
+    vm.state.fleet.old_loans_excluded = False
+    table = samples.make_table(accounts=((account, ("secret",)),), version=2)
+    vm.reduce(events.TableLoaded(vm.now_s, table, 5))
+    records = (
+        samples.make_record("coast-a-1", port=1),
+        samples.make_record("coast-b-1", "coast-b", port=2),
+    )
+    vm.reduce(events.VmsListed(vm.now_s, records, 6))
+    resource = vm.state.quota.resources["account/acme"]
+    quota.tick(vm.state.quota, vm.now_s)
+    assert resource.usable_units == members.UNITS_PER_LIMIT // 2
