Send digests while this VM is not listed yet

Found by reading the change: a VM that read a list of the fleet without any VM of its zone, itself included, ended its periodic task with a KeyError each second (the test fails so before). The earlier code took itself for the only sender then, and so does this one.

--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -225,7 +225,8 @@
         peer = fleet.peers.get(name)
         zone = own.zone if peer is None else peer.record.zone
         names_by_zone.setdefault(zone, []).append(name)
-    in_zone = names_by_zone.pop(own.zone)
+    # A starting VM may read a list without itself.
+    in_zone = names_by_zone.pop(own.zone, [own.name])
     for names in names_by_zone.values():
         for index, receiver in enumerate(names):
             regular = (
--- a/mulberrydeck/steering/tests/test_heartbeats.py
+++ b/mulberrydeck/steering/tests/test_heartbeats.py
@@ -232,3 +232,12 @@
         and effect.message.holds_loans
     ]
     assert receivers_with_loans == ["a-1-vm3"]
+
+
+def test_a_vm_that_is_not_listed_yet_sends_digests():
+    fleet = LargeFleet()
+    vm = fleet.vms["a-1-vm0"]
+    others = tuple(each for each in fleet.records if each.zone != "a-1")
+    vm.reduce(events.VmsListed(fleet.now_s, others, 5))
+    vm.reduce(events.Ticked(fleet.now_s))
+    assert vm.state.heartbeat_schedule.digest_receivers
