--- a/review/deployment.py
+++ b/review/deployment.py
@@ -21,7 +21,14 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = "permits.example"
 SERVICE = "status-svc"
-ZONES = {"arusha-a": "arusha", "arusha-b": "arusha", "dar-a": "dar"}
+ZONES = {
+    "arusha-a": "arusha",
+    "arusha-b": "arusha",
+    "dar-a": "dar",
+    "dar-b": "dar",
+    "mwanza-a": "mwanza",
+    "mwanza-b": "mwanza",
+}
 PURPOSES = ("caller", "ready", "look_up", "peer", "metrics")
 IP = "127.0.0.1"
 DEFAULT_GRACE_S = 6.0  # `GraceS` of kilele-permits.
