Reject requests that could outlive a planned stop

Cause: whether a request was accepted depended on the time of its connection, not on whether the request can end before the process. Ruled out: resets of the closing listener (kept connections are cut as well), targets that break off.

A request of a stopping VM is accepted only if its deadline is before the end of the process; the deadline then ends it in time. Others get 503 with Retry-After 0 at once, nothing having been sent.

--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -28,6 +28,7 @@
 from mulberrydeck.steering import serving
 from mulberrydeck.steering import settings as settings_module
 from mulberrydeck.steering import state as states
+from mulberrydeck.steering import stopping
 from mulberrydeck.steering import store_kinds
 from mulberrydeck.steering import store_sync
 
@@ -47,11 +48,6 @@
 # Limits the processor time used by a task that fails repeatedly.
 TASK_RESTART_DELAY_S = 1.0
 DEREGISTER_TIMEOUT_S = 0.3  # A stopping VM must not wait for the store.
-# Fractions of `stop_timeout_s`. New connections are accepted until the first,
-# since callers use earlier lookups for a while; requests in progress may finish
-# until the second.
-ACCEPT_FRACTION = 0.5
-FINISH_FRACTION = 0.95
 
 
 def now_s() -> float:
@@ -315,10 +311,12 @@
         started_s = now_s()
         self.loop.submit(events.StopRequested(started_s))
         self.caller_listener.stopping = True
-        accept_until_s = (
-            started_s + self.settings.stop_timeout_s * ACCEPT_FRACTION
+        accept_until_s = stopping.accept_until_s(
+            started_s, self.settings.stop_timeout_s
+        )
+        finish_by_s = stopping.finish_by_s(
+            started_s, self.settings.stop_timeout_s
         )
-        finish_by_s = started_s + self.settings.stop_timeout_s * FINISH_FRACTION
         while now_s() < accept_until_s:
             gevent.sleep(serving.STOP_POLL_INTERVAL_S)
         self.caller_listener.stop_accepting()
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -16,6 +16,7 @@
 from mulberrydeck.steering import source_selection
 from mulberrydeck.steering import stale_pacing
 from mulberrydeck.steering import state as states
+from mulberrydeck.steering import stopping
 from mulberrydeck.steering import targets
 
 Effects = list[object]
@@ -357,6 +358,9 @@
 
 def _stop_requested(state: states.State) -> Effects:
     state.stopping = True
+    state.finish_by_s = stopping.finish_by_s(
+        state.now_s, state.settings.stop_timeout_s
+    )
     # Other VMs must omit this one from lookups at once.
     heartbeats.send_to_all_soon(state.heartbeat_schedule)
     fields = {"in_flight": len(state.requests)}
--- a/mulberrydeck/steering/refusals.py
+++ b/mulberrydeck/steering/refusals.py
@@ -6,6 +6,7 @@
 
 DETAILS = {
     "starting": "This VM has not read its configuration yet; come back soon.",
+    "stopping": "This VM stops before the deadline; use another VM now.",
     "no-route": "No route has this host and path; see the configuration.",
     "unknown-key": "The key is unknown or withdrawn; ask for a new one.",
     "body-too-large": "The body exceeds the configured limit; send less.",
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -12,6 +12,7 @@
 from mulberrydeck.steering import placement
 from mulberrydeck.steering import refusals
 from mulberrydeck.steering import state as states
+from mulberrydeck.steering import stopping
 from mulberrydeck.steering import tables
 from mulberrydeck.steering import targets
 
@@ -50,10 +51,20 @@
     if route.public:
         account = None
     request = _create_request(state, event, route, account)
+    if stopping.may_cut_off(state, request):
+        return [_stopping(state, request)]
     _retry_budget(state, request.service).deposit()
     return _apply_rate_limit(state, request)
 
 
+def _stopping(state: states.State, request: states.Request) -> effects.Refuse:
+    inputs = {
+        "until_deadline_s": round(request.deadline_s - state.now_s, 3),
+        "until_end_s": round(state.finish_by_s - state.now_s, 3),
+    }
+    return refusals.refusal(request, 503, "stopping", stopping.RETRY_S, inputs)
+
+
 def _create_request(
     state: states.State,
     event: events.RequestArrived,
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -1,5 +1,6 @@
 """State of the reducer on one VM."""
 
+import math
 import random
 
 import attrs
@@ -85,6 +86,8 @@
         lost_kinds: Kinds of objects that cannot be read from the store, with
             the time at which this began, in seconds.
         stopping: Whether a planned stop has begun.
+        finish_by_s: When the last request must have ended, in seconds; infinite
+            unless a planned stop has begun.
         choose: Function that chooses a target for a request.
     """
 
@@ -103,6 +106,7 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     lost_kinds: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
+    finish_by_s: float = math.inf
     heartbeat_schedule: heartbeats.Schedule = attrs.field(
         factory=heartbeats.Schedule
     )
--- /dev/null
+++ b/mulberrydeck/steering/stopping.py
@@ -0,0 +1,43 @@
+"""What a VM does for callers between SIGTERM and the end of its process.
+
+A request whose deadline is later than the end of the process could be cut off
+while a target works on it. It is rejected at once, so that it runs at another
+VM.
+"""
+
+from mulberrydeck.steering import state as states
+
+# Fractions of `stop_timeout_s`. New connections are accepted until the first,
+# since callers use earlier lookups for a while; requests in progress may finish
+# until the second.
+ACCEPT_FRACTION = 0.5
+FINISH_FRACTION = 0.95
+# Other VMs serve the request without a delay.
+RETRY_S = 0.0
+
+
+def finish_by_s(started_s: float, stop_timeout_s: float) -> float:
+    """Returns when the last request must have ended, in seconds.
+
+    Args:
+        started_s: When the stop began, in seconds.
+        stop_timeout_s: Time from SIGTERM until the process is killed, in
+            seconds.
+    """
+    return started_s + stop_timeout_s * FINISH_FRACTION
+
+
+def accept_until_s(started_s: float, stop_timeout_s: float) -> float:
+    """Returns until when new connections are accepted, in seconds.
+
+    Args:
+        started_s: When the stop began, in seconds.
+        stop_timeout_s: Time from SIGTERM until the process is killed, in
+            seconds.
+    """
+    return started_s + stop_timeout_s * ACCEPT_FRACTION
+
+
+def may_cut_off(state: states.State, request: states.Request) -> bool:
+    """Returns whether the process may end before a new request does."""
+    return request.deadline_s > state.finish_by_s
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -336,6 +336,20 @@
     assert resource.tokens == pytest.approx(10.0)
 
 
+# Guards against a request that is cut off by the end of the process.
+def test_a_stopping_vm_accepts_only_requests_that_end_before_it():
+    route = samples.make_route(timeout_s=6.0)
+    vm = samples.Vm(samples.make_table(route), entries(), stop_timeout_s=10.0)
+    vm.reduce(events.StopRequested(vm.now_s))
+    vm.now_s += 3.0
+    assert isinstance(vm.arrive(timeout_s=30.0), effects.Forward)
+    vm.now_s += 1.0
+    refusal = vm.arrive(timeout_s=30.0)
+    assert (refusal.status, refusal.kind) == (503, "stopping")
+    assert refusal.retry_after_s == 0.0
+    assert isinstance(vm.arrive(timeout_s=5.0), effects.Forward)
+
+
 def test_no_cold_target_gets_two_requests_of_a_vm_in_a_second_when_written():
     table = samples.make_table(
         services=(tables.Service("status", cold_rate_per_s=50.0),)
