Send the whole of a chunked body that exceeds the buffer

Cause: Body.read_next drops what it reads beyond the replay limit. That is right for the sender, which has sent those bytes, and wrong for the code that reads ahead, which has not. Ruled out: the chunked decoder and the sender, by the bodies below the limit, which arrive unchanged.

Reading ahead is an operation of its own, which keeps all that it reads; only sending discards. The same cause in the decoder: bytes that it held while it waited for more were lost when an attempt ended in the meantime, and a second attempt ran without them; it now keeps its progress in the reader.

--- a/mulberrydeck/frontend/bodies.py
+++ b/mulberrydeck/frontend/bodies.py
@@ -1,6 +1,7 @@
 """Request bodies: strict decoding, limited memory and replay."""
 
 from collections.abc import Callable
+import enum
 import re
 
 from mulberrydeck.frontend import buffered_connection as buffered
@@ -49,6 +50,15 @@
         return piece
 
 
+class ChunkPart(enum.Enum):
+    """Part of the chunked coding that is read next."""
+
+    SIZE = enum.auto()
+    DATA = enum.auto()
+    DATA_END = enum.auto()
+    TRAILERS = enum.auto()
+
+
 class ChunkedReader:
     """Reads a chunked body; trailers are validated and discarded.
 
@@ -59,7 +69,11 @@
     def __init__(self, connection: buffered.BufferedConnection) -> None:
         self.connection = connection
         self.finished = False
+        # Progress is kept here, since a read can be cancelled while it waits.
+        self.next_part = ChunkPart.SIZE
         self.chunk_remaining_bytes = 0
+        self.trailers_remaining_bytes = MAX_TRAILER_BYTES
+        self.decoded_pieces: list[bytes] = []
 
     def read(self) -> bytes:
         """Returns the next piece; empty at the end of the body.
@@ -68,26 +82,35 @@
             buffered.ConnectionLostError: The connection failed or ended.
             heads.BadRequestError: The chunked coding is malformed.
         """
-        pieces: list[bytes] = []
         while not self.finished:
-            self._read_chunk(pieces)
-            if pieces and not self.connection.has_unread:
+            self._read_part()
+            if self.decoded_pieces and not self.connection.has_unread:
                 break
-        return b"".join(pieces)
-
-    def _read_chunk(self, pieces: list[bytes]) -> None:
-        """Appends received bytes of a chunk; the last chunk ends the body."""
-        if self.chunk_remaining_bytes == 0:
-            self.chunk_remaining_bytes = self._read_size()
-        if self.chunk_remaining_bytes == 0:
-            self._read_trailers()
-            self.finished = True
-            return
-        piece = _take(self.connection, self.chunk_remaining_bytes)
-        pieces.append(piece)
-        self.chunk_remaining_bytes -= len(piece)
-        if self.chunk_remaining_bytes == 0 and self._read_line(0) != b"":
-            raise heads.BadRequestError("A chunk does not end in CRLF.")
+        decoded = b"".join(self.decoded_pieces)
+        self.decoded_pieces.clear()
+        return decoded
+
+    def _read_part(self) -> None:
+        """Reads the next part of the coding; trailers end the body."""
+        match self.next_part:
+            case ChunkPart.SIZE:
+                self.chunk_remaining_bytes = self._read_size()
+                is_last = self.chunk_remaining_bytes == 0
+                self.next_part = (
+                    ChunkPart.TRAILERS if is_last else ChunkPart.DATA
+                )
+            case ChunkPart.DATA:
+                piece = _take(self.connection, self.chunk_remaining_bytes)
+                self.decoded_pieces.append(piece)
+                self.chunk_remaining_bytes -= len(piece)
+                if self.chunk_remaining_bytes == 0:
+                    self.next_part = ChunkPart.DATA_END
+            case ChunkPart.DATA_END:
+                if self._read_line(0) != b"":
+                    raise heads.BadRequestError("A chunk does not end in CRLF.")
+                self.next_part = ChunkPart.SIZE
+            case ChunkPart.TRAILERS:
+                self._read_trailers()
 
     def _read_line(self, limit: int) -> bytes:
         line = self.connection.take_until(CRLF, limit)
@@ -103,11 +126,12 @@
         return int(matched.group(1), 16)
 
     def _read_trailers(self) -> None:
-        remaining_bytes = MAX_TRAILER_BYTES
         while line := self._read_line(MAX_TRAILER_BYTES):
-            remaining_bytes -= len(line)
-            if remaining_bytes < 0 or _TRAILER.fullmatch(line) is None:
+            self.trailers_remaining_bytes -= len(line)
+            too_large = self.trailers_remaining_bytes < 0
+            if too_large or _TRAILER.fullmatch(line) is None:
                 raise heads.BadRequestError("A trailer is malformed.")
+        self.finished = True
 
 
 def _take(connection: buffered.BufferedConnection, limit: int) -> bytes:
@@ -124,6 +148,7 @@
         length: Declared length in bytes; None if chunked.
         read_bytes: Number of bytes read from the caller so far.
         max_kept_bytes: Size of the largest body kept for replay, in bytes.
+        replayable: Whether all bytes read so far can be sent again.
     """
 
     def __init__(
@@ -145,17 +170,13 @@
         self.kept_pieces: list[bytes] = []
         self.read_bytes = 0
         self.max_kept_bytes = MAX_REPLAY_BYTES
+        self.replayable = True
 
     @property
     def finished(self) -> bool:
         """Whether the body was read from the caller to its end."""
         return self.reader.finished
 
-    @property
-    def replayable(self) -> bool:
-        """Whether all bytes read so far can be sent again."""
-        return self.read_bytes == 0 or self._fits_replay_limit()
-
     def _fits_replay_limit(self) -> bool:
         size = self.read_bytes if self.length is None else self.length
         return size <= self.max_kept_bytes
@@ -165,21 +186,47 @@
         while self.read_next():
             pass
 
+    def read_ahead(self, limit: int) -> None:
+        """Reads the body until its end or until it exceeds the limit.
+
+        All bytes are kept until the body is sent.
+
+        Args:
+            limit: Size of the largest body that is read to its end, in bytes.
+        """
+        self.max_kept_bytes = limit
+        if (self.length or 0) > limit:
+            return
+        while self.read_bytes <= limit:
+            piece = self._read()
+            self.kept_pieces.append(piece)
+            if not piece:
+                return
+
     def pieces(self) -> "Pieces":
         """Returns an iterator over the body from its first byte."""
         return Pieces(self)
 
     def read_next(self) -> bytes:
-        """Returns the next piece from the caller; empty at the end."""
+        """Returns the next piece from the caller; empty at the end.
+
+        Once the body exceeds what is kept for replay, the kept pieces are
+        discarded; they must have been sent before.
+        """
+        piece = self._read()
+        if not piece or self._fits_replay_limit():
+            self.kept_pieces.append(piece)
+        else:
+            self.kept_pieces.clear()
+            self.replayable = False
+        return piece
+
+    def _read(self) -> bytes:
         if self.before_read is not None:
             self.before_read()
             self.before_read = None
         piece = self.reader.read()
         self.read_bytes += len(piece)
-        if self._fits_replay_limit():
-            self.kept_pieces.append(piece)
-        else:
-            self.kept_pieces.clear()
         return piece
 
 
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -79,7 +79,8 @@
             timeout_s=caller_fields.timeout_s,
             body_bytes=request.head.length or 0,
         )
-        self._buffer_body(request)
+        if request.body is not None:
+            request.body.read_ahead(MAX_BUFFERED_BODY_BYTES)
         progress = progresses.Progress()
         try:
             self._run_attempts(request, caller_fields, event, progress)
@@ -90,14 +91,6 @@
             elapsed_s = self.loop.now_s() - arrived_s
             self.reports.request_ended(request, progress, elapsed_s)
 
-    def _buffer_body(self, request: requests.Request) -> None:
-        body = request.body
-        if body is None or (body.length or 0) > MAX_BUFFERED_BODY_BYTES:
-            return
-        body.max_kept_bytes = MAX_BUFFERED_BODY_BYTES
-        while body.read_bytes <= MAX_BUFFERED_BODY_BYTES and body.read_next():
-            pass
-
     def _run_attempts(
         self,
         request: requests.Request,
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -66,6 +66,15 @@
     assert _runs(fleet)[0].body == b"".join(chunks)
 
 
+# Guards against uploads whose first bytes are lost once they exceed the buffer.
+def test_a_chunked_body_larger_than_the_buffer_arrives_complete(fleet):
+    _clear_runs(fleet)
+    chunks = [bytes([number]) * 100_000 for number in range(30)]
+    _, response = fleet.request(fleet.client(), "/once/", "POST", iter(chunks))
+    assert response.status == 200
+    assert _runs(fleet)[0].body == b"".join(chunks)
+
+
 def test_no_target_sees_a_key_and_each_sees_its_account(fleet):
     _clear_runs(fleet)
     _, response = fleet.request(
