Keep one odd entry from hiding all others

Cause: a response of the store was decoded as one document, which fails for one value; a RecursionError was not caught. Entries of the right types were not checked. Ruled out: the store and the watch, which went on.

A response that cannot be decoded is split into its objects without decoding them, and each is decoded by itself. Values of an entry are checked where it is decoded.

--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -177,7 +177,7 @@
                 sock.bind((self.source_ip, 0))
             sock.settimeout(min(self.connect_timeout_s, timeout_s))
             sock.connect((host, int(port)))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             sock.close()
             raise ConnectError(f"{address}: {error}") from error
         except BaseException:
--- a/mulberrydeck/platform/documents.py
+++ b/mulberrydeck/platform/documents.py
@@ -5,11 +5,13 @@
 """
 
 from collections.abc import Iterable
+import ipaddress
 import re
 
 import msgspec
 
 from mulberrydeck import errors
+from mulberrydeck.platform import json_parts
 from mulberrydeck.steering import registry
 from mulberrydeck.steering import tables
 
@@ -30,6 +32,17 @@
 }
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
+# Bounds of plausible entries; others are of another writer.
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 24 * 3600.0
+MAX_PORT = 65535
+MAX_STARTED_MS = 2**53  # Later times are not exact in all JSON writers.
+# Longer texts of an invalid entry are cut off in error messages.
+MAX_QUOTED_CHARACTERS = 80
+
+# Names of targets are sent in a header field.
+_NAME_PATTERN = re.compile(r"[!-~]{1,256}")
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 _VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{1,16}")
 
 
@@ -165,6 +178,8 @@
 _page_decoder = msgspec.json.Decoder(_Page)
 _changes_decoder = msgspec.json.Decoder(_Changes)
 _object_decoder = msgspec.json.Decoder(StoredObject)
+_metadata_decoder = msgspec.json.Decoder(StoredMetadata)
+_integer_decoder = msgspec.json.Decoder(int)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _target_decoder = msgspec.json.Decoder(_Target)
 _target_status_decoder = msgspec.json.Decoder(_TargetStatus)
@@ -177,30 +192,84 @@
 
 
 def decode_page(body: bytes) -> _Page:
-    """Decodes a page of a list.
+    """Decodes a page of a list; its objects stay encoded.
 
     Raises:
         InvalidDocumentError: The body is malformed.
     """
-    return _decode(_page_decoder, body)
+    try:
+        return _decode(_page_decoder, body)
+    except InvalidDocumentError:
+        values = _members(body)
+    return _Page(
+        items=tuple(_raw_elements(values, b'"items"')),
+        at=_decode(_integer_decoder, values.get(b'"At"', b"")),
+        has_more=values.get(b'"HasMore"') == b"true",
+    )
 
 
 def decode_changes(body: bytes) -> _Changes:
-    """Decodes the response to a watch.
+    """Decodes the response to a watch; its objects stay encoded.
 
     Raises:
         InvalidDocumentError: The body is malformed.
     """
-    return _decode(_changes_decoder, body)
+    try:
+        return _decode(_changes_decoder, body)
+    except InvalidDocumentError:
+        values = _members(body)
+    return _Changes(
+        events=tuple(
+            _split_event(event) for event in _raw_elements(values, b'"events"')
+        ),
+        at=_decode(_integer_decoder, values.get(b'"At"', b"")),
+    )
+
+
+def _split_event(raw: bytes) -> _Event:
+    values = _members(raw)
+    return _Event(
+        msgspec.Raw(values.get(b'"Object"', b"null")),
+        values.get(b'"Deleted"') == b"true",
+    )
 
 
 def decode_stored_object(raw: bytes) -> StoredObject:
     """Decodes the metadata of one object; spec and status stay encoded.
 
+    If only the metadata can be read, spec and status are null, so that the
+    object is known by its name and has no valid content.
+
     Raises:
         InvalidDocumentError: The object has no name or is malformed.
     """
-    return _decode(_object_decoder, raw)
+    try:
+        return _decode(_object_decoder, raw)
+    except InvalidDocumentError:
+        values = _members(raw)
+    metadata = values.get(b'"Metadata"', b"")
+    return StoredObject(_decode(_metadata_decoder, metadata))
+
+
+def _members(container: bytes) -> dict[bytes, bytes]:
+    try:
+        return json_parts.members(bytes(container))
+    except json_parts.MalformedContainerError as error:
+        raise InvalidDocumentError(
+            f"The document is malformed: {error}"
+        ) from error
+
+
+def _raw_elements(
+    values: dict[bytes, bytes], name: bytes
+) -> Iterable[msgspec.Raw]:
+    try:
+        elements = json_parts.elements(values.get(name, b""))
+    except json_parts.MalformedContainerError as error:
+        raise InvalidDocumentError(
+            f"The document is malformed: {error}"
+        ) from error
+    return map(msgspec.Raw, elements)
 
 
 def encode_stored_object(stored: StoredObject) -> bytes:
@@ -287,8 +356,8 @@
     """Decodes the entry of a target.
 
     Raises:
-        InvalidDocumentError: A field is missing or has the wrong type, the
-            state is unknown, the address has no port, or there is no slot.
+        InvalidDocumentError: A field is missing, has the wrong type or an
+            implausible value.
     """
     document = _decode(_target_decoder, stored.spec)
     status = document.status
@@ -296,13 +365,17 @@
         status = _decode(_target_status_decoder, stored.status)
     draining = DRAINING_BY_STATE.get(status.state)
     if draining is None:
-        raise InvalidDocumentError(f"The state {status.state!r} is unknown.")
-    if not document.address.rpartition(":")[2].isdigit():
+        quoted = _quote(status.state)
+        raise InvalidDocumentError(f"The state {quoted} is unknown.")
+    if _NAME_PATTERN.fullmatch(stored.metadata.name) is None:
         raise InvalidDocumentError(
-            f"{document.address!r} is not an address of the form `ip:port`."
+            "The name of a target must be printable ASCII without spaces."
         )
-    if document.info.slots < 1:
-        raise InvalidDocumentError("A target needs at least one slot.")
+    _check_address(document.address)
+    cold_s = max(0.0, status.cold_remaining_ms) / MS_PER_S
+    _check_limit("slots", document.info.slots, 1, MAX_SLOTS)
+    _check_limit("seconds of warm-up", cold_s, 0, MAX_COLD_S)
+    _check_limit("start", document.born, 0, MAX_STARTED_MS)
     return registry.TargetEntry(
         name=stored.metadata.name,
         service=document.info.service,
@@ -310,11 +383,40 @@
         zone=document.info.zone,
         slots=document.info.slots,
         draining=draining,
-        cold_s=max(0.0, status.cold_remaining_ms) / MS_PER_S,
+        cold_s=cold_s,
         started_ms=document.born,
     )
 
 
+def _check_address(address: str) -> None:
+    ip, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(ip)
+        is_valid = (
+            _PORT_PATTERN.fullmatch(port) is not None
+            and 0 < int(port) <= MAX_PORT
+        )
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise InvalidDocumentError(
+            f"{_quote(address)} is not an address of the form `ip:port`."
+        )
+
+
+def _check_limit(
+    field: str, value: float, minimum: float, maximum: float
+) -> None:
+    if not minimum <= value <= maximum:
+        raise InvalidDocumentError(
+            f"The value of {field} must be from {minimum} to {maximum}."
+        )
+
+
+def _quote(text: str) -> str:
+    return repr(text[:MAX_QUOTED_CHARACTERS])
+
+
 def decode_vm_record(stored: StoredObject) -> registry.VmRecord:
     """Decodes the record of an entry VM.
 
@@ -383,7 +485,8 @@
 def _decode(decoder: msgspec.json.Decoder, raw: bytes) -> object:
     try:
         return decoder.decode(raw)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    # Integers of thousands of digits raise a `ValueError`.
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise InvalidDocumentError(
             f"The document is malformed: {error}"
         ) from error
--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -116,8 +116,13 @@
             # first page misses no change.
             if first_revision is None:
                 first_revision = page.at
-            if not page.has_more or not valid:
+            if not page.has_more:
                 break
+            if not valid:
+                raise documents.InvalidDocumentError(
+                    f"No object of a page of {kind} can be read; fix its "
+                    "writer."
+                )
             after = valid[-1].metadata.name
         return Listing(tuple(objects), tuple(decode_errors), first_revision)
 
--- a/mulberrydeck/platform/tests/test_documents.py
+++ b/mulberrydeck/platform/tests/test_documents.py
@@ -57,6 +57,16 @@
         target_spec(Status={"State": None}),
         target_spec(Status={}),
         target_spec(born="yesterday"),
+        target_spec(born=10**400),
+        target_spec(born=-1),
+        target_spec(Address="10.0.0.1:99999"),
+        target_spec(Address="10.0.0.1:0"),
+        target_spec(Address="10.0.0.1:\N{SUPERSCRIPT TWO}"),
+        target_spec(Address="10.0.0.1\r\n:80"),
+        target_spec(Address="elsewhere:80"),
+        target_spec(Info={"Service": "s", "Zone": "z", "Slots": 10**400}),
+        target_spec(Info={"Service": "s", "Zone": "z", "Slots": -3}),
+        target_spec(Status={"State": "ready", "ColdRemainingMs": 10**300}),
     ],
 )
 def test_invalid_entries_of_other_writers_are_rejected(spec):
@@ -64,6 +74,55 @@
         documents.decode_target(stored(spec))
 
 
+@pytest.mark.parametrize(
+    "name", ["i 1", "i-1\r\nA: b", "\u4e2d", "", "i" * 999]
+)
+def test_names_that_cannot_stand_in_a_header_are_rejected(name):
+    with pytest.raises(documents.InvalidDocumentError):
+        documents.decode_target(stored(target_spec(), name=name))
+
+
+UNREADABLE_SPECS = {
+    "half a surrogate pair": rb'{"Address":"\ud83d"}',
+    "bytes that are not UTF-8": b'{"Address":"\xff\xfe"}',
+    "deep nesting": b"[" * 100_000 + b"]" * 100_000,
+    "deep objects": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "a number of 9,000 digits": b'{"Slots":' + b"9" * 9000 + b"}",
+    "a number out of range": b'{"Slots":1e999}',
+    "not JSON": b"nonsense",
+    "brackets in a string": rb'"]}{[,\"\ud83d"',
+}
+
+
+# Guards against lists and watches that fail for one entry of another writer.
+@pytest.mark.parametrize("case", UNREADABLE_SPECS)
+def test_an_unreadable_entry_hides_no_other_entry(case):
+    good = json.dumps(
+        {"Metadata": {"Name": "i-1"}, "Spec": target_spec()}
+    ).encode()
+    odd = (
+        b'{"Metadata":{"Name":"odd"}, "Spec":%s,"Status":null}'
+        % (UNREADABLE_SPECS[case])
+    )
+    page = documents.decode_page(
+        b'{"HasMore":true,"items":[%s, %s,%s],"At":7}' % (good, odd, good)
+    )
+    events = b",".join(
+        b'{"Object":%s,"Deleted":%s}' % (each, deleted)
+        for each, deleted in ((good, b"false"), (odd, b"false"), (odd, b"true"))
+    )
+    changes = documents.decode_changes(b'{"At":9,"events":[%s]}' % events)
+    assert (page.at, page.has_more, changes.at) == (7, True, 9)
+    assert [event.deleted for event in changes.events] == [False, False, True]
+    for objects in (page.items, [event.object for event in changes.events]):
+        valid, decode_errors = documents.decode_valid_objects(objects)
+        assert not decode_errors
+        assert [each.metadata.name for each in valid][:2] == ["i-1", "odd"]
+        assert documents.decode_target(valid[0]).name == "i-1"
+        with pytest.raises(documents.InvalidDocumentError):
+            documents.decode_target(valid[1])
+
+
 def test_invalid_objects_do_not_affect_the_valid_ones():
     good = json.dumps({"Metadata": {"Name": "a"}, "Spec": {}}).encode()
     valid, decode_errors = documents.decode_valid_objects(
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -7,6 +7,7 @@
 import time
 import urllib.parse
 
+import attrs
 import gevent
 from gevent import pywsgi
 from gevent import socket as gevent_socket
@@ -24,6 +25,17 @@
 ]
 
 
+@attrs.frozen
+class RawJson:
+    """A value whose encoded form is given, also one that is not valid JSON.
+
+    Attributes:
+        encoded: The encoded form.
+    """
+
+    encoded: bytes
+
+
 class Connection:
     """The accepted connection of a request, for faults below HTTP.
 
@@ -159,8 +171,16 @@
 def respond_json(
     start_response: StartResponse, data: object, status: str = "200 OK"
 ) -> list[bytes]:
-    """Responds with JSON."""
-    body = json.dumps(data).encode()
+    """Responds with JSON; `RawJson` values stand in it as they are."""
+    raw_values: list[RawJson] = []
+
+    def placeholder(value: RawJson) -> str:
+        raw_values.append(value)
+        return f"\0{len(raw_values) - 1}\0"
+
+    body = json.dumps(data, default=placeholder).encode()
+    for number, value in enumerate(raw_values):
+        body = body.replace(json.dumps(f"\0{number}\0").encode(), value.encoded)
     content_type = ("Content-Type", "application/json")
     return respond(start_response, status, body, [content_type])
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,94 @@
+"""Entries of targets that another writer has left in the store."""
+
+import time
+
+import gevent
+import pytest
+
+from standins import serving
+from standins import waiting
+from standins.users_platform import fleet as steering_fleet
+
+VM = "coast-a-1"
+NEW_VM = "coast-b-1"
+DRAIN_S = 2.5  # Later than this, a target that left gets no requests.
+
+
+def entry(**changes):
+    """Returns an entry of the service that nobody listens for."""
+    info = {
+        "Service": steering_fleet.SERVICE,
+        "Version": "v1",
+        "Zone": "coast-a",
+        "Slots": 6,
+    }
+    values = {
+        "Address": "127.0.0.1:9",
+        "born": 1,
+        "Info": {**info, **changes.pop("Info", {})},
+        "Status": {"State": "ready", "Seq": 1},
+    }
+    return {**values, **changes}
+
+
+ODD_ENTRIES = {
+    "surrogate": entry(Info={"Version": "v1 \ud83d"}),
+    "nested": entry(
+        Version=serving.RawJson(b"[" * 3000 + b"]" * 3000),
+    ),
+    "bytes": serving.RawJson(b'{"Address":"\xff"}'),
+    "slots": entry(Info={"Slots": 10**400}),
+    "digits": entry(born=serving.RawJson(b"9" * 9000)),
+    "cold": entry(
+        Status={"State": "ready", "ColdRemainingMs": serving.RawJson(b"1e999")}
+    ),
+    "port": entry(Address="127.0.0.1:99999"),
+    "digit": entry(Address="127.0.0.1:\N{SUPERSCRIPT TWO}"),
+    "host": entry(Address="\u4e2d:80"),
+    "\u4e2d": entry(),
+    "two\r\nlines": entry(),
+}
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet(tmp_path):
+    """One VM and two targets, ready to serve."""
+    with steering_fleet.SteeringFleet(tmp_path) as fleet:
+        fleet.configure()
+        fleet.add_target("t1", slots=50)
+        fleet.add_target("t2", slots=50)
+        fleet.start_vm(VM)
+        waiting.until(lambda: status(fleet) == 200, "the VM serves")
+        yield fleet
+
+
+def status(fleet, number=0, name=VM):
+    client = fleet.client(name)
+    _, response = fleet.request(
+        client, f"/read/{number}", **{"X-Affinity-Key": str(number)}
+    )
+    client.close()
+    return getattr(response, "status", response)
+
+
+# Guards against VMs that stop following the store, or fail requests, because of
+# one entry that they cannot read or use.
+@pytest.mark.parametrize(
+    "names", [*([name] for name in ODD_ENTRIES), ODD_ENTRIES]
+)
+def test_an_odd_entry_affects_no_other_entry(fleet, names):
+    for name in names:
+        fleet.store.put("servers", name, ODD_ENTRIES[name])
+    gevent.sleep(0.5)
+    assert {status(fleet, number) for number in range(30)} == {200}
+    fleet.store.remove("servers", "t1")
+    removed_s = time.monotonic()
+    while time.monotonic() < removed_s + DRAIN_S:
+        status(fleet, int(time.monotonic() * 100))
+    fleet.targets["t1"].runs.clear()
+    fleet.start_vm(NEW_VM, "coast-b")
+    for name in (VM, NEW_VM):
+        statuses = {status(fleet, number, name) for number in range(30)}
+        assert statuses == {200}
+    assert not fleet.targets["t1"].runs
+    assert fleet.vms[VM].is_running()
