Never take a final head that breaks off for a whole response

Operators reported that callers got an empty 200 when a target closed in the middle of its head. Here it was so for HEAD after an interim response: the HTTP library restores the completion of the interim message when parsing of the next one fails. Ruled out: GET, where every cut ended with an error before.

An interim response no longer counts as one whose body is skipped. The test cuts a response at every byte; two of six cases failed before.

--- a/mulberrydeck/forward/responses.py
+++ b/mulberrydeck/forward/responses.py
@@ -134,6 +134,15 @@
         self.pieces.clear()
         return data
 
+    def _on_headers_complete(self) -> bool:
+        skips_body = super()._on_headers_complete()
+        if self.get_code() < 200:
+            # Only the final response to HEAD ends with its head; otherwise, a
+            # truncated final head after an interim response seems complete.
+            self._message_ended_in_skip_body = False
+            return False
+        return skips_body
+
     def _on_message_begin(self) -> None:
         if self.complete:
             raise SurplusBytesError("bytes after the end of the response")
--- a/mulberrydeck/forward/tests/test_responses.py
+++ b/mulberrydeck/forward/tests/test_responses.py
@@ -89,3 +89,33 @@
     with pytest.raises(response.HTTPParseError):
         parser.accept(b"A: b\r\n" * 2000)
     assert len(parser.fields) <= 1000
+
+
+FINAL_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n"
+INTERIM_HEAD = b"HTTP/1.1 100 Continue\r\nX-Attempt-Id: a1\r\n\r\n"
+
+
+# Guards against a response whose head breaks off, delivered as a whole one.
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("interim", [b"", INTERIM_HEAD, INTERIM_HEAD * 2])
+def test_a_response_that_breaks_off_in_its_head_is_never_complete(
+    method, interim
+):
+    for length in range(len(interim + FINAL_HEAD)):
+        for split in {0, length // 2, max(0, length - 1)}:
+            parser = responses.ResponseParser(method)
+            data = (interim + FINAL_HEAD)[:length]
+            if data[:split]:
+                parser.accept(data[:split])
+            if data[split:]:
+                parser.accept(data[split:])
+            with pytest.raises(response.HTTPParseError):
+                parser.accept(b"")
+            assert not parser.complete
+
+
+def test_a_response_to_head_ends_with_its_head():
+    parser = responses.ResponseParser("HEAD")
+    parser.accept(INTERIM_HEAD + FINAL_HEAD)
+    assert parser.complete
+    assert parser.keeps_connection
