Accept no response without identifier on a kept connection

Operators reported it and a test shows it here: a target writes an earlier refusal, without the identifier, once more on a kept connection.

Cause: a response without identifier was left to the parser, and the refusal was believed. Ruled out: copies with the identifier of the earlier request, which were skipped before, and copies on idle connections, which are closed.

On a kept connection a response must carry the identifier; otherwise the outcome is unknown. Requests without identifier use new connections.

--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -151,6 +151,9 @@
             connection = self.pool.acquire(
                 self.hop.address,
                 self._remaining_s(),
+                # Only an identifier tells a late response to an earlier request
+                # of the connection from the response to this one.
+                fresh=not self.hop.attempt_id,
                 max_idle_s=math.inf
                 if self.hop.repeatable
                 else MAX_IDLE_AT_MOST_ONCE_S,
@@ -204,10 +207,21 @@
                 raise InvalidResponseError("response head too large")
             if self.parser.get_code() == responses.SWITCHING_PROTOCOLS:
                 raise InvalidResponseError("unexpected protocol upgrade")
+        self._check_identifier(connection)
         status = self.parser.get_code()
         if 200 <= status < 300:
             self._check_success()
 
+    def _check_identifier(self, connection: pools.Connection) -> None:
+        """Checks that a kept connection carries the response to this request.
+
+        A response without an identifier may be the copy of an earlier one.
+        """
+        if connection.reused and not self.parser.first(headers.ATTEMPT_ID):
+            raise InvalidResponseError(
+                "response without identifier on a kept connection"
+            )
+
     def _check_success(self) -> None:
         if not self.parser.first(headers.SIGNATURE):
             raise InvalidResponseError("successful response without signature")
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -8,6 +8,9 @@
 from mulberrydeck.steering import exchange
 
 SEND_WITHIN_S = 0.15
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n%s\r\n"
+)
 RESPONSE = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Attempt-Id: a1\r\n"
     b"X-Response-Signature: s\r\n\r\nok"
@@ -15,9 +18,13 @@
 
 
 class Target:
-    """Responds to each request and records the received bytes."""
+    """Responds to each request and records the received bytes.
 
-    def __init__(self):
+    The responses of the first requests are given; all others get a 200.
+    """
+
+    def __init__(self, *responses):
+        self.responses = list(responses)
         self.received = []
         self.connections = 0
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
@@ -27,7 +34,7 @@
         self.connections += 1
         while data := sock.recv(4096):
             self.received.append(data)
-            sock.sendall(RESPONSE)
+            sock.sendall(self.responses.pop(0) if self.responses else RESPONSE)
 
 
 class Clock:
@@ -45,12 +52,12 @@
     target.server.stop(timeout=0)
 
 
-def run_attempt(target, clock, pool, delay_s):
+def run_attempt(target, clock, pool, delay_s=0.0, attempt_id="a1"):
     hop = exchange.Hop(
         address=f"127.0.0.1:{target.server.server_port}",
         head=b"GET / HTTP/1.1\r\nhost: t\r\n\r\n",
         method="GET",
-        attempt_id="a1",
+        attempt_id=attempt_id,
         deadline_s=clock.now_s() + 2.0,
         send_by_s=clock.now_s() + SEND_WITHIN_S,
     )
@@ -76,3 +83,44 @@
     assert run_attempt(target, clock, pool, 0.0).status == 200
     assert len(target.received) == 1
     assert target.connections == 1
+
+
+# Guards against a refusal that a target writes once more on a kept connection
+# and that is taken for the response to the next request.
+@pytest.mark.parametrize(
+    ("identifier", "outcome"),
+    [
+        (b"X-Attempt-Id: a0\r\n", exchange.Outcome.ANSWERED),
+        (b"", exchange.Outcome.BROKEN),
+    ],
+)
+def test_the_copy_of_a_refusal_does_not_refuse_the_next_request(
+    target, identifier, outcome
+):
+    refusal = REFUSAL % identifier
+    target.responses = [RESPONSE.replace(b"a1", b"a0"), refusal + RESPONSE]
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    first = run_attempt(target, clock, pool, attempt_id="a0")
+    assert first.outcome is exchange.Outcome.ANSWERED
+    assert run_attempt(target, clock, pool).outcome is outcome
+    assert target.connections == 1
+
+
+@pytest.mark.parametrize("identifier", [b"X-Attempt-Id: a1\r\n", b""])
+def test_a_refusal_on_a_new_connection_is_accepted(target, identifier):
+    target.responses = [REFUSAL % identifier]
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.REJECTED
+
+
+def test_a_request_without_identifier_uses_a_connection_of_its_own(target):
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    run_attempt(target, clock, pool)
+    target.responses = [REFUSAL % b""]
+    attempt = run_attempt(target, clock, pool, attempt_id="")
+    assert attempt.outcome is exchange.Outcome.REJECTED
+    assert target.connections == 2
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -13,6 +13,9 @@
 END_OF_HEAD = b"\r\n\r\n"
 RECEIVE_BYTES = 65536
 SIGNATURE = "sig"
+# The copy of a refusal arrives while the next request is running.
+COPY_DELAY_S = 0.05
+CUT_HEAD_BYTES = 10
 
 
 @attrs.frozen
@@ -127,18 +130,17 @@
         Args:
             sock: Connection of the request.
             received: The request.
-            fault: Empty for none; `reject`, `hang`, or a fault of `_finish` or
-                `_respond_endlessly`.
+            fault: Empty for none; `reject`, `reject twice` (the copy comes
+                late), `reject bare twice` (both without the identifier),
+                `hang`, or a fault of `_finish` or `_respond_endlessly`.
         """
         attempt_id = received.fields.get("x-attempt-id", "")
         addressee = received.fields.get("x-target-instance", self.name)
         if addressee != self.name:
             self.rejected += 1
             return self._send(sock, "421 Misdirected", attempt_id, b"")
-        if fault == "reject" or self.running >= self.slots:
-            self.rejected += 1
-            not_run_header = ["X-Not-Executed: 1"]
-            return self._send(sock, "503 Busy", attempt_id, b"", not_run_header)
+        if fault.startswith("reject") or self.running >= self.slots:
+            return self._reject(sock, fault, attempt_id)
         self.runs.append(received)
         self.running += 1
         try:
@@ -153,6 +155,16 @@
             return self._respond_endlessly(sock, fault, attempt_id, body)
         return self._finish(sock, fault, attempt_id, body)
 
+    def _reject(self, sock, fault: str, attempt_id: str) -> bool:
+        self.rejected += 1
+        head = self._head("503 Busy", attempt_id, 0, ["X-Not-Executed: 1"])
+        if "bare" in fault:
+            head = head.replace(f"X-Attempt-Id: {attempt_id}\r\n".encode(), b"")
+        sock.sendall(head)
+        if "twice" in fault:
+            gevent.spawn_later(COPY_DELAY_S, _send_copy, sock, head)
+        return True
+
     def _work(self, sock, fault: str) -> bool:
         """Waits for the work time.
 
@@ -187,6 +199,10 @@
                 head = self._head("200 OK", attempt_id, len(body) + 9)
                 sock.sendall(head + body)
                 return False
+            case "cut head":
+                head = self._head("200 OK", attempt_id, len(body))
+                sock.sendall(head[:-CUT_HEAD_BYTES])
+                return False
             case "garbage":
                 sock.sendall(b"\0\1\2 this is no answer\r\n\r\n")
                 return False
@@ -267,6 +283,11 @@
         return True
 
 
+def _send_copy(sock, data: bytes) -> None:
+    with contextlib.suppress(OSError):
+        sock.sendall(data)
+
+
 def _receive(sock) -> bytes:
     """Returns the next bytes of a connection.
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -105,7 +105,15 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["reset", "truncate", "garbage", "unsigned", "unframed reset"]
+    "fault",
+    [
+        "reset",
+        "truncate",
+        "cut head",
+        "garbage",
+        "unsigned",
+        "unframed reset",
+    ],
 )
 def test_a_safe_request_survives_a_broken_response(fleet, fault):
     fleet.add_target("t3")
@@ -120,7 +128,15 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["reset", "truncate", "garbage", "unsigned", "unframed reset"]
+    "fault",
+    [
+        "reset",
+        "truncate",
+        "cut head",
+        "garbage",
+        "unsigned",
+        "unframed reset",
+    ],
 )
 def test_a_single_run_with_a_broken_response_is_not_run_again(fleet, fault):
     _clear_runs(fleet)
@@ -162,6 +178,33 @@
     assert len(_runs(fleet)) == statuses.count(200)
 
 
+# Guards against the copy of a refusal that is taken for the next response: the
+# caller is told "not run", or another target runs the request again.
+@pytest.mark.parametrize("fault", ["reject twice", "reject bare twice"])
+def test_a_refusal_that_a_target_repeats_refuses_no_other_request(fleet, fault):
+    _clear_runs(fleet)
+    for target in fleet.targets.values():
+        target.work_s = 0.1
+    statuses = {}
+    client = fleet.client()
+    for number in range(16):
+        if number % 2 == 0:
+            for target in fleet.targets.values():
+                target.queued_faults.append(fault)
+        attempt_id, response = fleet.request(
+            client, "/once/1", "POST", b"", **{"X-Affinity-Key": str(number)}
+        )
+        statuses[attempt_id] = response.status
+    for target in fleet.targets.values():
+        target.queued_faults.clear()
+        target.work_s = 0.0
+    runs = [run.fields["x-attempt-id"] for run in _runs(fleet)]
+    assert len(runs) == len(set(runs))
+    refused = {key for key, status in statuses.items() if status == 503}
+    assert refused
+    assert not refused.intersection(runs)
+
+
 def test_a_full_service_refuses_at_once_with_retry_after(fleet):
     for target in fleet.targets.values():
         target.slots = 0
