Soak: play the failures of targets that operators reported

Repeated refusals, broken heads, odd entries and uploads in chunks above the buffer, drawn apart from the other faults, so that earlier seeds stay as they were. Bodies that reach targets are compared with what was sent.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,9 @@
 )
 @click.option("--crowded", is_flag=True, help="Many VMs in one zone.")
 @click.option("--cold", is_flag=True, help="Targets also turn cold.")
+@click.option(
+    "--faulty", is_flag=True, help="Also failures that operators reported."
+)
 def main(
     first: int,
     seeds: int,
@@ -28,6 +31,7 @@
     mesh: bool,
     crowded: bool,
     cold: bool,
+    faulty: bool,
 ) -> None:
     """Runs seeds; prints broken promises, faults and directories of logs."""
     failed = []
@@ -35,7 +39,13 @@
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         start_s = time.monotonic()
         seed_result = runs.run_seed(
-            seed, duration, directory, mesh, crowded=crowded, cold=cold
+            seed,
+            duration,
+            directory,
+            mesh,
+            crowded=crowded,
+            cold=cold,
+            faulty=faulty,
         )
         elapsed_s = time.monotonic() - start_s
         click.echo(f"seed {seed}: {seed_result.summary} in {elapsed_s:.0f} s")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that send requests to the VMs while faults are injected."""
 
+from collections.abc import Iterator
 import random
 import time
 import uuid
@@ -15,6 +16,9 @@
 # the limit while it is cold.
 COLD_CALLERS_PER_VM = 9
 MEAN_PAUSE_S = 0.08
+LARGE_UPLOAD_RATIO = 0.2
+MAX_UPLOAD_BYTES = 2_000_000
+PIECE_BYTES = 30_000
 PROBE_INTERVAL_S = 0.2
 # Timeout of a caller. The deadline in its requests is 2 s.
 TIMEOUT_S = 12.0
@@ -32,6 +36,7 @@
         ended_s: Monotonic time at which its response was complete or had
             failed, in seconds.
         response: The complete response, or the reason why there is none.
+        body: Body that was sent, or empty.
     """
 
     attempt_id: str
@@ -40,6 +45,7 @@
     sent_s: float
     ended_s: float
     response: http_client.Response | http_client.NoResponse
+    body: bytes = b""
 
 
 @attrs.frozen
@@ -66,6 +72,8 @@
         calls: Requests so far.
         probes: Requests that check which version is in force.
         stopping: Set to stop the callers.
+        large_uploads: Whether some bodies are sent in chunks and exceed what a
+            VM keeps in memory.
     """
 
     def __init__(
@@ -73,7 +81,9 @@
         fleet: fleets.SoakFleet,
         seed: int,
         callers_per_vm: int = CALLERS_PER_VM,
+        large_uploads: bool = False,
     ):
+        self.large_uploads = large_uploads
         self.fleet = fleet
         self.calls: list[Call] = []
         self.probes: list[Probe] = []
@@ -124,14 +134,31 @@
         body = None
         if kind == "once":
             body = rng.randbytes(rng.choice((10, 3000, 90000)))
+        sent = body
+        if self.large_uploads and body and rng.random() < LARGE_UPLOAD_RATIO:
+            body = rng.randbytes(rng.randrange(MAX_UPLOAD_BYTES))
+            sent = _pieces(body)
         sent_s = time.monotonic()
         _, response = self.fleet.request(
             client,
             path,
             "POST" if body else "GET",
-            body,
+            sent,
             attempt_id=attempt_id,
             **headers,
         )
         single = kind == "once"
-        return Call(attempt_id, vm, single, sent_s, time.monotonic(), response)
+        return Call(
+            attempt_id,
+            vm,
+            single,
+            sent_s,
+            time.monotonic(),
+            response,
+            body or b"",
+        )
+
+
+def _pieces(body: bytes) -> Iterator[bytes]:
+    for start in range(0, len(body), PIECE_BYTES):
+        yield body[start : start + PIECE_BYTES]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -45,6 +45,7 @@
         _check_single_runs,
         _check_refusals,
         _check_response_bodies,
+        _check_request_bodies,
         _check_lost_calls,
         _check_key_secrecy,
         _check_exits,
@@ -103,6 +104,17 @@
             yield f"{call.attempt_id} got the response {response.body[:40]!r}"
 
 
+def _check_request_bodies(
+    fleet: fleets.SoakFleet, calls: list[Call]
+) -> Iterator[str]:
+    bodies = {call.attempt_id: call.body for call in calls}
+    for target in fleet.targets.values():
+        for run in target.runs:
+            attempt_id = run.fields.get("x-attempt-id", "")
+            if run.body != bodies.get(attempt_id, run.body):
+                yield f"{attempt_id} ran with a changed body"
+
+
 def _check_lost_calls(
     fleet: fleets.SoakFleet, calls: list[Call]
 ) -> Iterator[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from standins.users_platform import odd_entries
+
 VMS = {
     "coast-a-1": "coast-a",
     "coast-a-2": "coast-a",
@@ -26,6 +28,13 @@
     "extra late",
     "reject",
 )
+# Reported by operators of similar systems.
+REPORTED_RESPONSE_FAULTS = (
+    "cut head",
+    "reject twice",
+    "reject bare twice",
+    "extra late",
+)
 # Range of the number of faults in a series. They are the same fault, started
 # again after a short gap.
 SERIES_LENGTH = (1, 3)
@@ -153,6 +162,17 @@
     target: str
 
 
+@attrs.frozen
+class OddEntry:
+    """Another writer leaves an entry among those of the targets.
+
+    Attributes:
+        name: Name of the entry, a key of `odd_entries.ENTRIES`.
+    """
+
+    name: str
+
+
 Fault = (
     Kill
     | Stop
@@ -167,6 +187,7 @@
     | Evacuate
     | Configure
     | Cool
+    | OddEntry
 )
 
 
@@ -238,6 +259,31 @@
     return tuple(planned_faults)
 
 
+def plan_faulty_targets(
+    seed: int, duration_s: float
+) -> tuple[PlannedFault, ...]:
+    """Returns faulty responses and odd entries of targets.
+
+    Args:
+        seed: Seed of the random generator.
+        duration_s: Time within which faults start, in seconds.
+    """
+    rng = random.Random(f"faulty/{seed}")
+    planned_faults = []
+    start_s = 0.0
+    while start_s < duration_s:
+        if rng.random() < 0.5:
+            fault = OddEntry(rng.choice(sorted(odd_entries.ENTRIES)))
+        else:
+            response_faults = rng.choices(REPORTED_RESPONSE_FAULTS, k=4)
+            target = rng.choice(sorted(TARGETS))
+            fault = FaultyResponses(target, tuple(response_faults))
+        duration = rng.uniform(*DURATION_RANGE_S)
+        planned_faults.append(PlannedFault(start_s, duration, fault))
+        start_s += rng.uniform(*GAP_RANGE_S)
+    return tuple(planned_faults)
+
+
 def _draw_fault(rng: random.Random, vms: dict[str, str]) -> Fault:
     vm = rng.choice(sorted(vms))
     target = rng.choice(sorted(TARGETS))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,6 +16,7 @@
 from standins.fault_proxy import specification
 from standins.users_platform import fleet as fleets
 from standins.users_platform import instances
+from standins.users_platform import odd_entries
 
 FIRST_LINK_PORT = 8700
 STOP_TIMEOUT_S = 6.0  # As on the users' platform.
@@ -251,6 +252,10 @@
                 self.cold_until_s[target] = time.monotonic() + faults.COLD_S
                 self._update_cold_entry(target)
                 cleanup.callback(self._update_cold_entry, target)
+            case faults.OddEntry(name):
+                entry = odd_entries.ENTRIES[name]
+                self.store.put("servers", name, entry)
+                cleanup.callback(self.store.remove, "servers", name)
             case faults.Remove(target):
                 if target in self.store.objects["servers"]:
                     self.store.remove("servers", target)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -41,6 +41,7 @@
     timed: bool = True,
     crowded: bool = False,
     cold: bool = False,
+    faulty: bool = False,
 ) -> SeedResult:
     """Injects the faults of a seed under load and checks the promises.
 
@@ -52,6 +53,8 @@
         timed: Whether promises with time bounds are checked too.
         crowded: Whether one zone has many VMs.
         cold: Whether targets also turn cold.
+        faulty: Whether the targets and their entries also fail in the ways that
+            operators of similar systems reported.
     """
     mesh_vms = MESH_VMS if mesh else ZONES_MESH_VMS
     broken_promises: list[str] = []
@@ -62,10 +65,12 @@
     with fleets.SoakFleet(directory, vms, mesh_vms=mesh_vms) as fleet:
         fleet.start()
         start_s = time.monotonic()
-        callers = caller_sets.Callers(fleet, seed, callers_per_vm)
+        callers = caller_sets.Callers(fleet, seed, callers_per_vm, faulty)
         plan = faults.plan(seed, duration_s, vms)
         if cold:
             plan += faults.plan_cold_targets(seed, duration_s, vms)
+        if faulty:
+            plan += faults.plan_faulty_targets(seed, duration_s)
         for greenlet in [
             gevent.spawn_later(planned.start_s, fleet.inject, planned)
             for planned in plan
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,51 +5,15 @@
 import gevent
 import pytest
 
-from standins import serving
 from standins import waiting
 from standins.users_platform import fleet as steering_fleet
+from standins.users_platform import odd_entries
 
 VM = "coast-a-1"
 NEW_VM = "coast-b-1"
 DRAIN_S = 2.5  # Later than this, a target that left gets no requests.
 
 
-def entry(**changes):
-    """Returns an entry of the service that nobody listens for."""
-    info = {
-        "Service": steering_fleet.SERVICE,
-        "Version": "v1",
-        "Zone": "coast-a",
-        "Slots": 6,
-    }
-    values = {
-        "Address": "127.0.0.1:9",
-        "born": 1,
-        "Info": {**info, **changes.pop("Info", {})},
-        "Status": {"State": "ready", "Seq": 1},
-    }
-    return {**values, **changes}
-
-
-ODD_ENTRIES = {
-    "surrogate": entry(Info={"Version": "v1 \ud83d"}),
-    "nested": entry(
-        Version=serving.RawJson(b"[" * 3000 + b"]" * 3000),
-    ),
-    "bytes": serving.RawJson(b'{"Address":"\xff"}'),
-    "slots": entry(Info={"Slots": 10**400}),
-    "digits": entry(born=serving.RawJson(b"9" * 9000)),
-    "cold": entry(
-        Status={"State": "ready", "ColdRemainingMs": serving.RawJson(b"1e999")}
-    ),
-    "port": entry(Address="127.0.0.1:99999"),
-    "digit": entry(Address="127.0.0.1:\N{SUPERSCRIPT TWO}"),
-    "host": entry(Address="\u4e2d:80"),
-    "\u4e2d": entry(),
-    "two\r\nlines": entry(),
-}
-
-
 @pytest.fixture(name="fleet")
 def fixture_fleet(tmp_path):
     """One VM and two targets, ready to serve."""
@@ -74,11 +38,11 @@
 # Guards against VMs that stop following the store, or fail requests, because of
 # one entry that they cannot read or use.
 @pytest.mark.parametrize(
-    "names", [*([name] for name in ODD_ENTRIES), ODD_ENTRIES]
+    "names", [*([name] for name in odd_entries.ENTRIES), odd_entries.ENTRIES]
 )
 def test_an_odd_entry_affects_no_other_entry(fleet, names):
     for name in names:
-        fleet.store.put("servers", name, ODD_ENTRIES[name])
+        fleet.store.put("servers", name, odd_entries.ENTRIES[name])
     gevent.sleep(0.5)
     assert {status(fleet, number) for number in range(30)} == {200}
     fleet.store.remove("servers", "t1")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,14 @@
     assert not played.broken_promises, played.series
 
 
+@pytest.mark.parametrize("mesh", [True, False])
+def test_promises_hold_while_targets_fail_as_operators_reported(mesh, tmp_path):
+    played = runs.run_seed(
+        2001, DURATION_S, tmp_path, mesh, timed=False, faulty=True
+    )
+    assert not played.broken_promises, played.series
+
+
 # Seed, mesh and crowded of each soak, with the cause of its failure.
 REGRESSION_SEEDS = (
     # A SIGHUP during imports, before its handler was installed, ended a VM.
