Let added VMs use units only once the earlier owners gave them up

Cause: an added VM used its part while loans that earlier owners had made of it still ran (4), and while those did not list it yet (5). Ruled out: borrowed tokens, clocks.

Own units of a starting process are held until each listed VM has responded, which it does only to VMs that it lists, and has lent no more than it owns. A heartbeat of a joining VM that is not listed makes the receiver read the list anew. A VM that was added leaves silent VMs what they may have owned before.

--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -285,6 +285,8 @@
             in response.
         reaches_store: Whether the sender can reach the store, and so can
             watch it for other VMs.
+        overlent: Whether the sender has lent more units of a limit than it
+            owns, since its share has shrunk.
     """
 
     incarnation: str
@@ -293,6 +295,7 @@
     holds_loans: bool = False
     joining: bool = False
     reaches_store: bool = False
+    overlent: bool = False
 
 
 @attrs.frozen
--- a/mulberrydeck/quota/configuring.py
+++ b/mulberrydeck/quota/configuring.py
@@ -1,5 +1,7 @@
 """Applies configured bounds and this VM's share of them."""
 
+import math
+
 from mulberrydeck.quota import bucket
 from mulberrydeck.quota import state
 
@@ -15,7 +17,8 @@
 
     A decrease takes effect immediately. An increase becomes usable only after
     a full lease and its margin, because loans of an earlier owner may still
-    cover those units; it then starts without tokens.
+    cover those units; it then starts without tokens. While the units of this VM
+    are held, it becomes usable with them.
 
     Args:
         quota: State of this VM.
@@ -35,10 +38,22 @@
             resource = state.ResourceState(bound, updated_s=now_s)
             quota.resources[name] = resource
             usable_s = min(usable_s, _new_usable_s(quota, name, new_usable_s))
+            if quota.units_held:
+                quota.hold_until_s = max(quota.hold_until_s, usable_s)
+        if quota.units_held:
+            usable_s = math.inf
         units = own_units.get(name, 0)
         _apply_bound(now_s, resource, bound, units, usable_s)
 
 
+def owner_removed(quota: state.QuotaState, now_s: float) -> None:
+    """Prolongs the hold on own units, as an owner of units was removed.
+
+    Loans that it has made may last that long.
+    """
+    quota.hold_until_s = now_s + _max_loan_s(quota)
+
+
 def _max_loan_s(quota: state.QuotaState) -> float:
     """Returns the longest time a loan of another owner lasts, in seconds."""
     return quota.settings.quota_lease_s + quota.settings.lease_margin_s
--- a/mulberrydeck/quota/reducer.py
+++ b/mulberrydeck/quota/reducer.py
@@ -218,19 +218,33 @@
     )
 
 
+def is_overlent(quota: state.QuotaState) -> bool:
+    """Returns whether this VM has lent more units than it owns.
+
+    That is so after its share has shrunk, until the loans have ended.
+    """
+    return any(
+        resource.lent_units > resource.own_units
+        for resource in quota.resources.values()
+    )
+
+
 def activate_pending_units(quota: state.QuotaState, now_s: float) -> None:
-    """Makes pending own units usable without waiting for loans to expire.
+    """Ends the hold on own units, so that they become usable.
 
-    Call it only when no other VM holds loans of an earlier process of this VM.
+    Call it only when no other VM uses them, by loans of an earlier process of
+    this VM or as their earlier owner.
 
     Args:
         quota: State of this VM.
         now_s: Current time, in seconds.
     """
+    quota.units_held = False
+    usable_s = max(now_s, quota.hold_until_s)
     for resource in quota.resources.values():
         bucket.advance(resource, now_s)
         resource.pending = [
-            state.PendingUnits(entry.units, min(entry.usable_s, now_s))
+            state.PendingUnits(entry.units, min(entry.usable_s, usable_s))
             for entry in resource.pending
         ]
         bucket.advance(resource, now_s)
--- a/mulberrydeck/quota/state.py
+++ b/mulberrydeck/quota/state.py
@@ -309,6 +309,10 @@
         next_loan_id: Identifier of the next loan.
         removed_s: When a resource lost its bound, in seconds, by resource.
         stopping: Whether a planned stop has begun.
+        units_held: Whether own units stay pending until
+            `activate_pending_units`, as other VMs may still use them.
+        hold_until_s: Earliest time at which held units may become usable, in
+            seconds.
     """
 
     incarnation: str
@@ -327,3 +331,5 @@
     next_loan_id: int = 1
     removed_s: dict[str, float] = attrs.field(factory=dict)
     stopping: bool = False
+    units_held: bool = False
+    hold_until_s: float = -math.inf
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -143,6 +143,7 @@
         handlers[effects.Log] = self.reports.log
         handlers[quota_effects.SendMessage] = self._send
         handlers[effects.FollowStore] = self.store_sync.apply
+        handlers[effects.ListVms] = self.store_sync.list_vms
         handlers[effects.ConnectPeer] = self._connect
         handlers[effects.DisconnectPeer] = self._disconnect
 
@@ -208,7 +209,8 @@
         if self.peers is None:
             self.peers = self._create_transport(secret)
             self.peers.start()
-        vm_registration.register()
+        if vm_registration.register():
+            self.loop.submit(events.VmAdded(now_s()))
         self.store_sync.add(self.store_kinds.vms_kind())
 
     def _create_transport(self, secret: str) -> transport.PeerTransport:
--- a/mulberrydeck/steering/effects.py
+++ b/mulberrydeck/steering/effects.py
@@ -83,6 +83,11 @@
     plan: sync_plans.SyncPlan
 
 
+@attrs.frozen
+class ListVms:
+    """List the registered VMs anew."""
+
+
 @attrs.frozen
 class ConnectPeer:
     """Open or replace the connection to another VM.
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -266,6 +266,13 @@
     request_id: str
 
 
+@attrs.frozen
+class VmAdded:
+    """This VM was registered for the first time."""
+
+    at_s: float
+
+
 @attrs.frozen
 class StopRequested:
     """The process must stop gracefully."""
--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -18,9 +18,8 @@
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import members
 
-# Heartbeat interval until loans of earlier processes are excluded. This VM
-# cannot use its units before then, and messages to VMs not yet connected are
-# lost.
+# Heartbeat interval until this VM may use its units. Messages to VMs not yet
+# connected are lost.
 JOINING_IN_MESH_INTERVAL_S = 0.2
 # Longer in a large fleet, where more responses have to be sent and read.
 JOINING_IN_ZONES_INTERVAL_S = 0.3
@@ -82,11 +81,15 @@
         lenders: VMs from which it holds loans.
     """
     schedule.next_s = now_s + _interval_s(fleet)
+    awaited = members.awaited(fleet)
     produced: list[object] = [
         quota_effects.SendMessage(
-            name, attrs.evolve(own, holds_loans=name in lenders)
+            name,
+            attrs.evolve(
+                own, holds_loans=name in lenders, joining=name in awaited
+            ),
         )
-        for name in _receivers(schedule, fleet)
+        for name in _receivers(schedule, fleet, awaited)
     ]
     if not fleet.is_mesh:
         digest = _digest(fleet, now_s, own)
@@ -126,22 +129,23 @@
 
 def _interval_s(fleet: members.Fleet) -> float:
     interval_s = fleet.settings.beat_interval_s
-    if fleet.old_loans_excluded:
+    if fleet.units_usable:
         return interval_s
     if fleet.is_mesh:
         return min(interval_s, JOINING_IN_MESH_INTERVAL_S)
     return min(interval_s, JOINING_IN_ZONES_INTERVAL_S)
 
 
-def _receivers(schedule: Schedule, fleet: members.Fleet) -> list[str]:
+def _receivers(
+    schedule: Schedule, fleet: members.Fleet, awaited: frozenset[str]
+) -> list[str]:
     if fleet.is_mesh or schedule.to_all:
         return list(fleet.peers)
     zone = fleet.settings.zone
     return [
         name
         for name, peer in fleet.peers.items()
-        if peer.record.zone == zone
-        or not (fleet.old_loans_excluded or name in fleet.vms_without_old_loans)
+        if peer.record.zone == zone or name in awaited
     ]
 
 
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -14,6 +14,9 @@
 
 # Each account limit is divided into this many units, which VMs own and lend.
 UNITS_PER_LIMIT = 1000
+# VMs that are added send heartbeats several times per second until they are
+# listed.
+LIST_INTERVAL_S = 1.0
 
 
 @attrs.define
@@ -50,10 +53,15 @@
         zone_names: Those of this VM's zone, sorted.
         region_names: Those of this VM's region, sorted by zone.
         started_s: When this process started, in seconds.
-        vms_without_old_loans: VMs that have reported that they hold no loans
-            from this VM's earlier processes.
-        old_loans_excluded: Whether loans from earlier processes of this VM
-            can no longer exist.
+        settled_vms: VMs that have reported that they use no units of this VM:
+            they list it, hold no loans from its earlier processes and have lent
+            no more than they own.
+        unsettled_s: Time of the last report to the contrary, by VM, in seconds.
+        joining_vms: VMs that have reported that they are joining.
+        added: Whether this VM was added to the fleet by this process.
+        units_usable: Whether this VM may use its own units.
+        list_requested_s: When the VMs were last listed anew because an unknown
+            VM sent a heartbeat, in seconds.
         limit_owners: Owners of the units of limits in a large fleet.
     """
 
@@ -64,8 +72,12 @@
     zone_names: tuple[str, ...] = ()
     region_names: tuple[str, ...] = ()
     started_s: float = 0.0
-    vms_without_old_loans: set[str] = attrs.field(factory=set)
-    old_loans_excluded: bool = False
+    settled_vms: set[str] = attrs.field(factory=set)
+    unsettled_s: dict[str, float] = attrs.field(factory=dict)
+    joining_vms: set[str] = attrs.field(factory=set)
+    added: bool = False
+    units_usable: bool = False
+    list_requested_s: float = -math.inf
     limit_owners: limit_owners_module.LimitOwners = attrs.field(
         factory=limit_owners_module.LimitOwners
     )
@@ -145,8 +157,12 @@
     peer = fleet.peers.get(sender)
     if peer is None:
         return []
-    if not heartbeat.holds_loans:
-        fleet.vms_without_old_loans.add(sender)
+    if heartbeat.joining:
+        fleet.joining_vms.add(sender)
+    if heartbeat.holds_loans or heartbeat.overlent:
+        fleet.unsettled_s[sender] = now_s
+    else:
+        fleet.settled_vms.add(sender)
     return _update_peer(fleet, now_s, peer, now_s, heartbeat)
 
 
@@ -184,24 +200,56 @@
     return produced
 
 
-def exclude_old_loans(fleet: Fleet, now_s: float) -> bool:
-    """Returns whether it has just become certain that no old loans exist.
+def take_own_units(fleet: Fleet, now_s: float) -> bool:
+    """Returns whether this VM may use its own units from now on.
 
-    Old loans are those that earlier processes of this VM granted. The result is
-    true once per process: when all other VMs have reported that they hold
-    none, or when all of them must have expired; at the very first start of the
-    fleet, once the registered VMs are known.
+    Until then, other VMs may use them: those that hold loans of earlier
+    processes of this VM, and those that owned the units before this VM was
+    added, until they list it and the loans that they made of them have ended.
+    The result is true once per process; at the very first start of the fleet,
+    as soon as the registered VMs are known.
     """
-    if fleet.old_loans_excluded or not fleet.names:
+    if fleet.units_usable or not fleet.names:
         return False
-    settings = fleet.settings
-    max_loan_s = settings.quota_lease_s + settings.lease_margin_s
-    fleet.old_loans_excluded = (
-        settings.first_start
-        or fleet.peers.keys() <= fleet.vms_without_old_loans
-        or now_s >= fleet.started_s + max_loan_s
+    fleet.units_usable = fleet.settings.first_start or all(
+        _is_settled(fleet, name, now_s) for name in fleet.peers
     )
-    return fleet.old_loans_excluded
+    return fleet.units_usable
+
+
+def _is_settled(fleet: Fleet, name: str, now_s: float) -> bool:
+    """Returns whether a VM uses no units of this VM.
+
+    A VM that has not reported counts as failed after the longest loan, and one
+    that has reported otherwise makes no further loans of them.
+    """
+    if name in fleet.settled_vms:
+        return True
+    max_loan_s = fleet.settings.quota_lease_s + fleet.settings.lease_margin_s
+    since_s = max(fleet.started_s, fleet.unsettled_s.get(name, -math.inf))
+    return now_s >= since_s + max_loan_s
+
+
+def awaited(fleet: Fleet) -> frozenset[str]:
+    """Returns the VMs whose reports this VM still awaits.
+
+    Once its units are usable, only a VM that was added awaits any: those that
+    have never reported may still use units that it takes over.
+    """
+    if not fleet.units_usable:
+        return frozenset(fleet.peers.keys() - fleet.settled_vms)
+    if not fleet.added:
+        return frozenset()
+    reported = fleet.settled_vms.union(fleet.unsettled_s)
+    return frozenset(fleet.peers.keys() - reported)
+
+
+def request_list(fleet: Fleet, now_s: float) -> bool:
+    """Returns whether to list the VMs anew, as an unknown one has started."""
+    if now_s < fleet.list_requested_s + LIST_INTERVAL_S:
+        return False
+    fleet.list_requested_s = now_s
+    return True
 
 
 def limit_owners(fleet: Fleet, account: tables.Account) -> tuple[str, ...]:
@@ -211,20 +259,44 @@
     return fleet.limit_owners.of(account)
 
 
-def own_units(fleet: Fleet, owners: tuple[str, ...]) -> int:
+def own_units(
+    fleet: Fleet, account: tables.Account, owners: tuple[str, ...]
+) -> int:
     """Returns the number of units of an account's limit that this VM owns.
 
-    The shares of all owners add up to `UNITS_PER_LIMIT`.
+    The shares of all owners add up to `UNITS_PER_LIMIT`. A VM that was added
+    leaves the VMs that it awaits what they may have owned before.
 
     Args:
         fleet: Known VMs.
+        account: The account.
         owners: VMs that own units of the limit, sorted.
     """
-    if fleet.settings.name not in owners:
+    name = fleet.settings.name
+    if name not in owners:
         return 0
-    index = owners.index(fleet.settings.name)
     base, rest = divmod(UNITS_PER_LIMIT, len(owners))
-    return base + (index < rest)
+    share = base + (owners.index(name) < rest)
+    awaited_vms = awaited(fleet) if fleet.units_usable else frozenset()
+    if not awaited_vms:
+        return share
+    earlier = _earlier_owners(fleet, account)
+    may_own = -(-UNITS_PER_LIMIT // max(1, len(earlier)))
+    excess = sum(
+        may_own - (base if owner in owners else 0)
+        for owner in awaited_vms.intersection(earlier)
+    )
+    return max(0, share - excess)
+
+
+def _earlier_owners(fleet: Fleet, account: tables.Account) -> tuple[str, ...]:
+    """Returns the owners of a limit before this VM and others were added."""
+    added = fleet.joining_vms | {fleet.settings.name}
+    names = tuple(name for name in fleet.names if name not in added)
+    if len(names) <= fleet.settings.mesh_vms:
+        return names
+    regions = {name: fleet.region_of(name) for name in names}
+    return limit_owners_module.LimitOwners(regions).of(account)
 
 
 def accounts_with_limit(table: tables.RoutingTable) -> list[tables.Account]:
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -4,6 +4,7 @@
 """
 
 from mulberrydeck.peers import messages
+from mulberrydeck.quota import configuring
 from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.routing import hashing
@@ -62,6 +63,9 @@
             return _ticked(state)
         case events.PeerReceived():
             return _peer_received(state, event)
+        case events.VmAdded():
+            state.fleet.added = not state.settings.first_start
+            return []
         case events.StopRequested():
             return _stop_requested(state)
         case events.StopFinished():
@@ -155,12 +159,10 @@
     for account in members.accounts_with_limit(state.table):
         resource = members.limit_resource(account.name)
         owners = members.limit_owners(state.fleet, account)
-        units[resource] = members.own_units(state.fleet, owners)
+        units[resource] = members.own_units(state.fleet, account, owners)
         state.quota.owners[resource] = frozenset(owners)
-    no_old_loans = state.settings.first_start or state.fleet.old_loans_excluded
-    new_usable_s = state.now_s if no_old_loans else float("inf")
     bounds = members.bounds(state.table)
-    quota.configure(state.quota, state.now_s, bounds, units, new_usable_s)
+    quota.configure(state.quota, state.now_s, bounds, units, state.now_s)
 
 
 def _entry_log(event: events.TargetChanged) -> effects.Log:
@@ -194,23 +196,32 @@
             hashing.digest(name) for name in state.fleet.names
         )
         requests.resize_retry_budgets(state)
+        if not set(previous_names) <= set(state.fleet.names):
+            configuring.owner_removed(state.quota, state.now_s)
         _configure_quota(state)
         fields = {"vms": len(state.fleet.names), "revision": event.revision}
         log = effects.Log("fleet", "The registered VMs changed.", fields)
         produced.append(log)
         if state.settings.first_start:
             # Before the next tick would ask all other VMs for loans.
-            produced += _exclude_old_loans(state)
+            produced += _take_own_units(state)
     return produced
 
 
-def _exclude_old_loans(state: states.State) -> Effects:
-    """Makes own units usable once no loans of earlier processes remain."""
-    if not members.exclude_old_loans(state.fleet, state.now_s):
+def _take_own_units(state: states.State) -> Effects:
+    """Makes own units usable once no other VM uses them."""
+    if not members.take_own_units(state.fleet, state.now_s):
         return []
+    if members.awaited(state.fleet):
+        _configure_quota(state)
     quota.activate_pending_units(state.quota, state.now_s)
-    text = "No loans of an earlier process remain."
-    return [effects.Log("quota", text, {})]
+    fields = {
+        "settled": len(state.fleet.settled_vms),
+        "vms": len(state.fleet.names),
+        "after_s": round(state.now_s - state.fleet.started_s, 3),
+    }
+    text = "The own parts of limits are in use."
+    return [effects.Log("quota", text, fields)]
 
 
 def _store_regained(
@@ -261,7 +272,7 @@
         )
     produced += _update_plan(state)
     produced += _update_stale_group(state)
-    produced += _exclude_old_loans(state)
+    produced += _take_own_units(state)
     if produced:
         state.pacer.drop_expired(state.now_s)
     # Sorting a large fleet ten times per second takes as much processor time as
@@ -311,10 +322,11 @@
         state.fleet.incarnation,
         ready=lookup.is_ready(state),
         leaving=state.stopping,
-        joining=not state.fleet.old_loans_excluded,
+        joining=bool(members.awaited(state.fleet)),
         reaches_store=state.table is not None
         and state.target_directory.listed
         and not state.lost_kinds,
+        overlent=quota.is_overlent(state.quota),
     )
 
 
@@ -323,16 +335,36 @@
 ) -> Effects:
     peer = state.fleet.peers.get(sender)
     if peer is None:
-        return []
+        return _unknown_vm(state, sender, heartbeat)
     produced: Effects = []
     if heartbeats.needs_response(peer, heartbeat):
         lenders = quota.lenders(state.quota)
         produced.append(
             heartbeats.respond(sender, _own_heartbeat(state), lenders)
         )
-    return produced + members.record_heartbeat(
+    awaited = members.awaited(state.fleet)
+    produced += members.record_heartbeat(
         state.fleet, state.now_s, sender, heartbeat
     )
+    if state.fleet.units_usable and awaited != members.awaited(state.fleet):
+        _configure_quota(state)
+    return produced
+
+
+def _unknown_vm(
+    state: states.State, sender: str, heartbeat: messages.SteeringHeartbeat
+) -> Effects:
+    """Handles a heartbeat of a VM that is not listed.
+
+    The list that this VM follows may be seconds old, and a VM that was added
+    waits until this one has given up the units that it takes over.
+    """
+    if not heartbeat.joining:
+        return []
+    if not members.request_list(state.fleet, state.now_s):
+        return []
+    log = effects.Log("fleet", "A VM was added.", {"vm": sender})
+    return [log, effects.ListVms()]
 
 
 def _peer_received(state: states.State, event: events.PeerReceived) -> Effects:
--- a/mulberrydeck/steering/registration.py
+++ b/mulberrydeck/steering/registration.py
@@ -28,19 +28,29 @@
         self.record = record
         self.reports = reports
 
-    def register(self) -> None:
-        """Stores the record of this VM; retries until that succeeds."""
+    def register(self) -> bool:
+        """Stores the record of this VM; retries until that succeeds.
+
+        Returns:
+            Whether this VM may not have been registered before.
+        """
         spec = documents.encode_vm_record(self.record)
         kind, name = documents.VMS_KIND, self.record.name
         failures = 0
+        may_have_created = False
         while True:
             written = self.client.create(kind, name, spec)
             if _failed_with(written, errors.ConflictError):
                 written = self.client.replace(kind, name, spec)
+            elif not _failed_with(written, errors.PlatformUnavailableError):
+                # A create without a response may have been carried out.
+                may_have_created = True
             match written:
                 case result.Success(_):
-                    self.reports.write("fleet", "This VM is registered.")
-                    return
+                    self.reports.write(
+                        "fleet", "This VM is registered.", new=may_have_created
+                    )
+                    return may_have_created
             failures += 1
             self._wait_to_retry("register", failures, written.failure())
 
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -140,7 +140,7 @@
         rng=random.Random(seed),
         target_directory=targets.TargetDirectory(settings.region_by_zone),
         fleet=members.Fleet(settings, incarnation, started_s=now_s),
-        quota=quota_state.QuotaState(incarnation, settings),
+        quota=quota_state.QuotaState(incarnation, settings, units_held=True),
         pacer=pacing.ColdPacer(
             hashing.digest(settings.name),
             settings.cold_overage,
--- a/mulberrydeck/steering/store_sync.py
+++ b/mulberrydeck/steering/store_sync.py
@@ -63,6 +63,10 @@
                 revision = self._watch(revision)
             revision = self._list()
 
+    def list_once(self) -> None:
+        """Lists the kind, and leaves a failure to the watch."""
+        self._list()
+
     def _list(self) -> int | None:
         kind = self.watched_kind.kind
         origin = self.sync.store_origin()
@@ -195,6 +199,15 @@
             self._start_watcher(watched_kind)
             self._enable_checker(True)
 
+    def list_vms(self, _effect: effects.ListVms) -> None:
+        """Lists the VMs anew, without the delay of a stale watch.
+
+        VMs that get updates from another VM get this one from there.
+        """
+        watched_kind = self.watched_kinds.get(documents.VMS_KIND)
+        if watched_kind is not None and self.plan.direct:
+            self.spawn(KindWatcher(watched_kind, self).list_once)
+
     def apply(self, effect: effects.FollowStore) -> None:
         """Puts a new plan in force."""
         previous, self.plan = self.plan, effect.plan
--- a/mulberrydeck/steering/tests/samples.py
+++ b/mulberrydeck/steering/tests/samples.py
@@ -79,15 +79,16 @@
 class Vm:
     """State of one VM with a simulated clock; applies events to it."""
 
-    def __init__(self, table=None, entries=(), **settings_changes):
+    def __init__(
+        self, table=None, entries=(), listed=("coast-a-1",), **settings_changes
+    ):
         self.now_s = 1000.0
         self.state = states.create(
             make_settings(**settings_changes), "process", self.now_s, seed=1
         )
         self.requests = 0
-        self.reduce(
-            events.VmsListed(self.now_s, (make_record("coast-a-1"),), 1)
-        )
+        records = tuple(make_record(name) for name in listed)
+        self.reduce(events.VmsListed(self.now_s, records, 1))
         self.reduce(events.TableLoaded(self.now_s, table or make_table(), 2))
         self.reduce(events.TargetsListed(self.now_s, tuple(entries), 3))
 
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -110,8 +110,9 @@
 
 def own_units(vm):
     fleet = vm.state.fleet
-    owners = members.limit_owners(fleet, tables.Account("acme"))
-    return members.own_units(fleet, owners)
+    account = tables.Account("acme")
+    owners = members.limit_owners(fleet, account)
+    return members.own_units(fleet, account, owners)
 
 
 def test_the_units_of_all_vms_add_up_to_the_limit():
@@ -212,7 +213,8 @@
     account = tables.Account("acme", rate_per_s=100.0, burst=50.0)
     vm = samples.Vm(first_start=True)
     vm.state.fleet.names = ()
-    vm.state.fleet.old_loans_excluded = False
+    vm.state.fleet.units_usable = False
+    vm.state.quota.units_held = True
     table = samples.make_table(accounts=((account, ("secret",)),), version=2)
     vm.reduce(events.TableLoaded(vm.now_s, table, 5))
     records = (
--- a/mulberrydeck/steering/tests/test_heartbeats.py
+++ b/mulberrydeck/steering/tests/test_heartbeats.py
@@ -55,6 +55,7 @@
         for record in self.records:
             vm = samples.Vm(
                 samples.make_table(accounts=accounts),
+                listed=(),
                 name=record.name,
                 zone=record.zone,
                 region=record.region,
@@ -209,7 +210,7 @@
     units_by_vm = {}
     for name, vm in fleet.vms.items():
         names = members.limit_owners(vm.state.fleet, account)
-        units_by_vm[name] = members.own_units(vm.state.fleet, names)
+        units_by_vm[name] = members.own_units(vm.state.fleet, account, names)
     owners = {name for name, units in units_by_vm.items() if units}
     assert sum(units_by_vm.values()) == members.UNITS_PER_LIMIT
     assert len(owners) == expected
