Heed what targets say of themselves in their responses

Server-Leaving: 1 takes a process of a target out of use for this VM, also while the store's entry says that it is ready, and after that entry expired and came back. A 503 with Retry-After pauses it for this VM; a pause is no failure. If all targets pause, callers are told when the first one ends.

--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -1,5 +1,6 @@
 """Header fields and paths of callers' requests and targets' responses."""
 
+import re
 import urllib.parse
 
 import attrs
@@ -25,8 +26,17 @@
 # Running requests, waiting requests and slots, separated by commas.
 LOAD = "x-instance-load"
 COLD = "x-cold-ms"
+# `1` in all responses of a target that is about to stop.
+LEAVING = "server-leaving"
+# With status 503: for how long the target wants no requests, in seconds.
+RETRY_AFTER = "retry-after"
 
 WRONG_TARGET_STATUS = 421
+UNAVAILABLE_STATUS = 503
+# Longer pauses are taken as this long.
+MAX_PAUSE_S = 3600.0
+
+_SECONDS_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?")
 
 _NOT_FORWARDED = frozenset(
     (
@@ -142,6 +152,21 @@
     return TargetLoad(running, waiting, slots)
 
 
+def parse_leaving(text: str) -> bool:
+    """Returns whether a response says that its target is about to stop."""
+    return text.strip() == "1"
+
+
+def parse_pause_s(text: str) -> float:
+    """Returns for how long a target wants no requests, in seconds.
+
+    Dates and malformed values are no request for a pause.
+    """
+    if _SECONDS_PATTERN.fullmatch(text.strip()) is None:
+        return 0.0
+    return min(MAX_PAUSE_S, float(text))
+
+
 def parse_cold_s(text: str) -> float:
     """Returns for how long a target stays cold, in seconds."""
     return int(text) / MS_PER_S if text.isdigit() else 0.0
--- a/mulberrydeck/platform/tests/test_headers.py
+++ b/mulberrydeck/platform/tests/test_headers.py
@@ -98,3 +98,30 @@
     assert headers.parse_lookup_query("") == ("", "", "")
     response = headers.lookup_response(("10.0.0.1:80",), 3.0)
     assert response == {"Addresses": ["10.0.0.1:80"], "TtlS": 3.0}
+
+
+@pytest.mark.parametrize(
+    ("text", "pause_s"),
+    [
+        ("2", 2.0),
+        ("0.75", 0.75),
+        (" 3 ", 3.0),
+        ("0", 0.0),
+        ("-1", 0.0),
+        ("1e9", 0.0),
+        ("999999999", headers.MAX_PAUSE_S),
+        ("9" * 400, 0.0),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+        ("nan", 0.0),
+        ("\N{SUPERSCRIPT TWO}", 0.0),
+        ("", 0.0),
+    ],
+)
+def test_a_pause_is_a_number_of_seconds(text, pause_s):
+    assert headers.parse_pause_s(text) == pause_s
+
+
+def test_only_one_value_says_that_a_target_is_leaving():
+    assert headers.parse_leaving("1")
+    for text in ("", "0", "true", "11", "1, 1"):
+        assert not headers.parse_leaving(text)
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -246,6 +246,8 @@
         reported_load: Number of running and queued requests that the target
             reported; None if it did not report them.
         replayable: Whether the request can be sent again.
+        leaving: Whether the target said that it is about to stop.
+        pause_s: For how long the target wants no further requests, in seconds.
         reason: Why the attempt failed, for logs.
     """
 
@@ -255,6 +257,8 @@
     status: int = 0
     reported_load: int | None = None
     replayable: bool = True
+    leaving: bool = False
+    pause_s: float = 0.0
     reason: str = ""
 
 
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -84,6 +84,8 @@
             caller.
         reported_load: Number of running and queued requests that the target
             reported; None if it did not report them.
+        leaving: Whether the target said that it is about to stop.
+        pause_s: For how long the target wants no further requests, in seconds.
         reason: Reason of a failure, for logs.
         sent_after_s: Time from the start of the attempt to the first byte of
             the request, in seconds; None if nothing was sent.
@@ -94,6 +96,8 @@
     response: Response | None = None
     response_started: bool = False
     reported_load: int | None = None
+    leaving: bool = False
+    pause_s: float = 0.0
     reason: str = ""
     sent_after_s: float | None = None
 
@@ -131,6 +135,7 @@
         self.started_s = now_s()
         self.sent_after_s: float | None = None
         self.response_started = False
+        self.identified = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
         self.parser = responses.ResponseParser(hop.method)
         self.filter = response_filter.MismatchedResponseFilter(
@@ -211,6 +216,7 @@
         status = self.parser.get_code()
         if 200 <= status < 300:
             self._check_success()
+        self.identified = status != headers.WRONG_TARGET_STATUS
 
     def _check_identifier(self, connection: pools.Connection) -> None:
         """Checks that a kept connection carries the response to this request.
@@ -317,9 +323,20 @@
             buffered,
             response_started=self.response_started,
             reported_load=load.running + load.waiting if load else None,
+            leaving=self._says_leaving(),
+            pause_s=self._pause_s(),
             sent_after_s=self.sent_after_s,
         )
 
+    def _says_leaving(self) -> bool:
+        text = self.parser.first(headers.LEAVING)
+        return self.identified and headers.parse_leaving(text)
+
+    def _pause_s(self) -> float:
+        if self.parser.get_code() != headers.UNAVAILABLE_STATUS:
+            return 0.0
+        return headers.parse_pause_s(self.parser.first(headers.RETRY_AFTER))
+
     def _failed(self, outcome: Outcome, error: Exception) -> Attempt:
         if not self.upload.sent_any:
             outcome = Outcome.NOT_SENT
@@ -329,6 +346,7 @@
         return Attempt(
             outcome,
             response_started=self.response_started,
+            leaving=self._says_leaving(),
             reason=reason,
             sent_after_s=self.sent_after_s,
         )
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -69,9 +69,12 @@
 
     Attributes:
         usable: Number of targets that could take it if they had capacity.
+        resumes_s: End of the first pause that a target asked for, in seconds,
+            if there is no usable one; None if none asked for one.
     """
 
     usable: int
+    resumes_s: float | None = None
 
 
 SelectionPolicy = Callable[
@@ -117,7 +120,27 @@
             return Chosen(target, "idle")
     if local and _takes_local(local[0], now_s, MAX_UTILIZATION):
         return Chosen(local[0], "queue of local owner")
-    return NoCapacity(len(ranked))
+    if ranked:
+        return NoCapacity(len(ranked))
+    return NoCapacity(0, _resumes_s(directory, now_s, required))
+
+
+def _resumes_s(
+    directory: targets_module.TargetDirectory,
+    now_s: float,
+    required: Requirements,
+) -> float | None:
+    """Returns when the first target ends its pause, in seconds."""
+    return min(
+        (
+            target.notice.paused_until_s
+            for target in directory.by_service.get(required.service, ())
+            if targets_module.may_run(directory, target, now_s)
+            and target.notice.paused_until_s > now_s
+            and _is_allowed(target, required)
+        ),
+        default=None,
+    )
 
 
 def _owner_regions(
@@ -170,13 +193,17 @@
         for target in directory.by_service.get(required.service, ())
         if targets_module.is_usable(directory, target, now_s)
         and target.entry.name not in required.excluded
-        and (
-            required.allowed_regions is None
-            or target.region in required.allowed_regions
-        )
+        and _is_allowed(target, required)
     ]
 
 
+def _is_allowed(target: targets_module.Target, required: Requirements) -> bool:
+    return (
+        required.allowed_regions is None
+        or target.region in required.allowed_regions
+    )
+
+
 def _ranked(
     directory: targets_module.TargetDirectory,
     now_s: float,
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -171,17 +171,29 @@
         ),
     )
     match choice:
-        case placement.NoCapacity(usable):
-            _refund_token(state, request)
-            inputs = {"usable_targets": usable}
-            refusal = refusals.refusal(
-                request, 503, "no-capacity", NO_CAPACITY_RETRY_S, inputs
-            )
-            return [refusal]
+        case placement.NoCapacity():
+            return [_no_capacity(state, request, choice)]
         case placement.Chosen(target, reason):
             return [_forward(state, request, target, cold_rate_per_s, reason)]
 
 
+def _no_capacity(
+    state: states.State,
+    request: states.Request,
+    choice: placement.NoCapacity,
+) -> effects.Refuse:
+    """Refuses a request; it may return when the first target may serve it."""
+    _refund_token(state, request)
+    inputs: dict[str, object] = {"usable_targets": choice.usable}
+    retry_s = NO_CAPACITY_RETRY_S
+    if choice.resumes_s is not None:
+        pause_s = choice.resumes_s - state.now_s
+        inputs["paused_s"] = round(pause_s, 3)
+        # Spread, as all callers wait for the same moment.
+        retry_s = pause_s + state.rng.uniform(0.0, NO_CAPACITY_RETRY_S)
+    return refusals.refusal(request, 503, "no-capacity", retry_s, inputs)
+
+
 def _forward(
     state: states.State,
     request: states.Request,
@@ -239,7 +251,8 @@
     _observe_latency(state, request, target, event)
     if event.outcome is Outcome.DELAYED:
         return _decide_anew(state, request, target)
-    produced = _observe_outcome(state, target, event)
+    produced = _observe_notice(state, target, event)
+    produced += _observe_outcome(state, target, event)
     final = _final_decision(state, request, event)
     if final is not None:
         return [*produced, final]
@@ -320,6 +333,22 @@
     outliers.observe(target.latency_ratio, state.now_s, ratio)
 
 
+def _observe_notice(
+    state: states.State, target: targets.Target, event: events.AttemptEnded
+) -> Effects:
+    """Records what a target said of itself in its response."""
+    produced: Effects = []
+    directory = state.target_directory
+    if event.leaving and targets.note_leaving(directory, target, state.now_s):
+        produced.append(_target_log("A target is leaving.", target, event))
+    if event.pause_s > 0:
+        targets.note_pause(directory, target, state.now_s, event.pause_s)
+        produced.append(
+            _target_log("A target asked for a pause.", target, event)
+        )
+    return produced
+
+
 def _observe_outcome(
     state: states.State, target: targets.Target, event: events.AttemptEnded
 ) -> Effects:
@@ -348,6 +377,8 @@
         event.outcome is Outcome.BROKEN
         or event.status >= MIN_SERVER_ERROR_STATUS
     )
+    # A target that asks for a pause works as it should.
+    was_failure = was_failure and not event.pause_s
     if targets.record_outcome(target, state.now_s, was_failure):
         return [
             _target_log(
@@ -364,7 +395,8 @@
         "target": target.entry.name,
         "address": target.entry.address,
         "reason": event.reason,
-        "paused_until_s": round(target.ejected_until_s, 3),
+        "ejected_until_s": round(target.ejected_until_s, 3),
+        "pause_s": event.pause_s,
     }
     return effects.Log("targets", text, fields)
 
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -167,6 +167,8 @@
             status=attempt.status,
             reported_load=attempt.reported_load,
             replayable=body is None or body.replayable,
+            leaving=attempt.leaving,
+            pause_s=attempt.pause_s,
             reason=attempt.reason,
         )
 
--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -24,6 +24,23 @@
 # 2 s after the outage, the end of which a VM notices up to 0.8 s late. A VM
 # that was itself cut off must stop using a removed target within 3 s.
 EXPIRED_ENTRY_GRACE_S = 1.9
+# What a process said of itself is kept without its entry for this long.
+MAX_NOTICE_AGE_S = 600.0
+
+
+@attrs.define(eq=False)
+class Notice:
+    """What a process of a target has said of itself in its responses.
+
+    Attributes:
+        leaving: Whether it is about to stop.
+        paused_until_s: Time until which it wants no requests, in seconds.
+        noted_s: When it was last said, in seconds.
+    """
+
+    leaving: bool = False
+    paused_until_s: float = -math.inf
+    noted_s: float = -math.inf
 
 
 @attrs.define(eq=False)
@@ -46,6 +63,7 @@
         missing_since_s: Time at which its entry was found missing, in seconds;
             None if it is present.
         latency_ratio: Latency of its requests relative to their routes.
+        notice: What its process has said of itself.
     """
 
     entry: registry.TargetEntry
@@ -65,6 +83,7 @@
     latency_ratio: outliers.LatencyRatio = attrs.field(
         factory=outliers.LatencyRatio
     )
+    notice: Notice = attrs.field(factory=Notice)
 
     def load(self, now_s: float) -> float:
         """Returns the estimated number of requests at the target."""
@@ -98,6 +117,8 @@
         grace_until_s: Time until which missing entries may be registered
             again, in seconds.
         listed: Whether the targets were listed since the process started.
+        notices: What processes have said of themselves, by `_process`. They
+            outlive the target's entry, which may expire and return.
     """
 
     region_by_zone: dict[str, str]
@@ -110,6 +131,7 @@
     returning: dict[str, float] = attrs.field(factory=dict)
     grace_until_s: float = -math.inf
     listed: bool = False
+    notices: dict[tuple[str, int, str], Notice] = attrs.field(factory=dict)
 
 
 def replace_all(
@@ -159,6 +181,7 @@
             _drop(directory, target)
         region = directory.region_by_zone.get(entry.zone, "")
         target = Target(entry, region, hashing.digest(entry.name))
+        target.notice = directory.notices.get(_process(entry), target.notice)
         directory.by_name[entry.name] = target
         directory.by_service[entry.service].append(target)
     target.cold_until_s = cold_until_s
@@ -187,6 +210,10 @@
     Returns:
         Names of the dropped targets.
     """
+    expired_s = now_s - MAX_NOTICE_AGE_S
+    for process, notice in list(directory.notices.items()):
+        if max(notice.noted_s, notice.paused_until_s) < expired_s:
+            del directory.notices[process]
     missing = [
         target
         for target in directory.missing.values()
@@ -219,14 +246,51 @@
 
 def is_usable(directory: TargetDirectory, target: Target, now_s: float) -> bool:
     """Returns whether new requests may go to a target."""
+    return now_s >= target.notice.paused_until_s and may_run(
+        directory, target, now_s
+    )
+
+
+def may_run(directory: TargetDirectory, target: Target, now_s: float) -> bool:
+    """Returns whether a target is usable but for a pause that it asked for."""
     return (
         not target.entry.draining
+        and not target.notice.leaving
         and now_s >= target.ejected_until_s
         and not _is_grace_over(directory, target, now_s)
         and target.entry.zone not in directory.evacuated
     )
 
 
+def note_leaving(
+    directory: TargetDirectory, target: Target, now_s: float
+) -> bool:
+    """Records that a target is about to stop; returns whether that is new."""
+    is_new = not target.notice.leaving
+    target.notice.leaving = True
+    _note(directory, target, now_s)
+    return is_new
+
+
+def note_pause(
+    directory: TargetDirectory, target: Target, now_s: float, pause_s: float
+) -> None:
+    """Records that a target wants no requests for a time, in seconds."""
+    notice = target.notice
+    notice.paused_until_s = max(notice.paused_until_s, now_s + pause_s)
+    _note(directory, target, now_s)
+
+
+def _note(directory: TargetDirectory, target: Target, now_s: float) -> None:
+    target.notice.noted_s = now_s
+    directory.notices[_process(target.entry)] = target.notice
+
+
+def _process(entry: registry.TargetEntry) -> tuple[str, int, str]:
+    """Returns what identifies the process that an entry describes."""
+    return (entry.name, entry.started_ms, entry.address)
+
+
 def _is_grace_over(
     directory: TargetDirectory, target: Target, now_s: float
 ) -> bool:
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -20,11 +20,13 @@
 class Target:
     """Responds to each request and records the received bytes.
 
-    The responses of the first requests are given; all others get a 200.
+    The responses of the first requests are given; all others get a 200. If
+    `closes` is set, a connection is closed after its first response.
     """
 
     def __init__(self, *responses):
         self.responses = list(responses)
+        self.closes = False
         self.received = []
         self.connections = 0
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
@@ -35,6 +37,8 @@
         while data := sock.recv(4096):
             self.received.append(data)
             sock.sendall(self.responses.pop(0) if self.responses else RESPONSE)
+            if self.closes:
+                return
 
 
 class Clock:
@@ -124,3 +128,33 @@
     attempt = run_attempt(target, clock, pool, attempt_id="")
     assert attempt.outcome is exchange.Outcome.REJECTED
     assert target.connections == 2
+
+
+NOTICE = b"Server-Leaving: 1\r\nRetry-After: 2\r\n"
+OWN = b"X-Attempt-Id: a1\r\n"
+OTHER = b"X-Attempt-Id: a0\r\n"
+
+
+@pytest.mark.parametrize(
+    ("response", "leaving", "pause_s"),
+    [
+        (RESPONSE.replace(OWN, OWN + NOTICE), True, 0.0),
+        (REFUSAL % (OWN + NOTICE), True, 2.0),
+        # The response breaks off after its head.
+        (RESPONSE.replace(OWN, OWN + NOTICE)[:-1], True, 0.0),
+        # Another target has the address.
+        ((REFUSAL % (OWN + NOTICE)).replace(b"503", b"421"), False, 0.0),
+        # A late response to another request.
+        ((REFUSAL % (OTHER + NOTICE)) + RESPONSE, False, 0.0),
+        (RESPONSE, False, 0.0),
+    ],
+)
+def test_a_response_says_that_its_target_leaves_or_wants_a_pause(
+    target, response, leaving, pause_s
+):
+    target.responses = [response]
+    target.closes = True
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert (attempt.leaving, attempt.pause_s) == (leaving, pause_s)
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -6,6 +6,7 @@
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import tables
+from mulberrydeck.steering import targets as targets_module
 from mulberrydeck.steering.tests import samples
 
 Outcome = events.Outcome
@@ -360,3 +361,82 @@
     assert isinstance(vm.arrive(), effects.Refuse)
     vm.now_s += 0.2 * admission.SEND_WITHIN_S
     assert isinstance(vm.arrive(), effects.Forward)
+
+
+def chosen_targets(vm, count=20):
+    """Returns the targets of requests for different objects."""
+    names = set()
+    for number in range(count):
+        decision = vm.arrive(object_key=f"object-{number}")
+        if isinstance(decision, effects.Forward):
+            names.add(decision.target)
+        vm.close(decision.request_id)
+    return names
+
+
+# Guards against requests to a target that has said that it is about to stop.
+def test_a_target_that_says_it_is_leaving_gets_no_further_requests():
+    vm = samples.Vm(entries=entries(2))
+    decision = vm.arrive(object_key="object-1")
+    left = decision.target
+    vm.end(decision.request_id, Outcome.ANSWERED, status=200, leaving=True)
+    vm.close(decision.request_id)
+    assert left not in chosen_targets(vm)
+    # Its entry expires and returns.
+    vm.reduce(events.TargetRemoved(vm.now_s, left, 9))
+    vm.reduce(events.TargetChanged(vm.now_s, samples.make_entry(left), 10))
+    assert left not in chosen_targets(vm)
+    started_again = samples.make_entry(left, started_ms=2)
+    vm.reduce(events.TargetChanged(vm.now_s, started_again, 11))
+    assert left in chosen_targets(vm)
+
+
+def test_what_a_target_said_is_forgotten_after_its_entry_is_gone_for_long():
+    vm = samples.Vm(entries=entries(2))
+    decision = vm.arrive()
+    vm.end(decision.request_id, Outcome.ANSWERED, status=200, leaving=True)
+    vm.now_s += 10 * targets_module.MAX_NOTICE_AGE_S
+    vm.reduce(events.Ticked(vm.now_s))
+    assert not vm.state.target_directory.notices
+
+
+# Guards against requests to a target that has asked for a pause.
+def test_a_target_that_asks_for_a_pause_gets_no_requests_until_its_end():
+    vm = samples.Vm(entries=entries(2))
+    decision = vm.arrive(object_key="object-1")
+    paused = decision.target
+    second = vm.end(
+        decision.request_id, Outcome.REJECTED, status=503, pause_s=3
+    )
+    assert second.target != paused
+    vm.close(decision.request_id)
+    assert paused not in chosen_targets(vm)
+    vm.now_s += 2.9
+    assert paused not in chosen_targets(vm)
+    vm.now_s += 0.2
+    assert paused in chosen_targets(vm)
+
+
+def test_a_pause_is_no_failure():
+    vm = samples.Vm(entries=entries(1))
+    for number in range(30):
+        decision = vm.arrive()
+        vm.end(decision.request_id, Outcome.ANSWERED, status=503, pause_s=0.01)
+        vm.close(decision.request_id)
+        vm.now_s += 0.02 + number
+    target = vm.state.target_directory.by_name["t0"]
+    assert target.ejected_until_s < vm.now_s
+
+
+def test_callers_return_when_the_first_target_ends_its_pause():
+    vm = samples.Vm(entries=entries(2))
+    for pause_s in (4.0, 2.0):
+        decision = vm.arrive()
+        vm.end(
+            decision.request_id, Outcome.REJECTED, status=503, pause_s=pause_s
+        )
+        vm.close(decision.request_id)
+    vm.now_s += 0.5
+    delays_s = [vm.arrive().retry_after_s for _ in range(20)]
+    assert all(1.5 <= delay_s <= 3.5 for delay_s in delays_s)
+    assert len(set(delays_s)) > 1
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -44,6 +44,8 @@
         name: Identifier of the target.
         slots: Requests that run at once; more are rejected.
         work_s: Work time of a request, in seconds.
+        leaving: Whether all responses say that it is about to stop.
+        pause: Value of `Retry-After` in refusals; empty for none.
         queued_faults: Faults of the next requests, in order; see `_respond`.
         runs: Requests that were run.
         rejected: Number of requests that were not run.
@@ -59,6 +61,8 @@
         self.name = name
         self.slots = slots
         self.work_s = work_s
+        self.leaving = False
+        self.pause = ""
         self.queued_faults: collections.deque[str] = collections.deque()
         self.runs: list[Request] = []
         self.rejected = 0
@@ -157,7 +161,10 @@
 
     def _reject(self, sock, fault: str, attempt_id: str) -> bool:
         self.rejected += 1
-        head = self._head("503 Busy", attempt_id, 0, ["X-Not-Executed: 1"])
+        extra = ["X-Not-Executed: 1"]
+        if self.pause:
+            extra.append(f"Retry-After: {self.pause}")
+        head = self._head("503 Busy", attempt_id, 0, extra)
         if "bare" in fault:
             head = head.replace(f"X-Attempt-Id: {attempt_id}\r\n".encode(), b"")
         sock.sendall(head)
@@ -274,6 +281,8 @@
             f"X-Instance-Load: {self.running},0,{self.slots}",
             *extra,
         ]
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return "\r\n".join(lines).encode() + END_OF_HEAD
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -205,6 +205,51 @@
     assert not refused.intersection(runs)
 
 
+# Guards against requests to a target that said in its responses, but not in the
+# store, that it is about to stop.
+@pytest.mark.parametrize("reaches_store", [True, False])
+def test_a_target_that_says_it_is_leaving_gets_no_more_requests(
+    fleet, reaches_store
+):
+    if not reaches_store:
+        fleet.store.set_mode("refusing")
+    fleet.targets["t1"].leaving = True
+    _send_objects(fleet, 30)
+    assert _runs(fleet)
+    _clear_runs(fleet)
+    assert set(_send_objects(fleet, 30)) == {200}
+    assert not fleet.targets["t1"].runs
+    assert len(fleet.targets["t2"].runs) == 30
+
+
+def test_a_target_that_asks_for_a_pause_gets_no_requests_meanwhile(fleet):
+    target = fleet.targets["t1"]
+    target.pause = "1.5"
+    target.queued_faults.append("reject")
+    while not target.rejected:
+        _send_objects(fleet, 10)
+    rejected_s = time.monotonic()
+    _clear_runs(fleet)
+    while time.monotonic() < rejected_s + 1.2:
+        assert set(_send_objects(fleet, 10)) == {200}
+    assert not target.runs
+    waiting.until(
+        lambda: _send_objects(fleet, 10) and target.runs,
+        "the target is used after its pause",
+    )
+
+
+def _send_objects(fleet, count):
+    """Sends requests for different objects; returns their statuses."""
+    client = fleet.client()
+    return [
+        fleet.request(client, "/read/1", **{"X-Affinity-Key": str(number)})[
+            1
+        ].status
+        for number in range(count)
+    ]
+
+
 def test_a_full_service_refuses_at_once_with_retry_after(fleet):
     for target in fleet.targets.values():
         target.slots = 0
