--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -7,7 +7,7 @@
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import members
-from mulberrydeck.steering import outliers
+from mulberrydeck.steering import observations
 from mulberrydeck.steering import pacing
 from mulberrydeck.steering import placement
 from mulberrydeck.steering import refusals
@@ -27,7 +27,6 @@
 STARTING_RETRY_S = 0.3
 MAX_LOGGED_AGE_S = 99.0  # Also logged for values never observed.
 MAX_CONNECT_FAILURES = 3  # Limits the time spent on unreachable targets.
-MIN_SERVER_ERROR_STATUS = 500
 
 Effects = list[object]
 
@@ -248,11 +247,11 @@
     target = request.target
     request.target = None
     target.in_flight -= 1
-    _observe_latency(state, request, target, event)
+    observations.observe_latency(state, request, target, event)
     if event.outcome is Outcome.DELAYED:
         return _decide_anew(state, request, target)
-    produced = _observe_notice(state, target, event)
-    produced += _observe_outcome(state, target, event)
+    produced = observations.observe_notice(state, target, event)
+    produced += observations.observe_outcome(state, target, event)
     final = _final_decision(state, request, event)
     if final is not None:
         return [*produced, final]
@@ -273,7 +272,10 @@
     """Returns the decision that ends the request, or None to retry it."""
     match event.outcome:
         case Outcome.ANSWERED:
-            if event.status >= MIN_SERVER_ERROR_STATUS and request.repeatable:
+            if (
+                event.status >= observations.MIN_SERVER_ERROR_STATUS
+                and request.repeatable
+            ):
                 request.may_have_run = True
                 return _unless_retried(
                     state, request, event, effects.Deliver(request.request_id)
@@ -319,88 +321,6 @@
     return _apply_rate_limit(state, request, first=True)
 
 
-def _observe_latency(
-    state: states.State,
-    request: states.Request,
-    target: targets.Target,
-    event: events.AttemptEnded,
-) -> None:
-    """Records the latency of an attempt if the target processed it."""
-    if event.outcome not in (Outcome.ANSWERED, Outcome.EXPIRED):
-        return
-    latency_s = state.now_s - request.attempt_s
-    ratio = state.route_latencies.record(request.route.name, latency_s)
-    outliers.observe(target.latency_ratio, state.now_s, ratio)
-
-
-def _observe_notice(
-    state: states.State, target: targets.Target, event: events.AttemptEnded
-) -> Effects:
-    """Records what a target said of itself in its response."""
-    produced: Effects = []
-    directory = state.target_directory
-    if event.leaving and targets.note_leaving(directory, target, state.now_s):
-        produced.append(_target_log("A target is leaving.", target, event))
-    if event.pause_s > 0:
-        targets.note_pause(directory, target, state.now_s, event.pause_s)
-        produced.append(
-            _target_log("A target asked for a pause.", target, event)
-        )
-    return produced
-
-
-def _observe_outcome(
-    state: states.State, target: targets.Target, event: events.AttemptEnded
-) -> Effects:
-    """Records what an attempt shows about its target."""
-    name = target.entry.name
-    if event.reported_load is not None:
-        targets.observe_load(target, state.now_s, event.reported_load)
-    match event.outcome:
-        case Outcome.NOT_SENT:
-            targets.eject_unreachable(target, state.now_s)
-            return [_target_log("A target is not reachable.", target, event)]
-        case Outcome.WRONG_TARGET:
-            targets.eject_unreachable(target, state.now_s)
-            return [
-                _target_log(
-                    "The address belongs to another target now.", target, event
-                )
-            ]
-        case Outcome.EXPIRED:
-            return []
-        case Outcome.REJECTED:
-            targets.observe_load(target, state.now_s, 2.0 * target.entry.slots)
-            return []
-    targets.mark_reachable(target)
-    was_failure = (
-        event.outcome is Outcome.BROKEN
-        or event.status >= MIN_SERVER_ERROR_STATUS
-    )
-    # A target that asks for a pause works as it should.
-    was_failure = was_failure and not event.pause_s
-    if targets.record_outcome(target, state.now_s, was_failure):
-        return [
-            _target_log(
-                f"{name} was ejected after too many failures.", target, event
-            )
-        ]
-    return []
-
-
-def _target_log(
-    text: str, target: targets.Target, event: events.AttemptEnded
-) -> effects.Log:
-    fields = {
-        "target": target.entry.name,
-        "address": target.entry.address,
-        "reason": event.reason,
-        "ejected_until_s": round(target.ejected_until_s, 3),
-        "pause_s": event.pause_s,
-    }
-    return effects.Log("targets", text, fields)
-
-
 def _may_retry(
     state: states.State, request: states.Request, event: events.AttemptEnded
 ) -> bool:
