Report no repeatable request as not run for a refusal that may be a copy

In serve, a target that writes a refusal once more on a kept connection made a VM tell callers "ran: no" for a repeatable request that the target runs. Its targets send no identifier, so a refusal on a kept connection proves nothing. The request still goes to another target; if none serves it, the caller is told "unknown". At-most-once requests use new connections and are as before.

Before, the new test got "no" in place of "unknown".

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -80,6 +80,9 @@
         reason: Why it failed, for logs.
         problem: Problem details with which another VM refused the request, or
             None.
+        may_be_copy: Whether a refusal may be the copy of one to an earlier
+            request, which a faulty target writes once more on a kept
+            connection.
     """
 
     outcome: outcomes.AttemptOutcome
@@ -89,6 +92,7 @@
     expired: bool = False
     reason: str = ""
     problem: errors.Problem | None = None
+    may_be_copy: bool = False
 
 
 class ExchangeTimeoutError(Exception):
@@ -154,7 +158,9 @@
             self._start_upload(connection)
             self._read_head(connection)
             if self._is_refusal():
-                return self._refused(self._read_problem(connection))
+                problem = self._read_problem(connection)
+                may_be_copy = connection.reused and not self.hop.is_vm
+                return self._refused(problem, may_be_copy)
             self._stream_response(connection, sink)
         except (
             OSError,
@@ -270,12 +276,18 @@
             response_started=True,
         )
 
-    def _refused(self, problem: errors.Problem | None) -> Attempt:
+    def _refused(
+        self, problem: errors.Problem | None, may_be_copy: bool
+    ) -> Attempt:
         outcome = outcomes.AttemptOutcome.UNKNOWN
         if self.parser.first(RAN_FIELD) == "no":
             outcome = outcomes.AttemptOutcome.NOT_RUN
         return Attempt(
-            outcome, self.parser.get_code(), self.latency_s, problem=problem
+            outcome,
+            self.parser.get_code(),
+            self.latency_s,
+            problem=problem,
+            may_be_copy=may_be_copy,
         )
 
     def _failed(self, reason: str) -> Attempt:
--- a/mulberrydeck/frontend/tests/test_complete_responses.py
+++ b/mulberrydeck/frontend/tests/test_complete_responses.py
@@ -276,3 +276,27 @@
     assert fakes.receive(sock).endswith(b"content-length: 9\r\n\r\n")
     sock.sendall(fakes.get_request())
     assert fakes.read_message(sock).endswith(b"\r\n\r\nok")
+
+
+SHED = b"HTTP/1.1 503 Full\r\nMulberrydeck-Ran: no\r\nContent-Length: 0\r\n\r\n"
+
+
+# Guards against the copy of a refusal on a kept connection: the caller is told
+# "not run" for a request that the target runs.
+@pytest.mark.parametrize(
+    ("requests_before", "ran"), [(0, b"no"), (1, b"unknown")]
+)
+def test_a_refusal_proves_only_on_a_new_connection_that_nothing_ran(
+    serve, targets, requests_before, ran
+):
+    target = targets(*[OK] * requests_before, SHED)
+    decisions = [fakes.to_target(target.address)] * (requests_before + 1)
+    gateway = fakes.FakeGateway(*decisions, fakes.refuse())
+    sock = fakes.connect(serve(gateway).address)
+    for _ in range(requests_before):
+        sock.sendall(fakes.get_request())
+        assert fakes.read_message(sock).endswith(b"ok")
+    sock.sendall(fakes.get_request())
+    refusal = fakes.read_message(sock)
+    assert b"mulberrydeck-ran: " + ran + b"\r\n" in refusal
+    assert target.connections == 1
