Follow a store that comes back from an older copy

After such a return, VMs took no change of targets, versions and evacuations until the store's revisions exceeded those that they knew, and a lost record of a VM was not written again.

Cause: revisions were compared as if they only rose. Store-Era and revision are now one number, made where responses are decoded, so that the comparisons of watches, mirrors and feeds hold as they are. What the store may have lost holds for 3 s: drains, removals and evacuations; a VM stores its record and the secret again.

--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -26,6 +26,8 @@
 # Running requests, waiting requests and slots, separated by commas.
 LOAD = "x-instance-load"
 COLD = "x-cold-ms"
+# In all responses of the store: rises when it comes back from an older copy.
+STORE_ERA = "store-era"
 # `1` in all responses of a target that is about to stop.
 LEAVING = "server-leaving"
 # With status 503: for how long the target wants no requests, in seconds.
--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import re
 import urllib.parse
 
 import attrs
@@ -15,6 +17,7 @@
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.forward import responses
 from mulberrydeck.platform import documents
+from mulberrydeck.platform import headers
 
 CALL_TIMEOUT_S = 2.0  # About 500 times the usual response time.
 # A watch fails if its response is not complete this long after its wait time.
@@ -22,6 +25,10 @@
 RECEIVE_BYTES = 256 * 1024
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MS_PER_S = 1000
+# The store gives out revisions again in a new era. What this client returns as
+# a revision is the pair of era and revision as one number, which only rises.
+ERA_FACTOR = 2**44
+ERA_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class RevisionCompactedError(errors.MulberrydeckError):
@@ -84,6 +91,8 @@
         address: `ip:port` of the store.
         pool: Pool of connections to the store.
         count_call: Called with the cause of each call, such as `watch servers`.
+        era: Latest era of the store that a response has named; 0 before.
+        report_era: Called with the era when it has risen.
     """
 
     def __init__(
@@ -95,6 +104,8 @@
         self.address = address
         self.pool = pool
         self.count_call = count_call
+        self.era = 0
+        self.report_era: Callable[[int], None] = lambda era: None
 
     @_as_result
     def list(self, kind: str) -> Listing:
@@ -103,19 +114,27 @@
         decode_errors: list[str] = []
         after = ""
         first_revision: int | None = None
+        first_era: int | None = None
         while True:
             query = {"after": after} if after else {}
             self.count_call(f"list {kind}")
             page = documents.decode_page(
                 self._call("GET", _path(kind, query=query))
             )
+            if first_era is None:
+                first_era = self.era
+            if self.era != first_era:
+                raise errors.PlatformOutcomeUnknownError(
+                    "The era of the store changed during a list; list again."
+                )
             valid, page_errors = documents.decode_valid_objects(page.items)
+            self._add_era(valid)
             objects.extend(valid)
             decode_errors.extend(page_errors)
             # Later pages may be of a newer revision; a watch from that of the
             # first page misses no change.
             if first_revision is None:
-                first_revision = page.at
+                first_revision = self._with_era(page.at)
             if not page.has_more:
                 break
             if not valid:
@@ -142,7 +161,9 @@
             stale: Whether the response may be some seconds old, which makes
                 the call cheaper.
         """
-        query = {"Watch": since, "WaitMs": int(wait_s * MS_PER_S)}
+        since_era, since_revision = divmod(since, ERA_FACTOR)
+        self._check_era(since_era)
+        query = {"Watch": since_revision, "WaitMs": int(wait_s * MS_PER_S)}
         if stale:
             query["AllowStale"] = 1
         path = _path(kind, query=query)
@@ -150,15 +171,18 @@
         decoded = documents.decode_changes(
             self._call("GET", path, wait_s + WATCH_MARGIN_S)
         )
+        self._check_era(since_era)
         changes = []
         decode_errors = []
         for event in decoded.events:
             valid, event_errors = documents.decode_valid_objects(
                 (event.object,)
             )
+            self._add_era(valid)
             changes += [Change(stored, event.deleted) for stored in valid]
             decode_errors += event_errors
-        return Changes(tuple(changes), tuple(decode_errors), decoded.at)
+        revision = self._with_era(decoded.at)
+        return Changes(tuple(changes), tuple(decode_errors), revision)
 
     @_as_result
     def check(self, timeout_s: float) -> None:
@@ -201,6 +225,40 @@
         self.count_call(f"delete {kind}")
         self._call("DELETE", _path(kind, name))
 
+    def _with_era(self, revision: int) -> int:
+        return self.era * ERA_FACTOR + revision
+
+    def _add_era(self, objects: Iterable[documents.StoredObject]) -> None:
+        for stored in objects:
+            metadata = stored.metadata
+            metadata.revision = self._with_era(metadata.revision)
+
+    def _check_era(self, era: int) -> None:
+        """Raises the error of a revision of an earlier era."""
+        if era != self.era:
+            raise RevisionCompactedError(
+                f"The revision is of era {era}, the store is in {self.era}."
+            )
+
+    def _observe_era(self, text: str) -> None:
+        """Notes the era that a response names.
+
+        Raises:
+            errors.PlatformOutcomeUnknownError: The response is of an earlier
+                era, or names none although earlier responses did.
+        """
+        if not text and not self.era:
+            return  # A store without eras.
+        era = int(text) if ERA_PATTERN.fullmatch(text) else 0
+        if era < max(1, self.era):
+            raise errors.PlatformOutcomeUnknownError(
+                f"A response names era {text[:20]!r} of the store after era "
+                f"{self.era}; repeat the call."
+            )
+        previous, self.era = self.era, era
+        if previous and era > previous:
+            self.report_era(era)
+
     def _write(
         self, method: str, path: str, name: str, spec: object
     ) -> documents.StoredObject:
@@ -235,6 +293,7 @@
                 self.pool.release(connection)
             else:
                 connection.sock.close()
+        self._observe_era(parser.first(headers.STORE_ERA))
         _raise_for_status(parser.get_code())
         return parser.take()
 
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -106,6 +106,7 @@
         self.client = stores.StoreClient(
             settings.platform_address, store_pool, self.reports.store_call
         )
+        self.client.report_era = self._store_restored
         self.store_kinds = store_kinds.StoreKinds(self.reports)
         self.peers: transport.PeerTransport | None = None
         self.store_sync = store_sync.StoreSync(
@@ -213,6 +214,17 @@
             self.loop.submit(events.VmAdded(now_s()))
         self.store_sync.add(self.store_kinds.vms_kind())
 
+    def _store_restored(self, era: int) -> None:
+        self.loop.submit(events.StoreRestored(now_s(), era))
+        self._spawn(self._write_again)
+
+    def _write_again(self) -> None:
+        """Writes again what this VM had stored, as it may be lost."""
+        if self.peers is not None:
+            vm_registration = self._registration()
+            vm_registration.restore_secret(self.peers.secret.decode())
+            vm_registration.register()
+
     def _create_transport(self, secret: str) -> transport.PeerTransport:
         return transport.PeerTransport(
             self.settings.name,
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -270,6 +270,18 @@
     request_id: str
 
 
+@attrs.frozen
+class StoreRestored:
+    """The store has come back from a copy that is some seconds old.
+
+    Attributes:
+        era: The era of the store that has begun.
+    """
+
+    at_s: float
+    era: int
+
+
 @attrs.frozen
 class VmAdded:
     """This VM was registered for the first time."""
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -131,6 +131,10 @@
             return [effects.Log("store", text, fields), *_update_plan(state)]
         case events.StoreRegained():
             return _store_regained(state, event)
+        case events.StoreRestored():
+            targets.store_restored(state.target_directory, state.now_s)
+            text = "The store came back from an older copy."
+            return [effects.Log("store", text, {"era": event.era})]
     raise TypeError(
         f"{type(event).__name__} is not an event of the steering reducer; "
         "handle it in `reduce`."
@@ -181,10 +185,17 @@
 def _zones_evacuated(
     state: states.State, event: events.ZonesEvacuated
 ) -> Effects:
-    if event.zones == state.target_directory.evacuated:
+    directory = state.target_directory
+    zones = set(event.zones)
+    state.held_evacuations = None
+    if state.now_s < directory.restored_until_s:
+        # The store may have lost an evacuation, which is written again.
+        state.held_evacuations = event
+        zones |= directory.evacuated
+    if zones == directory.evacuated:
         return []
-    targets.set_evacuated(state.target_directory, state.now_s, set(event.zones))
-    fields = {"zones": sorted(event.zones), "revision": event.revision}
+    targets.set_evacuated(directory, state.now_s, zones)
+    fields = {"zones": sorted(zones), "revision": event.revision}
     return [effects.Log("targets", "The evacuated zones changed.", fields)]
 
 
@@ -281,6 +292,7 @@
         lenders = members.lenders(state.fleet, state.now_s)
         quota.set_lenders(state.quota, "", lenders)
     produced += quota.tick(state.quota, state.now_s)
+    produced += _apply_held(state)
     for name in targets.drop_missing(state.target_directory, state.now_s):
         fields = {"target": name}
         text = "A target whose entry did not return was dropped."
@@ -288,6 +300,16 @@
     return produced
 
 
+def _apply_held(state: states.State) -> Effects:
+    """Applies what was held back after the store came back from a copy."""
+    directory = state.target_directory
+    if state.now_s < directory.restored_until_s:
+        return []
+    targets.apply_held(directory, state.now_s)
+    held = state.held_evacuations
+    return [] if held is None else _zones_evacuated(state, held)
+
+
 def _update_stale_group(state: states.State) -> Effects:
     """Updates the group of VMs with stale data; logs when pacing changes."""
     stale = state.pacer.stale
--- a/mulberrydeck/steering/registration.py
+++ b/mulberrydeck/steering/registration.py
@@ -85,6 +85,22 @@
                     "read the secret", failures, outcome.failure()
                 )
 
+    def restore_secret(self, secret: str) -> None:
+        """Stores the secret shared by all VMs again, unless it exists."""
+        kind, name = documents.FLEET_KIND, "secret"
+        failures = 0
+        while True:
+            spec = documents.encode_fleet_secret(secret)
+            outcome = self.client.create(kind, name, spec)
+            if not isinstance(outcome, result.Failure) or _failed_with(
+                outcome, errors.ConflictError
+            ):
+                return
+            failures += 1
+            self._wait_to_retry(
+                "restore the secret", failures, outcome.failure()
+            )
+
     def _wait_to_retry(
         self, action: str, failures: int, error: Exception
     ) -> None:
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -7,6 +7,7 @@
 
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import hashing
+from mulberrydeck.steering import events
 from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import members
 from mulberrydeck.steering import outliers
@@ -85,6 +86,8 @@
         requests: Requests in progress by identifier.
         lost_kinds: Kinds of objects that cannot be read from the store, with
             the time at which this began, in seconds.
+        held_evacuations: Latest evacuated zones, while earlier ones hold too
+            because the store came back from an older copy.
         stopping: Whether a planned stop has begun.
         finish_by_s: When the last request must have ended, in seconds; infinite
             unless a planned stop has begun.
@@ -105,6 +108,7 @@
     )
     requests: dict[str, Request] = attrs.field(factory=dict)
     lost_kinds: dict[str, float] = attrs.field(factory=dict)
+    held_evacuations: events.ZonesEvacuated | None = None
     stopping: bool = False
     finish_by_s: float = math.inf
     heartbeat_schedule: heartbeats.Schedule = attrs.field(
--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -24,22 +24,27 @@
 # 2 s after the outage, the end of which a VM notices up to 0.8 s late. A VM
 # that was itself cut off must stop using a removed target within 3 s.
 EXPIRED_ENTRY_GRACE_S = 1.9
+# Targets write their entries every 1.5 s; after two of these intervals, what
+# the store lost with its return from an older copy is written again.
+RESTORE_S = 3.0
 # What a process said of itself is kept without its entry for this long.
 MAX_NOTICE_AGE_S = 600.0
 
 
 @attrs.define(eq=False)
 class Notice:
-    """What a process of a target has said of itself in its responses.
+    """What is known of a process of a target besides its entry.
 
     Attributes:
         leaving: Whether it is about to stop.
         paused_until_s: Time until which it wants no requests, in seconds.
-        noted_s: When it was last said, in seconds.
+        removed_s: When its entry was removed, in seconds.
+        noted_s: When any of this was last noted, in seconds.
     """
 
     leaving: bool = False
     paused_until_s: float = -math.inf
+    removed_s: float = -math.inf
     noted_s: float = -math.inf
 
 
@@ -117,8 +122,12 @@
         grace_until_s: Time until which missing entries may be registered
             again, in seconds.
         listed: Whether the targets were listed since the process started.
-        notices: What processes have said of themselves, by `_process`. They
-            outlive the target's entry, which may expire and return.
+        notices: What is known of processes besides their entries, by
+            `_process`. It outlives the entries, which may expire and return.
+        restored_until_s: Time until which the store may lack what was written
+            shortly before it came back from an older copy, in seconds.
+        held_entries: Entries that may be older than what is known, by name.
+            They apply after `restored_until_s`.
     """
 
     region_by_zone: dict[str, str]
@@ -132,6 +141,8 @@
     grace_until_s: float = -math.inf
     listed: bool = False
     notices: dict[tuple[str, int, str], Notice] = attrs.field(factory=dict)
+    restored_until_s: float = -math.inf
+    held_entries: dict[str, registry.TargetEntry] = attrs.field(factory=dict)
 
 
 def replace_all(
@@ -150,7 +161,7 @@
     for entry in entries:
         listed_names.add(entry.name)
         apply(directory, now_s, entry)
-    for name in list(directory.by_name):
+    for name in (*directory.by_name, *directory.held_entries):
         if name not in listed_names:
             remove(directory, now_s, name)
     directory.listed = True
@@ -166,7 +177,13 @@
         now_s: Current time, in seconds.
         entry: The entry.
     """
+    directory.held_entries.pop(entry.name, None)
     target = directory.by_name.get(entry.name)
+    if now_s < directory.restored_until_s and _is_older(
+        directory, target, entry
+    ):
+        directory.held_entries[entry.name] = entry
+        return
     cold_until_s = now_s + entry.cold_s
     if target is not None and _is_same_process(target.entry, entry):
         if entry == target.entry:
@@ -193,6 +210,7 @@
     Shortly after an outage of the store, the entry may have expired and may be
     registered again, so that its target is kept until `grace_until_s`.
     """
+    directory.held_entries.pop(name, None)
     target = directory.by_name.get(name)
     if target is None:
         return
@@ -201,9 +219,42 @@
             target.missing_since_s = now_s
             directory.missing[name] = target
     else:
+        target.notice.removed_s = now_s
+        _note(directory, target, now_s)
         _drop(directory, target)
 
 
+def _is_older(
+    directory: TargetDirectory,
+    target: Target | None,
+    entry: registry.TargetEntry,
+) -> bool:
+    """Returns whether an entry seems older than what is known of its process.
+
+    It is ready, while the process was draining or its entry was removed.
+    """
+    if entry.draining:
+        return False
+    if target is not None:
+        is_same = _process(target.entry) == _process(entry)
+        return is_same and target.entry.draining
+    notice = directory.notices.get(_process(entry))
+    return notice is not None and notice.removed_s > -math.inf
+
+
+def store_restored(directory: TargetDirectory, now_s: float) -> None:
+    """Starts the time in which older entries do not apply."""
+    directory.restored_until_s = now_s + RESTORE_S
+    store_regained(directory, now_s)
+
+
+def apply_held(directory: TargetDirectory, now_s: float) -> None:
+    """Applies the held entries once everything was written again."""
+    if directory.held_entries and now_s >= directory.restored_until_s:
+        for entry in list(directory.held_entries.values()):
+            apply(directory, now_s, entry)
+
+
 def drop_missing(directory: TargetDirectory, now_s: float) -> list[str]:
     """Drops targets whose entries were not registered again in time.
 
--- a/mulberrydeck/steering/tests/test_targets.py
+++ b/mulberrydeck/steering/tests/test_targets.py
@@ -321,3 +321,58 @@
             budget.deposit()
             spent += budget.try_withdraw()
     assert spent <= ratio * requests * count + extra
+
+
+def restored_vm():
+    vm = samples.Vm(entries=[samples.make_entry(name) for name in ("t1", "t2")])
+    draining = samples.make_entry("t1", draining=True)
+    vm.reduce(events.TargetChanged(vm.now_s, draining, 5))
+    vm.reduce(events.ZonesEvacuated(vm.now_s, frozenset({"lake-a"}), 6))
+    vm.reduce(events.StoreRestored(vm.now_s, 2))
+    return vm
+
+
+def chosen(vm):
+    names = set()
+    for key in "abcdefgh":
+        decision = vm.arrive(object_key=key)
+        names.add(getattr(decision, "target", ""))
+        vm.close(decision.request_id)
+    return names - {""}
+
+
+# Guards against a store that came back from an older copy and seems to revoke a
+# drain, a removal or an evacuation.
+def test_what_the_store_lost_holds_until_it_is_written_again():
+    vm = restored_vm()
+    entries = [samples.make_entry(name) for name in ("t1", "t2")]
+    vm.reduce(events.TargetsListed(vm.now_s, tuple(entries), 4))
+    vm.reduce(events.ZonesEvacuated(vm.now_s, frozenset(), 4))
+    vm.reduce(events.Ticked(vm.now_s))
+    assert chosen(vm) == {"t2"}
+    assert vm.state.target_directory.evacuated == {"lake-a"}
+    vm.now_s += targets.RESTORE_S + 0.1
+    vm.reduce(events.Ticked(vm.now_s))
+    assert chosen(vm) == {"t1", "t2"}
+    assert not vm.state.target_directory.evacuated
+
+
+def test_a_removed_target_stays_removed_while_the_store_is_restored():
+    vm = restored_vm()
+    vm.now_s += targets.RESTORE_S + 0.1
+    vm.reduce(events.TargetRemoved(vm.now_s, "t1", 7))
+    vm.reduce(events.StoreRestored(vm.now_s, 3))
+    entries = [samples.make_entry(name) for name in ("t1", "t2")]
+    vm.reduce(events.TargetsListed(vm.now_s, tuple(entries), 4))
+    assert chosen(vm) == {"t2"}
+    vm.reduce(events.TargetRemoved(vm.now_s, "t1", 8))
+    vm.now_s += targets.RESTORE_S + 0.1
+    vm.reduce(events.Ticked(vm.now_s))
+    assert chosen(vm) == {"t2"}
+
+
+def test_a_new_process_of_a_target_is_used_while_the_store_is_restored():
+    vm = restored_vm()
+    started = samples.make_entry("t1", started_ms=2)
+    vm.reduce(events.TargetChanged(vm.now_s, started, 8))
+    assert chosen(vm) == {"t1", "t2"}
--- a/standins/users_platform/metadata_store.py
+++ b/standins/users_platform/metadata_store.py
@@ -28,6 +28,7 @@
         calls_by_ip: Number of calls so far, by the caller's IP address.
         refused: IP addresses whose calls are refused with 503.
         silenced: IP addresses whose calls are held, waiting watches included.
+        era: Value of `Store-Era`; 0 to send none.
         changed: Event for held calls and watches.
     """
 
@@ -42,8 +43,23 @@
         self.calls_by_ip: collections.Counter[str] = collections.Counter()
         self.refused: set[str] = set()
         self.silenced: set[str] = set()
+        self.era = 0
         self.changed = gevent.event.Event()
 
+    def copy(self) -> tuple[int, dict]:
+        """Returns a copy of the objects, with its revision."""
+        return self.revision, copy.deepcopy(self.objects)
+
+    def restore(self, copied: tuple[int, dict]) -> None:
+        """Comes back from a copy; revisions after it are given out again."""
+        self.revision, objects = copied
+        self.objects = copy.deepcopy(objects)
+        self.history = [
+            change for change in self.history if change[0] <= self.revision
+        ]
+        self.era += 1
+        self._wake()
+
     def put(self, kind: str, name: str, spec: object) -> dict:
         """Writes an object directly, without a call or a revision check."""
         current = self.objects.setdefault(kind, {}).get(name)
@@ -109,6 +125,13 @@
 
     def __call__(self, environ, start_response):
         """Serves one call."""
+        if self.era:
+            era = ("Store-Era", str(self.era))
+            respond = start_response
+
+            def start_response(status, fields):
+                return respond(status, [*fields, era])
+
         method = environ["REQUEST_METHOD"]
         self.calls[method] = self.calls.get(method, 0) + 1
         caller = environ["REMOTE_ADDR"]
@@ -158,7 +181,7 @@
             refused = environ["REMOTE_ADDR"] in self.refused
             if refused or self.mode == "refusing":
                 return serving.respond(start_response, "503 Refused")
-            if since < self.oldest_revision:
+            if not self.oldest_revision <= since <= self.revision:
                 return serving.respond(start_response, "410 Gone")
             events = [
                 {"Object": stored, "Deleted": deleted}
