Accept a first era of 0, and follow a store without readable eras

A store whose responses name era 0 from the start was refused altogether, as was one with an unreadable header.

--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -91,7 +91,8 @@
         address: `ip:port` of the store.
         pool: Pool of connections to the store.
         count_call: Called with the cause of each call, such as `watch servers`.
-        era: Latest era of the store that a response has named; 0 before.
+        era: One more than the latest era of the store that a response named; 0
+            before, and for a store without eras.
         report_era: Called with the era when it has risen.
     """
 
@@ -237,7 +238,7 @@
         """Raises the error of a revision of an earlier era."""
         if era != self.era:
             raise RevisionCompactedError(
-                f"The revision is of era {era}, the store is in {self.era}."
+                "The revision is of an earlier era of the store; list again."
             )
 
     def _observe_era(self, text: str) -> None:
@@ -247,17 +248,15 @@
             errors.PlatformOutcomeUnknownError: The response is of an earlier
                 era, or names none although earlier responses did.
         """
-        if not text and not self.era:
-            return  # A store without eras.
-        era = int(text) if ERA_PATTERN.fullmatch(text) else 0
-        if era < max(1, self.era):
+        era = int(text) + 1 if ERA_PATTERN.fullmatch(text) else 0
+        if era < self.era:
             raise errors.PlatformOutcomeUnknownError(
                 f"A response names era {text[:20]!r} of the store after era "
-                f"{self.era}; repeat the call."
+                f"{self.era - 1}; repeat the call."
             )
         previous, self.era = self.era, era
         if previous and era > previous:
-            self.report_era(era)
+            self.report_era(int(text))
 
     def _write(
         self, method: str, path: str, name: str, spec: object
--- a/standins/users_platform/metadata_store.py
+++ b/standins/users_platform/metadata_store.py
@@ -28,7 +28,7 @@
         calls_by_ip: Number of calls so far, by the caller's IP address.
         refused: IP addresses whose calls are refused with 503.
         silenced: IP addresses whose calls are held, waiting watches included.
-        era: Value of `Store-Era`; 0 to send none.
+        era: Value of `Store-Era`; None to send none.
         changed: Event for held calls and watches.
     """
 
@@ -43,7 +43,7 @@
         self.calls_by_ip: collections.Counter[str] = collections.Counter()
         self.refused: set[str] = set()
         self.silenced: set[str] = set()
-        self.era = 0
+        self.era: int | None = None
         self.changed = gevent.event.Event()
 
     def copy(self) -> tuple[int, dict]:
@@ -57,7 +57,7 @@
         self.history = [
             change for change in self.history if change[0] <= self.revision
         ]
-        self.era += 1
+        self.era = (self.era or 0) + 1
         self._wake()
 
     def put(self, kind: str, name: str, spec: object) -> dict:
@@ -125,7 +125,7 @@
 
     def __call__(self, environ, start_response):
         """Serves one call."""
-        if self.era:
+        if self.era is not None:
             era = ("Store-Era", str(self.era))
             respond = start_response
 
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -19,7 +19,7 @@
     with steering_fleet.SteeringFleet(
         tmp_path, mesh_vms=request.param
     ) as fleet:
-        fleet.store.era = 1
+        fleet.store.era = 0
         fleet.configure()
         fleet.add_target("t1", slots=50)
         fleet.add_target("t2", slots=50)
