--- a/mulberrydeck/platform/documents.py
+++ b/mulberrydeck/platform/documents.py
@@ -4,9 +4,11 @@
 names of the platform; comments explain fields whose name is misleading.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import ipaddress
 import re
+from typing import TypeVar
 
 import msgspec
 
@@ -40,6 +42,8 @@
 # Longer texts of an invalid entry are cut off in error messages.
 MAX_QUOTED_CHARACTERS = 80
 
+_Parts = TypeVar("_Parts")
+
 # Names of targets are sent in a header field.
 _NAME_PATTERN = re.compile(r"[!-~]{1,256}")
 _PORT_PATTERN = re.compile(r"[0-9]{1,5}")
@@ -252,8 +256,12 @@
 
 
 def _members(container: bytes) -> dict[bytes, bytes]:
+    return _split(json_parts.members, bytes(container))
+
+
+def _split(split: Callable[[bytes], _Parts], container: bytes) -> _Parts:
     try:
-        return json_parts.members(bytes(container))
+        return split(container)
     except json_parts.MalformedContainerError as error:
         raise InvalidDocumentError(
             f"The document is malformed: {error}"
@@ -263,12 +271,7 @@
 def _raw_elements(
     values: dict[bytes, bytes], name: bytes
 ) -> Iterable[msgspec.Raw]:
-    try:
-        elements = json_parts.elements(values.get(name, b""))
-    except json_parts.MalformedContainerError as error:
-        raise InvalidDocumentError(
-            f"The document is malformed: {error}"
-        ) from error
+    elements = _split(json_parts.elements, values.get(name, b""))
     return map(msgspec.Raw, elements)
 
 
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -325,24 +325,19 @@
         started_s = now_s()
         self.loop.submit(events.StopRequested(started_s))
         self.caller_listener.stopping = True
-        accept_until_s = stopping.accept_until_s(
-            started_s, self.settings.stop_timeout_s
-        )
-        finish_by_s = stopping.finish_by_s(
-            started_s, self.settings.stop_timeout_s
-        )
-        while now_s() < accept_until_s:
+        plan = stopping.plan(started_s, self.settings.stop_timeout_s)
+        while now_s() < plan.accept_until_s:
             gevent.sleep(serving.STOP_POLL_INTERVAL_S)
         self.caller_listener.stop_accepting()
         gevent.sleep(serving.FIRST_REQUEST_GRACE_S)
-        while now_s() < finish_by_s and (
+        while now_s() < plan.finish_by_s and (
             self.caller_listener.in_flight
             or self.caller_listener.open_connections
         ):
             self.caller_listener.close_idle()
             gevent.sleep(serving.STOP_POLL_INTERVAL_S)
         self.loop.submit(events.StopFinished(now_s()))
-        if now_s() < finish_by_s:
+        if now_s() < plan.finish_by_s:
             with gevent.Timeout(DEREGISTER_TIMEOUT_S, False):
                 self._registration().deregister()
         if self.peers is not None:
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -291,6 +291,8 @@
     if is_heartbeat_due or state.fleet.is_mesh:
         lenders = members.lenders(state.fleet, state.now_s)
         quota.set_lenders(state.quota, "", lenders)
+    if is_heartbeat_due:
+        targets.drop_old_notices(state.target_directory, state.now_s)
     produced += quota.tick(state.quota, state.now_s)
     produced += _apply_held(state)
     for name in targets.drop_missing(state.target_directory, state.now_s):
@@ -412,9 +414,8 @@
 
 def _stop_requested(state: states.State) -> Effects:
     state.stopping = True
-    state.finish_by_s = stopping.finish_by_s(
-        state.now_s, state.settings.stop_timeout_s
-    )
+    plan = stopping.plan(state.now_s, state.settings.stop_timeout_s)
+    state.finish_by_s = plan.finish_by_s
     # Other VMs must omit this one from lookups at once.
     heartbeats.send_to_all_soon(state.heartbeat_schedule)
     fields = {"in_flight": len(state.requests)}
--- a/mulberrydeck/steering/stopping.py
+++ b/mulberrydeck/steering/stopping.py
@@ -5,6 +5,8 @@
 VM.
 """
 
+import attrs
+
 from mulberrydeck.steering import state as states
 
 # Fractions of `stop_timeout_s`. New connections are accepted until the first,
@@ -16,26 +18,31 @@
 RETRY_S = 0.0
 
 
-def finish_by_s(started_s: float, stop_timeout_s: float) -> float:
-    """Returns when the last request must have ended, in seconds.
+@attrs.frozen
+class StopPlan:
+    """Times of a planned stop.
 
-    Args:
-        started_s: When the stop began, in seconds.
-        stop_timeout_s: Time from SIGTERM until the process is killed, in
-            seconds.
+    Attributes:
+        accept_until_s: Until when new connections are accepted, in seconds.
+        finish_by_s: When the last request must have ended, in seconds.
     """
-    return started_s + stop_timeout_s * FINISH_FRACTION
+
+    accept_until_s: float
+    finish_by_s: float
 
 
-def accept_until_s(started_s: float, stop_timeout_s: float) -> float:
-    """Returns until when new connections are accepted, in seconds.
+def plan(started_s: float, stop_timeout_s: float) -> StopPlan:
+    """Returns the times of a stop.
 
     Args:
         started_s: When the stop began, in seconds.
         stop_timeout_s: Time from SIGTERM until the process is killed, in
             seconds.
     """
-    return started_s + stop_timeout_s * ACCEPT_FRACTION
+    return StopPlan(
+        started_s + stop_timeout_s * ACCEPT_FRACTION,
+        started_s + stop_timeout_s * FINISH_FRACTION,
+    )
 
 
 def may_cut_off(state: states.State, request: states.Request) -> bool:
--- a/mulberrydeck/steering/targets.py
+++ b/mulberrydeck/steering/targets.py
@@ -261,10 +261,6 @@
     Returns:
         Names of the dropped targets.
     """
-    expired_s = now_s - MAX_NOTICE_AGE_S
-    for process, notice in list(directory.notices.items()):
-        if max(notice.noted_s, notice.paused_until_s) < expired_s:
-            del directory.notices[process]
     missing = [
         target
         for target in directory.missing.values()
@@ -337,6 +333,14 @@
     directory.notices[_process(target.entry)] = target.notice
 
 
+def drop_old_notices(directory: TargetDirectory, now_s: float) -> None:
+    """Forgets what was noted of processes that are probably gone."""
+    expired_s = now_s - MAX_NOTICE_AGE_S
+    for process, notice in list(directory.notices.items()):
+        if max(notice.noted_s, notice.paused_until_s) < expired_s:
+            del directory.notices[process]
+
+
 def _process(entry: registry.TargetEntry) -> tuple[str, int, str]:
     """Returns what identifies the process that an entry describes."""
     return (entry.name, entry.started_ms, entry.address)
