Log and count what a response that says "not run" rests on

The users' record could not tell a rejection by a target from the copy of an earlier one, nor from a status that a target sent after it ran the request: 408 and 429 of targets were not logged, and lines named neither the connection nor the fields that were believed. Now a failed attempt's line has kept_connection, identified and not_executed, and each response with 408, 421, 429 or 503 is logged and counted by its basis (mulberrydeck_not_run_responses_total).

--- a/mulberrydeck/forward/responses.py
+++ b/mulberrydeck/forward/responses.py
@@ -85,6 +85,14 @@
                 return value
         return ""
 
+    def values(self, field_name: str) -> tuple[str, ...]:
+        """Returns the values of all fields of a name, in order.
+
+        Args:
+            field_name: Name in lower case.
+        """
+        return tuple(value for name, value in self.fields if name == field_name)
+
     def accept(self, data: bytes) -> None:
         """Parses received bytes; empty if the peer closed the connection.
 
--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -34,6 +34,8 @@
 RETRY_AFTER = "retry-after"
 
 WRONG_TARGET_STATUS = 421
+# Tell a caller that its request did not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 UNAVAILABLE_STATUS = 503
 # Longer pauses are taken as this long.
 MAX_PAUSE_S = 3600.0
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -89,6 +89,10 @@
         reason: Reason of a failure, for logs.
         sent_after_s: Time from the start of the attempt to the first byte of
             the request, in seconds; None if nothing was sent.
+        kept_connection: Whether the connection carried an earlier request.
+        identified: Whether the response carries the request's identifier.
+        not_executed: Values of the fields by which the target states that it
+            did not run the request, for logs.
     """
 
     outcome: Outcome
@@ -100,6 +104,9 @@
     pause_s: float = 0.0
     reason: str = ""
     sent_after_s: float | None = None
+    kept_connection: bool = False
+    identified: bool = False
+    not_executed: tuple[str, ...] = ()
 
 
 class InvalidResponseError(Exception):
@@ -136,6 +143,7 @@
         self.sent_after_s: float | None = None
         self.response_started = False
         self.identified = False
+        self.kept_connection = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
         self.parser = responses.ResponseParser(hop.method)
         self.filter = response_filter.MismatchedResponseFilter(
@@ -165,6 +173,7 @@
             )
         except pools.ConnectError as error:
             return Attempt(Outcome.NOT_SENT, reason=str(error))
+        self.kept_connection = connection.reused
         reusable = False
         try:
             attempt = self._exchange(connection, sink)
@@ -326,6 +335,9 @@
             leaving=self._says_leaving(),
             pause_s=self._pause_s(),
             sent_after_s=self.sent_after_s,
+            kept_connection=self.kept_connection,
+            identified=bool(self.parser.first(headers.ATTEMPT_ID)),
+            not_executed=self.parser.values(headers.NOT_EXECUTED),
         )
 
     def _says_leaving(self) -> bool:
@@ -349,6 +361,7 @@
             leaving=self._says_leaving(),
             reason=reason,
             sent_after_s=self.sent_after_s,
+            kept_connection=self.kept_connection,
         )
 
 
--- a/mulberrydeck/steering/progress.py
+++ b/mulberrydeck/steering/progress.py
@@ -1,8 +1,32 @@
 """Progress of a caller's request, for log lines and metrics."""
 
+import enum
+
 import attrs
 
 from mulberrydeck.steering import effects
+from mulberrydeck.steering import events
+
+Outcome = events.Outcome
+
+
+class NotRunBasis(enum.Enum):
+    """Why a caller may be told that its request did not run.
+
+    `NO_ATTEMPT`: no target was tried.
+    `NOT_SENT`: no byte of it was sent to any target.
+    `REJECTED`: each target that it was sent to stated that it did not run it.
+    `UNKNOWN`: an attempt had another outcome.
+    """
+
+    NO_ATTEMPT = "no attempt"
+    NOT_SENT = "not sent"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+_NOT_SENT = frozenset((Outcome.NOT_SENT, Outcome.DELAYED))
+_NOT_RUN = _NOT_SENT | {Outcome.REJECTED, Outcome.WRONG_TARGET}
 
 
 @attrs.define
@@ -15,8 +39,22 @@
         last_forward: The last attempt, or None.
         sent_after_s: Time from the choice of the last target to the first byte
             sent to it, in seconds; None if nothing was sent.
+        outcomes: Outcomes of all attempts, in order.
     """
 
     decision: effects.Decision | None = None
     last_forward: effects.Forward | None = None
     sent_after_s: float | None = None
+    outcomes: list[Outcome] = attrs.field(factory=list)
+
+    @property
+    def not_run_basis(self) -> NotRunBasis:
+        """What the attempts show about whether the request ran."""
+        outcomes = set(self.outcomes)
+        if not outcomes:
+            return NotRunBasis.NO_ATTEMPT
+        if outcomes <= _NOT_SENT:
+            return NotRunBasis.NOT_SENT
+        if outcomes <= _NOT_RUN:
+            return NotRunBasis.REJECTED
+        return NotRunBasis.UNKNOWN
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -6,6 +6,7 @@
 
 from mulberrydeck.frontend import requests
 from mulberrydeck.observability import logs
+from mulberrydeck.platform import headers
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import exchange
@@ -86,6 +87,11 @@
             registry=self.registry,
         )
         self.attempts = self._counter("attempts", "Attempts.", "outcome")
+        self.not_run = self._counter(
+            "not_run_responses",
+            "Responses that tell the caller that its request did not run.",
+            "basis",
+        )
         self.send_delay = prometheus_client.Histogram(
             "mulberrydeck_send_delay_seconds",
             "Time from the choice of a target to the first byte sent.",
@@ -130,7 +136,11 @@
             self.send_delay.observe(attempt.sent_after_s)
             if decision.cold:
                 self.cold_sends.inc()
-        if attempt.outcome is events.Outcome.ANSWERED and attempt.status < 500:
+        if (
+            attempt.outcome is events.Outcome.ANSWERED
+            and attempt.status < 500
+            and attempt.status not in headers.NOT_RUN_STATUSES
+        ):
             return
         self.write(
             "attempt",
@@ -142,6 +152,9 @@
             outcome=attempt.outcome.value,
             status=attempt.status,
             reason=attempt.reason,
+            kept_connection=attempt.kept_connection,
+            identified=attempt.identified,
+            not_executed=attempt.not_executed,
             **decision.inputs,
             **_send_time_fields(attempt.sent_after_s),
         )
@@ -174,6 +187,10 @@
             fields |= last_attempt.inputs | _send_time_fields(
                 progress.sent_after_s
             )
+        if request.response.status in headers.NOT_RUN_STATUSES:
+            basis = progress.not_run_basis
+            self.not_run.labels(basis.value).inc()
+            fields["not_run_basis"] = basis.value
         match progress.decision:
             case effects.Refuse(kind=kind, inputs=inputs):
                 self.latency.labels(kind).observe(elapsed_s)
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -109,6 +109,7 @@
             )
             attempt = target_exchange.run(request.response)
             progress.sent_after_s = attempt.sent_after_s
+            progress.outcomes.append(attempt.outcome)
             self.reports.attempt_ended(request, decision, attempt)
             ended_event = self._attempt_ended(request, decision, attempt)
             if attempt.response_started:
--- a/mulberrydeck/steering/tests/test_reporting.py
+++ b/mulberrydeck/steering/tests/test_reporting.py
@@ -67,3 +67,47 @@
     metrics = reports.render().decode()
     assert "mulberrydeck_cold_sends_total 1.0" in metrics
     assert "mulberrydeck_send_delay_seconds_sum 0.125" in metrics
+
+
+Outcome = events.Outcome
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "basis"),
+    [
+        ([], "no attempt"),
+        ([Outcome.DELAYED, Outcome.NOT_SENT], "not sent"),
+        ([Outcome.REJECTED, Outcome.WRONG_TARGET], "rejected"),
+        ([Outcome.REJECTED, Outcome.ANSWERED], "unknown"),
+    ],
+)
+def test_a_response_that_says_not_run_is_counted_with_its_basis(
+    written_lines, outcomes, basis
+):
+    reports = reporting.Reports(lambda: 100.0)
+    request = make_request()
+    request.response.status = 503
+    refusal = effects.Refuse("r1", 503, "no-capacity", "Come back later.")
+    progress = progresses.Progress(refusal, outcomes=outcomes)
+    reports.request_ended(request, progress, 0.1)
+    ((_, fields),) = written_lines
+    assert fields["not_run_basis"] == basis
+    metrics = reports.render().decode()
+    name = "mulberrydeck_not_run_responses_total"
+    assert f'{name}{{basis="{basis}"}} 1.0' in metrics
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_an_attempt_answered_as_if_it_did_not_run_is_logged(
+    written_lines, status
+):
+    reports = reporting.Reports(lambda: 100.0)
+    forward = effects.Forward("r1", 1, "t1", "10.0.0.1:80", "", 101.0, False)
+    attempt = exchange.Attempt(
+        Outcome.ANSWERED, status, kept_connection=True, not_executed=("",)
+    )
+    reports.attempt_ended(make_request(), forward, attempt)
+    ((_, fields),) = written_lines
+    assert fields["status"] == status
+    assert fields["kept_connection"]
+    assert fields["not_executed"] == ("",)
