Deliver no status that says "not run" without the target stating so

Callers saw: 503, 429 or 408 for at-most-once requests that had run (REFUSED).

Cause: 408, 421, 429 and 503 tell callers that a request did not run and never will, but only X-Not-Executed (or 421) states so on the side of targets. A VM delivered a target's response with its status, so that a target that ran a request and answered 503 made the VM give a promise that nobody had made.

Ruled out: another status under the target's signature (MIXED), and a retry of what may have run (TWICE). What remains is the VM's own 502, whose outcome is unknown; repeatable requests go to another target first.

It fits the users' record better than copies of refusals do: those make a VM send the request to a second target, and no TWICE was reported.

--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -1,5 +1,6 @@
 """Header fields and paths of callers' requests and targets' responses."""
 
+import enum
 import re
 import urllib.parse
 
@@ -57,6 +58,22 @@
 )
 
 
+class Execution(enum.Enum):
+    """What a response states about whether its request ran.
+
+    `RAN`: the target processed the request, successfully or not.
+    `NOT_RUN`: the target did not run the request.
+    `WRONG_TARGET`: another target has the address; it did not run the request.
+    `UNCLEAR`: the status would tell the caller that the request did not run,
+    but the target does not state so.
+    """
+
+    RAN = enum.auto()
+    NOT_RUN = enum.auto()
+    WRONG_TARGET = enum.auto()
+    UNCLEAR = enum.auto()
+
+
 @attrs.frozen
 class CallerFields:
     """Header fields of a caller's request that this VM uses.
@@ -156,6 +173,25 @@
     return TargetLoad(running, waiting, slots)
 
 
+def parse_execution(status: int, not_executed: tuple[str, ...]) -> "Execution":
+    """Returns what a response states about whether its request ran.
+
+    Only the not-executed field and status 421 state that it did not. A target
+    may run a request and respond with 408, 429 or 503.
+
+    Args:
+        status: HTTP status.
+        not_executed: Values of the not-executed fields.
+    """
+    if status == WRONG_TARGET_STATUS:
+        return Execution.WRONG_TARGET
+    if any(not_executed):
+        return Execution.NOT_RUN
+    if status in NOT_RUN_STATUSES:
+        return Execution.UNCLEAR
+    return Execution.RAN
+
+
 def parse_leaving(text: str) -> bool:
     """Returns whether a response says that its target is about to stop."""
     return text.strip() == "1"
--- a/mulberrydeck/platform/tests/test_headers.py
+++ b/mulberrydeck/platform/tests/test_headers.py
@@ -125,3 +125,29 @@
     assert headers.parse_leaving("1")
     for text in ("", "0", "true", "11", "1, 1"):
         assert not headers.parse_leaving(text)
+
+
+Execution = headers.Execution
+
+
+@pytest.mark.parametrize(
+    ("status", "not_executed", "execution"),
+    [
+        (200, (), Execution.RAN),
+        (404, (), Execution.RAN),
+        (500, (), Execution.RAN),
+        (504, (), Execution.RAN),
+        (503, ("1",), Execution.NOT_RUN),
+        (429, ("1",), Execution.NOT_RUN),
+        (400, ("1",), Execution.NOT_RUN),
+        (421, (), Execution.WRONG_TARGET),
+        (503, (), Execution.UNCLEAR),
+        (429, (), Execution.UNCLEAR),
+        (408, (), Execution.UNCLEAR),
+        (503, ("",), Execution.UNCLEAR),
+    ],
+)
+def test_a_status_alone_does_not_state_that_a_request_did_not_run(
+    status, not_executed, execution
+):
+    assert headers.parse_execution(status, not_executed) is execution
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -17,6 +17,8 @@
     """How an attempt at a target ended.
 
     `DELAYED`: nothing was sent, since the decision to send it had expired.
+    `UNCLEAR`: the status of the response would tell the caller that the request
+    did not run, but the target does not state so.
     """
 
     ANSWERED = "answered"
@@ -24,6 +26,7 @@
     DELAYED = "delayed"
     REJECTED = "rejected"
     WRONG_TARGET = "wrong target"
+    UNCLEAR = "unclear"
     BROKEN = "broken"
     EXPIRED = "expired"
 
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -30,6 +30,14 @@
 MAX_IDLE_AT_MOST_ONCE_S = 0.5
 
 Outcome = events.Outcome
+Execution = headers.Execution
+
+# A response that is not in this table is read to its end.
+OUTCOMES_WITHOUT_BODY = {
+    Execution.NOT_RUN: Outcome.REJECTED,
+    Execution.WRONG_TARGET: Outcome.WRONG_TARGET,
+    Execution.UNCLEAR: Outcome.UNCLEAR,
+}
 
 
 @attrs.frozen
@@ -194,9 +202,9 @@
             self.sent_after_s = self.now_s() - self.started_s
             self.upload.start(connection.sock, self.hop.head, self.body)
             self._read_head(connection)
-            rejected = self._rejection()
-            if rejected is not None:
-                return self._completed(rejected)
+            outcome = OUTCOMES_WITHOUT_BODY.get(self._execution())
+            if outcome is not None:
+                return self._completed(outcome)
             buffered = self._read_body(connection, sink)
         except errors.AdmissionExpiredError as error:
             return Attempt(Outcome.DELAYED, reason=str(error))
@@ -244,12 +252,10 @@
         if self.hop.attempt_id and attempt_id != self.hop.attempt_id:
             raise InvalidResponseError("response to another request")
 
-    def _rejection(self) -> Outcome | None:
-        if self.parser.get_code() == headers.WRONG_TARGET_STATUS:
-            return Outcome.WRONG_TARGET
-        if self.parser.first(headers.NOT_EXECUTED):
-            return Outcome.REJECTED
-        return None
+    def _execution(self) -> headers.Execution:
+        return headers.parse_execution(
+            self.parser.get_code(), self.parser.values(headers.NOT_EXECUTED)
+        )
 
     def _read_body(
         self, connection: pools.Connection, sink: exchanges.Sink
--- a/mulberrydeck/steering/refusals.py
+++ b/mulberrydeck/steering/refusals.py
@@ -13,7 +13,7 @@
     "rate-limited": "The client account is over its rate; come back later.",
     "no-capacity": "No target has room now; come back later.",
     "deadline-exceeded": "The deadline has passed; allow more time.",
-    "outcome-unknown": "The target broke off; it may have run the request.",
+    "outcome-unknown": "A target may have run the request; check its effect.",
 }
 
 
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -281,7 +281,7 @@
                     state, request, event, effects.Deliver(request.request_id)
                 )
             return effects.Deliver(request.request_id)
-        case Outcome.BROKEN | Outcome.EXPIRED:
+        case Outcome.BROKEN | Outcome.EXPIRED | Outcome.UNCLEAR:
             request.may_have_run = True
             if not request.repeatable:
                 return _refusal_after_attempt(request, event)
@@ -361,7 +361,7 @@
     match event.outcome:
         case Outcome.EXPIRED:
             return refusals.refusal(request, 504, "deadline-exceeded", None)
-        case Outcome.BROKEN:
+        case Outcome.BROKEN | Outcome.UNCLEAR:
             return refusals.refusal(request, 502, "outcome-unknown", None)
     return refusals.refusal(request, 503, "no-capacity", NO_CAPACITY_RETRY_S)
 
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -158,3 +158,19 @@
     pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
     attempt = run_attempt(target, clock, pool)
     assert (attempt.leaving, attempt.pause_s) == (leaving, pause_s)
+
+
+@pytest.mark.parametrize("status", [b"408", b"429", b"503"])
+@pytest.mark.parametrize("length", [b"0", b"400000"])
+def test_a_status_of_a_refusal_is_no_statement_that_nothing_ran(
+    target, status, length
+):
+    response = REFUSAL.replace(b"X-Not-Executed: 1\r\n", b"") % OWN
+    response = response.replace(b"503", status)
+    target.responses = [response.replace(b"Length: 0", b"Length: " + length)]
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.UNCLEAR
+    assert not attempt.response_started
+    assert attempt.status == int(status)
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -159,6 +159,23 @@
     assert isinstance(decision, effects.Deliver)
 
 
+# Guards against delivering a target's 503, 429 or 408 to a request that ran.
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_an_unclear_response_leaves_the_outcome_of_a_request_unknown(status):
+    vm = samples.Vm(at_most_once_table(), entries())
+    vm.arrive()
+    refusal = vm.end("r1", Outcome.UNCLEAR, status=status)
+    assert (refusal.status, refusal.kind) == (502, "outcome-unknown")
+
+
+def test_a_safe_request_is_retried_after_an_unclear_response():
+    vm = samples.Vm(entries=entries(2))
+    vm.arrive()
+    retry = vm.end("r1", Outcome.UNCLEAR, status=503)
+    assert isinstance(retry, effects.Forward)
+    assert vm.end("r1", Outcome.REJECTED, status=503).status == 502
+
+
 def test_a_request_whose_body_cannot_be_replayed_is_not_retried():
     vm = samples.Vm(at_most_once_table(), entries())
     vm.arrive()
