Compare the identifier of each final response, not only of successes

Callers saw: "not run" for at-most-once requests that ran, or such a request ran twice.

Cause: responses to other requests are skipped up to the first head that carries the identifier of the request or none. An interim response with the right identifier, or empty lines, end that search, and the final response after them, the copy of an earlier refusal, was then checked for having any identifier: only that of a success was compared.

Now a final response that names another request, or two, ends the attempt as broken.

Ruled out: copies of any kind without an identifier, and late copies that arrive before the next request (the connection is closed then).

--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -236,11 +236,16 @@
         self.identified = status != headers.WRONG_TARGET_STATUS
 
     def _check_identifier(self, connection: pools.Connection) -> None:
-        """Checks that a kept connection carries the response to this request.
+        """Checks that the final response is the one to this request.
 
-        A response without an identifier may be the copy of an earlier one.
+        On a kept connection, a response without an identifier may be the copy
+        of an earlier one.
         """
-        if connection.reused and not self.parser.first(headers.ATTEMPT_ID):
+        expected_id = self.hop.attempt_id
+        identifiers = set(self.parser.values(headers.ATTEMPT_ID))
+        if expected_id and identifiers - {expected_id}:
+            raise InvalidResponseError("response to another request")
+        if connection.reused and not identifiers:
             raise InvalidResponseError(
                 "response without identifier on a kept connection"
             )
@@ -248,9 +253,8 @@
     def _check_success(self) -> None:
         if not self.parser.first(headers.SIGNATURE):
             raise InvalidResponseError("successful response without signature")
-        attempt_id = self.parser.first(headers.ATTEMPT_ID)
-        if self.hop.attempt_id and attempt_id != self.hop.attempt_id:
-            raise InvalidResponseError("response to another request")
+        if self.hop.attempt_id and not self.parser.first(headers.ATTEMPT_ID):
+            raise InvalidResponseError("successful response without identifier")
 
     def _execution(self) -> headers.Execution:
         return headers.parse_execution(
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -11,6 +11,8 @@
 REFUSAL = (
     b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n%s\r\n"
 )
+OWN = b"X-Attempt-Id: a1\r\n"
+OTHER = b"X-Attempt-Id: a0\r\n"
 RESPONSE = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Attempt-Id: a1\r\n"
     b"X-Response-Signature: s\r\n\r\nok"
@@ -111,6 +113,31 @@
     assert target.connections == 1
 
 
+# Other bytes hide the copy where responses to other requests are skipped.
+@pytest.mark.parametrize(
+    "preceding", [b"HTTP/1.1 103 Early Hints\r\n%s\r\n" % OWN, b"\r\n\r\n"]
+)
+def test_a_refusal_of_an_earlier_request_is_not_accepted(target, preceding):
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    target.responses = [RESPONSE.replace(b"a1", b"a0")]
+    run_attempt(target, clock, pool, attempt_id="a0")
+    target.responses = [preceding + REFUSAL % OTHER]
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.BROKEN
+    assert target.connections == 1
+
+
+@pytest.mark.parametrize("identifiers", [OTHER, OWN + OTHER, OTHER + OWN])
+def test_a_refusal_of_two_requests_is_not_accepted(target, identifiers):
+    target.responses = [REFUSAL % identifiers]
+    target.closes = True
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.BROKEN
+
+
 @pytest.mark.parametrize("identifier", [b"X-Attempt-Id: a1\r\n", b""])
 def test_a_refusal_on_a_new_connection_is_accepted(target, identifier):
     target.responses = [REFUSAL % identifier]
@@ -131,8 +158,6 @@
 
 
 NOTICE = b"Server-Leaving: 1\r\nRetry-After: 2\r\n"
-OWN = b"X-Attempt-Id: a1\r\n"
-OTHER = b"X-Attempt-Id: a0\r\n"
 
 
 @pytest.mark.parametrize(
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -71,8 +71,7 @@
             assert not runs[attempt_id], (attempt_id, status)
 
 
-# Guards against a target's 503, 429 or 408 that is delivered although the
-# target ran the request and only X-Not-Executed states that it did not.
+# Only X-Not-Executed states that a target did not run a request.
 @pytest.mark.parametrize("path", ["/once/1", "/read/1"])
 @pytest.mark.parametrize("fault", RAN_FAULTS)
 def test_a_request_that_ran_is_not_reported_as_not_run(fleet, path, fault):
@@ -92,8 +91,7 @@
     return fleet.targets.values()
 
 
-# Guards against copies of refusals that are preceded by other bytes, and whose
-# identifier is that of an earlier request.
+# Copies carry the identifier of an earlier request, or none if bare.
 @pytest.mark.parametrize(
     "fault",
     [
