Take no statement "not run" that its own response contradicts

Callers saw: "not run" for at-most-once requests that ran, or they ran at a second target.

Cause: any non-empty X-Not-Executed counted as a rejection, on any status. An empty value was passed on.

Now it counts with 4xx and 503 only, and only if no field of that name denies it (empty, 0, false, no). With a success, nothing is known: 502, or another target for repeatable requests. Other responses are delivered as they are, without the field.

Ruled out by test: trailers and interim responses are not read for the field.

--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -41,6 +41,8 @@
 # Longer pauses are taken as this long.
 MAX_PAUSE_S = 3600.0
 
+# Values of the not-executed field that do not state what its name says.
+_DENIALS = frozenset(("", "0", "false", "no"))
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?")
 
 _NOT_FORWARDED = frozenset(
@@ -65,7 +67,7 @@
     `NOT_RUN`: the target did not run the request.
     `WRONG_TARGET`: another target has the address; it did not run the request.
     `UNCLEAR`: the status would tell the caller that the request did not run,
-    but the target does not state so.
+    but the target does not state so, or it states so with a success.
     """
 
     RAN = enum.auto()
@@ -177,7 +179,8 @@
     """Returns what a response states about whether its request ran.
 
     Only the not-executed field and status 421 state that it did not. A target
-    may run a request and respond with 408, 429 or 503.
+    may run a request and respond with 408, 429 or 503. A statement that the
+    status or another field contradicts is none.
 
     Args:
         status: HTTP status.
@@ -185,13 +188,30 @@
     """
     if status == WRONG_TARGET_STATUS:
         return Execution.WRONG_TARGET
-    if any(not_executed):
+    denied = not _DENIALS.isdisjoint(
+        value.strip().lower() for value in not_executed
+    )
+    stated = bool(not_executed) and not denied
+    rejected = 400 <= status < 500 or status == UNAVAILABLE_STATUS
+    if stated and rejected:
         return Execution.NOT_RUN
-    if status in NOT_RUN_STATUSES:
+    succeeded = 200 <= status < 300
+    if status in NOT_RUN_STATUSES or (stated and succeeded):
         return Execution.UNCLEAR
     return Execution.RAN
 
 
+def response_fields(
+    fields: list[header_fields.Field],
+) -> list[header_fields.Field]:
+    """Returns the fields of a response that a caller may get.
+
+    Args:
+        fields: Fields as received, names in lower case.
+    """
+    return [field for field in fields if field[0] != NOT_EXECUTED]
+
+
 def parse_leaving(text: str) -> bool:
     """Returns whether a response says that its target is about to stop."""
     return text.strip() == "1"
--- a/mulberrydeck/platform/tests/test_headers.py
+++ b/mulberrydeck/platform/tests/test_headers.py
@@ -145,6 +145,16 @@
         (429, (), Execution.UNCLEAR),
         (408, (), Execution.UNCLEAR),
         (503, ("",), Execution.UNCLEAR),
+        (503, ("0",), Execution.UNCLEAR),
+        (503, ("False",), Execution.UNCLEAR),
+        (503, ("1", "0"), Execution.UNCLEAR),
+        (503, ("1", "1"), Execution.NOT_RUN),
+        (503, ("true",), Execution.NOT_RUN),
+        (200, ("1",), Execution.UNCLEAR),
+        (200, ("",), Execution.RAN),
+        (500, ("1",), Execution.RAN),
+        (504, ("1",), Execution.RAN),
+        (302, ("1",), Execution.RAN),
     ],
 )
 def test_a_status_alone_does_not_state_that_a_request_did_not_run(
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -17,8 +17,8 @@
     """How an attempt at a target ended.
 
     `DELAYED`: nothing was sent, since the decision to send it had expired.
-    `UNCLEAR`: the status of the response would tell the caller that the request
-    did not run, but the target does not state so.
+    `UNCLEAR`: the response leaves open whether the request ran, while its
+    status seems to tell.
     """
 
     ANSWERED = "answered"
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -274,15 +274,16 @@
             chunks.append(chunk)
             size += len(chunk)
         chunks.append(parser.take())
+        fields = headers.response_fields(parser.fields)
         if parser.complete:
             return Response(
                 parser.get_code(),
-                parser.fields,
+                fields,
                 parser.declared_length,
                 b"".join(chunks),
             )
         self.response_started = True
-        sink.begin(parser.get_code(), parser.fields, parser.declared_length)
+        sink.begin(parser.get_code(), fields, parser.declared_length)
         sink.write(b"".join(chunks))
         while not parser.complete:
             sink.flush()
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -199,3 +199,27 @@
     assert attempt.outcome is exchange.Outcome.UNCLEAR
     assert not attempt.response_started
     assert attempt.status == int(status)
+
+
+NOT_EXECUTED = b"X-Not-Executed: 1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        # In an interim response.
+        b"HTTP/1.1 103 Early Hints\r\n%s\r\n%s" % (NOT_EXECUTED, RESPONSE),
+        # In the trailers.
+        RESPONSE.replace(b"Content-Length: 2\r\n", b"").replace(
+            b"\r\n\r\nok", b"\r\n" + CHUNKED + NOT_EXECUTED + b"\r\n"
+        ),
+    ],
+)
+def test_a_statement_outside_the_final_head_is_none(target, response):
+    target.responses = [response]
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.ANSWERED
+    assert attempt.response.body == b"ok"
