Count a rejection only once it has arrived completely

Callers saw: "not run" after a response that broke off.

Cause: X-Not-Executed was believed as soon as the head of the response was there. The rest of a rejection is now read: up to 64 KiB and for up to 0.25 s, so that a request that can go elsewhere is not held up. Otherwise the attempt is broken: 502 for at-most-once requests, another target for others. What the head said of the target itself (that it leaves, that it wants a pause) still holds.

--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -22,6 +22,9 @@
 
 # Responses up to this size are buffered until they are complete.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Largest body of a rejection, and time for the rest of it after its head.
+MAX_REJECTION_BYTES = 64 * 1024
+REJECTION_TIMEOUT_S = 0.25
 # Fraction of the announced keep-alive timeout for which an idle connection is
 # kept; the rest is a margin, since the target applies its own clock.
 KEEP_ALIVE_FRACTION = 0.7
@@ -32,8 +35,8 @@
 Outcome = events.Outcome
 Execution = headers.Execution
 
-# A response that is not in this table is read to its end.
-OUTCOMES_WITHOUT_BODY = {
+# Outcomes of responses that no caller gets.
+UNDELIVERED_OUTCOMES = {
     Execution.NOT_RUN: Outcome.REJECTED,
     Execution.WRONG_TARGET: Outcome.WRONG_TARGET,
     Execution.UNCLEAR: Outcome.UNCLEAR,
@@ -202,8 +205,10 @@
             self.sent_after_s = self.now_s() - self.started_s
             self.upload.start(connection.sock, self.hop.head, self.body)
             self._read_head(connection)
-            outcome = OUTCOMES_WITHOUT_BODY.get(self._execution())
+            outcome = UNDELIVERED_OUTCOMES.get(self._execution())
             if outcome is not None:
+                if outcome is not Outcome.UNCLEAR:
+                    self._read_rejection(connection)
                 return self._completed(outcome)
             buffered = self._read_body(connection, sink)
         except errors.AdmissionExpiredError as error:
@@ -261,6 +266,21 @@
             self.parser.get_code(), self.parser.values(headers.NOT_EXECUTED)
         )
 
+    def _read_rejection(self, connection: pools.Connection) -> None:
+        """Reads a rejection to its end; one that breaks off states nothing."""
+        end_s = min(self.hop.deadline_s, self.now_s() + REJECTION_TIMEOUT_S)
+        size = len(self.parser.take())
+        while not self.parser.complete:
+            if size > MAX_REJECTION_BYTES:
+                raise InvalidResponseError("rejection too large")
+            try:
+                self._receive(connection, end_s)
+            except DeadlineExceededError as error:
+                raise InvalidResponseError(
+                    "rejection not complete in time"
+                ) from error
+            size += len(self.parser.take())
+
     def _read_body(
         self, connection: pools.Connection, sink: exchanges.Sink
     ) -> Response | None:
@@ -293,16 +313,25 @@
         sink.finish()
         return None
 
-    def _receive(self, connection: pools.Connection) -> int:
-        """Feeds received bytes to the parser; returns their number."""
-        remaining_s = self.hop.deadline_s - self.now_s()
+    def _receive(
+        self, connection: pools.Connection, end_s: float | None = None
+    ) -> int:
+        """Feeds received bytes to the parser; returns their number.
+
+        Args:
+            connection: Connection to the target.
+            end_s: Latest time to receive, in seconds; None for the deadline.
+        """
+        if end_s is None:
+            end_s = self.hop.deadline_s
+        remaining_s = end_s - self.now_s()
         if remaining_s <= 0:
             raise DeadlineExceededError("response not complete by the deadline")
         connection.sock.settimeout(max(exchanges.MIN_TIMEOUT_S, remaining_s))
         try:
             data = connection.sock.recv(exchanges.RECEIVE_BYTES)
         except TimeoutError as error:
-            if self.now_s() < self.hop.deadline_s:
+            if self.now_s() < end_s:
                 raise  # The kernel timed the connection out (ETIMEDOUT).
             raise DeadlineExceededError(
                 "response not complete by the deadline"
@@ -356,7 +385,8 @@
         return self.identified and headers.parse_leaving(text)
 
     def _pause_s(self) -> float:
-        if self.parser.get_code() != headers.UNAVAILABLE_STATUS:
+        status = self.parser.get_code()
+        if not self.identified or status != headers.UNAVAILABLE_STATUS:
             return 0.0
         return headers.parse_pause_s(self.parser.first(headers.RETRY_AFTER))
 
@@ -370,6 +400,7 @@
             outcome,
             response_started=self.response_started,
             leaving=self._says_leaving(),
+            pause_s=self._pause_s(),
             reason=reason,
             sent_after_s=self.sent_after_s,
             kept_connection=self.kept_connection,
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -223,3 +223,22 @@
     attempt = run_attempt(target, clock, pool)
     assert attempt.outcome is exchange.Outcome.ANSWERED
     assert attempt.response.body == b"ok"
+
+
+# A target that breaks off may do so at any point of its work.
+@pytest.mark.parametrize(
+    "end", [b"", b"part", b"x" * (2 * exchange.MAX_REJECTION_BYTES)]
+)
+@pytest.mark.parametrize("closes", [True, False])
+def test_a_rejection_that_is_not_complete_states_nothing(target, end, closes):
+    notice = OWN + NOTICE
+    rejection = (REFUSAL % notice).replace(b"Length: 0", b"Length: 999999")
+    target.responses = [rejection + end]
+    target.closes = closes
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.BROKEN
+    assert attempt.leaving
+    assert attempt.pause_s == 2.0
+    assert not pool.idle
