--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -128,6 +128,18 @@
     assert target.connections == 1
 
 
+# Copies of the response to an earlier attempt carry the same identifier.
+def test_no_two_attempts_of_a_request_use_the_same_connection(target):
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    target.responses = [REFUSAL % OWN]
+    first = run_attempt(target, clock, pool)
+    assert first.outcome is exchange.Outcome.REJECTED
+    second = run_attempt(target, clock, pool)
+    assert second.outcome is exchange.Outcome.ANSWERED
+    assert target.connections == 2
+
+
 @pytest.mark.parametrize("identifiers", [OTHER, OWN + OTHER, OTHER + OWN])
 def test_a_refusal_of_two_requests_is_not_accepted(target, identifiers):
     target.responses = [REFUSAL % identifiers]
