Count ignored objects and returns of the store from an older copy

Both now have a counter, and the age of the last return is a gauge. Tests on real processes, for one odd entry and for a mesh and zones; each failed before for want of the metric.

--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -215,6 +215,7 @@
         self.store_sync.add(self.store_kinds.vms_kind())
 
     def _store_restored(self, era: int) -> None:
+        self.reports.store_restored()
         self.loop.submit(events.StoreRestored(now_s(), era))
         self._spawn(self._write_again)
 
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -1,6 +1,7 @@
 """Log lines, limited in volume, and metrics of a steering VM."""
 
 from collections.abc import Callable
+import math
 
 import prometheus_client
 
@@ -65,10 +66,14 @@
     """Writes log lines and updates metrics.
 
     Attributes:
+        now_s: Monotonic clock, in seconds.
         registry: Registry of the metrics.
+        restored_s: When the store last came back from an older copy, in
+            seconds; -inf if never.
     """
 
     def __init__(self, now_s: Callable[[], float]) -> None:
+        self.now_s = now_s
         self.registry = prometheus_client.CollectorRegistry()
         self.routine_lines = LogRateLimiter(MAX_ROUTINE_LINES_PER_S, now_s)
         self.other_lines = LogRateLimiter(MAX_OTHER_LINES_PER_S, now_s)
@@ -112,6 +117,21 @@
         self.store_calls = self._counter(
             "store_calls", "Calls to the store.", "cause"
         )
+        self.ignored_objects = self._counter(
+            "ignored_objects",
+            "Objects of the store that could not be read or used.",
+            "kind",
+        )
+        self.store_restores = self._counter(
+            "store_restores", "Returns of the store from an older copy."
+        )
+        self.restored_s = -math.inf
+        restore_age = prometheus_client.Gauge(
+            "mulberrydeck_store_restore_age_seconds",
+            "Time since the last return of the store from an older copy.",
+            registry=self.registry,
+        )
+        restore_age.set_function(lambda: now_s() - self.restored_s)
         self.messages = self._counter(
             "peer_messages", "Messages between VMs.", "direction"
         )
@@ -248,6 +268,28 @@
         """
         self.store_calls.labels(cause).inc()
 
+    def object_ignored(self, kind: str, reason: str, **fields: object) -> None:
+        """Counts and logs an object of the store that is not used.
+
+        Args:
+            kind: Kind of the object.
+            reason: Why it is not used.
+            **fields: What is known of the object.
+        """
+        self.ignored_objects.labels(kind).inc()
+        self.write(
+            "store",
+            "An object was ignored.",
+            kind=kind,
+            reason=reason,
+            **fields,
+        )
+
+    def store_restored(self) -> None:
+        """Counts a return of the store from an older copy."""
+        self.store_restores.inc()
+        self.restored_s = self.now_s()
+
     def peer_message(self, direction: str, size: int) -> None:
         """Counts a message between VMs, as the transport requires.
 
--- a/mulberrydeck/steering/store_kinds.py
+++ b/mulberrydeck/steering/store_kinds.py
@@ -205,11 +205,9 @@
     def _report_ignored(
         self, kind: str, stored: documents.StoredObject, error: Exception
     ) -> None:
-        self.reports.write(
-            "store",
-            "An object was ignored.",
-            kind=kind,
+        self.reports.object_ignored(
+            kind,
+            str(error),
             object=stored.metadata.name,
             revision=stored.metadata.revision,
-            reason=str(error),
         )
--- a/mulberrydeck/steering/store_sync.py
+++ b/mulberrydeck/steering/store_sync.py
@@ -440,6 +440,4 @@
 
     def _report_unreadable(self, kind: str, reasons: tuple[str, ...]) -> None:
         for reason in reasons:
-            self.reports.write(
-                "store", "An object was ignored.", kind=kind, reason=reason
-            )
+            self.reports.object_ignored(kind, reason)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from standins import http_client
 from standins import waiting
 from standins.users_platform import fleet as steering_fleet
 from standins.users_platform import odd_entries
@@ -56,3 +57,18 @@
         assert statuses == {200}
     assert not fleet.targets["t1"].runs
     assert fleet.vms[VM].is_running()
+
+
+def metrics(fleet):
+    address = fleet.vm_addresses[VM]["metrics_address"]
+    return http_client.call(address, "GET", "/metrics").body.decode()
+
+
+def test_odd_entries_are_counted(fleet):
+    name = "mulberrydeck_ignored_objects_total"
+    assert f'{name}{{kind="servers"}}' not in metrics(fleet)
+    fleet.store.put("servers", "odd", {"Address": 5})
+    waiting.until(
+        lambda: f'{name}{{kind="servers"}} 1.0' in metrics(fleet),
+        "the entry is counted",
+    )
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -103,3 +103,13 @@
         restore_older_copy(fleet, changes=5)
         for name in VMS:
             assert {status(fleet, name) for _ in range(10)} == {200}
+
+
+def test_returns_of_the_store_are_counted(fleet):
+    metric = b"mulberrydeck_store_restores_total 1.0"
+    address = fleet.vm_addresses["coast-a-1"]["metrics_address"]
+    restore_older_copy(fleet, changes=5)
+    waiting.until(
+        lambda: metric in http_client.call(address, "GET", "/metrics").body,
+        "the return is counted",
+    )
