Believe no refusal of a target that contradicts itself, in serve

A single run was taken for not run, and sent to another target or refused with `ran: no`, after any response whose first Mulberrydeck-Ran field was `no`: also with status 200, 204, 303 or 500, and beside other values of that field. A target that runs the request and then sends such a response makes the promise false.

Cause: the exchange compared the first value of the field and looked at nothing else.

Now `no` counts only with an error status other than 500, and if the response gives no other value. Servers send 500 when a handler fails that has already begun. Any other response with `no` ends the attempt as unknown; it is not passed on, as the caller could read it either way.

Ruled out by the same tests, which passed before too: the field in an interim response, in a head that breaks off, a caller's body that becomes malformed, an unexpected error, and a VM's refusal after its own attempt was unknown.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -13,12 +13,12 @@
 from mulberrydeck.forward import refusals
 from mulberrydeck.forward import responses
 from mulberrydeck.forward import sending
+from mulberrydeck.forward import statements
 from mulberrydeck.forward import uploads
 
 RECEIVE_BYTES = 64 * 1024
 # A timeout of 0 would make the socket non-blocking.
 MIN_TIMEOUT_S = 0.001
-RAN_FIELD = "mulberrydeck-ran"
 
 
 class Sink(Protocol):
@@ -157,10 +157,11 @@
         try:
             self._start_upload(connection)
             self._read_head(connection)
-            if self._is_refusal():
+            statement = statements.of_response(self.parser, self.hop.is_vm)
+            if statement is not statements.Statement.NONE:
                 problem = self._read_problem(connection)
                 may_be_copy = connection.reused and not self.hop.is_vm
-                return self._refused(problem, may_be_copy)
+                return self._refused(statement, problem, may_be_copy)
             self._stream_response(connection, sink)
         except (
             OSError,
@@ -189,10 +190,6 @@
                 )
         self.latency_s = self.pool.now_s() - self.started_s
 
-    def _is_refusal(self) -> bool:
-        ran = self.parser.first(RAN_FIELD)
-        return ran == "no" or (self.hop.is_vm and ran == "unknown")
-
     def _read_problem(
         self, connection: pools.Connection
     ) -> errors.Problem | None:
@@ -277,10 +274,13 @@
         )
 
     def _refused(
-        self, problem: errors.Problem | None, may_be_copy: bool
+        self,
+        statement: statements.Statement,
+        problem: errors.Problem | None,
+        may_be_copy: bool,
     ) -> Attempt:
         outcome = outcomes.AttemptOutcome.UNKNOWN
-        if self.parser.first(RAN_FIELD) == "no":
+        if statement is statements.Statement.NOT_RUN:
             outcome = outcomes.AttemptOutcome.NOT_RUN
         return Attempt(
             outcome,
--- a/mulberrydeck/forward/responses.py
+++ b/mulberrydeck/forward/responses.py
@@ -85,6 +85,19 @@
                 return value
         return ""
 
+    def values(self, field_name: str) -> list[str]:
+        """Returns the members of a list that may be split into several fields.
+
+        Args:
+            field_name: Name in lower case.
+        """
+        return [
+            member.strip()
+            for name, value in self.fields
+            if name == field_name
+            for member in value.split(",")
+        ]
+
     def accept(self, data: bytes) -> None:
         """Parses received bytes; empty if the peer closed the connection.
 
--- /dev/null
+++ b/mulberrydeck/frontend/tests/test_refusals.py
@@ -0,0 +1,165 @@
+"""A request that a target may have run is never reported as not run."""
+
+import gevent
+import pytest
+
+from mulberrydeck import errors
+from mulberrydeck.forward import outcomes
+from mulberrydeck.frontend import server
+from mulberrydeck.frontend.tests import fakes
+
+UNKNOWN = outcomes.AttemptOutcome.UNKNOWN
+ANSWERED = outcomes.AttemptOutcome.ANSWERED
+PAID = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid"
+
+
+def encode(status, *lines, body=b"busy", length=None):
+    """Returns an encoded response.
+
+    Args:
+        status: Status code.
+        lines: Header lines besides `Content-Length`.
+        body: Body that is sent.
+        length: Declared length in bytes; None for that of the body.
+    """
+    length = len(body) if length is None else length
+    fields = [*lines, f"Content-Length: {length}"]
+    head = f"HTTP/1.1 {status} Status\r\n" + "".join(f"{f}\r\n" for f in fields)
+    return head.encode() + b"\r\n" + body
+
+
+def send_and_close(data):
+    def step(sock):
+        sock.sendall(data)
+        raise OSError("done")
+
+    return step
+
+
+def send_single_run(serve, targets, step, hop=fakes.to_target):
+    """Sends a single run to a scripted target or VM.
+
+    Returns:
+        The response to the caller, and the gateway.
+    """
+    target = targets(step)
+    gateway = fakes.FakeGateway(
+        hop(target.address, repeatable=False), fakes.refuse()
+    )
+    caller = serve(gateway, idle_timeout_s=0.3)
+    response = fakes.exchange(
+        caller.address,
+        fakes.get_request("/v1/services/s/x", "Connection: close"),
+    )
+    assert len(target.requests) == 1
+    return response, gateway
+
+
+NO = "Mulberrydeck-Ran: no"
+CONTRADICTORY = {
+    "200": encode(200, NO),
+    "204": b"HTTP/1.1 204 No Content\r\nMulberrydeck-Ran: no\r\n\r\n",
+    "303": encode(303, NO),
+    "500": encode(500, NO),
+    "no, then unknown": encode(503, NO, "Mulberrydeck-Ran: unknown"),
+    "unknown, then no": encode(503, "Mulberrydeck-Ran: unknown", NO),
+    "no, then yes": encode(503, NO, "Mulberrydeck-Ran: yes"),
+    "no, then empty": encode(503, NO, "Mulberrydeck-Ran:"),
+    "list": encode(503, "Mulberrydeck-Ran: no, yes"),
+}
+
+
+@pytest.mark.parametrize("case", CONTRADICTORY)
+def test_a_contradictory_response_does_not_state_that_nothing_ran(
+    serve, targets, case
+):
+    response, gateway = send_single_run(serve, targets, CONTRADICTORY[case])
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
+
+
+INTERIM = {
+    "100": send_and_close(
+        b"HTTP/1.1 100 Continue\r\nMulberrydeck-Ran: no\r\n\r\n"
+    ),
+    "103": send_and_close(
+        b"HTTP/1.1 103 Early\r\nMulberrydeck-Ran: no\r\n\r\n"
+        b"HTTP/1.1 503 Full\r\nContent-Le"
+    ),
+    "cut head": send_and_close(
+        b"HTTP/1.1 503 Full\r\nMulberrydeck-Ran: no\r\nContent-Le"
+    ),
+}
+
+
+@pytest.mark.parametrize("case", INTERIM)
+def test_a_refusal_without_its_whole_head_does_not_state_that_nothing_ran(
+    serve, targets, case
+):
+    response, gateway = send_single_run(serve, targets, INTERIM[case])
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
+
+
+def test_an_interim_response_states_nothing_for_the_final_one(serve, targets):
+    interim = b"HTTP/1.1 103 Early\r\nMulberrydeck-Ran: no\r\n\r\n"
+    response, gateway = send_single_run(serve, targets, interim + PAID)
+    assert response.endswith(b"\r\n\r\npaid")
+    assert b"mulberrydeck-ran" not in response
+    assert [e.outcome for e in gateway.ended()] == [ANSWERED]
+
+
+def test_a_body_that_becomes_malformed_leaves_the_outcome_unknown(
+    serve, targets
+):
+    def read_a_little(sock):
+        sock.recv(65536)
+
+    target = targets(read_a_little)
+    gateway = fakes.FakeGateway(
+        fakes.to_target(target.address, repeatable=False)
+    )
+    sock = fakes.connect(serve(gateway).address)
+    sock.sendall(
+        b"POST /v1/services/s/x HTTP/1.1\r\nHost: vm\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    )
+    gevent.sleep(0.1)
+    sock.sendall(b"zz\r\n")
+    response, _ = fakes.read_to_end(sock)
+    assert response.startswith(b"HTTP/1.1 400 ")
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+
+
+def test_an_unexpected_error_leaves_the_outcome_unknown(serve, targets):
+    class FailingGateway(fakes.FakeGateway):
+        def decide(self, event):
+            if self.events:
+                raise RuntimeError("bug")
+            return super().decide(event)
+
+    target = targets(None)
+    gateway = FailingGateway(fakes.to_target(target.address, repeatable=False))
+    response = fakes.exchange(serve(gateway).address, fakes.get_request())
+    assert response.startswith(b"HTTP/1.1 500 ")
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+
+
+def test_a_refusal_after_an_unknown_attempt_is_relayed_as_unknown(
+    serve, targets
+):
+    target = targets(None)
+    second = fakes.FakeGateway(
+        fakes.to_target(target.address, repeatable=False), fakes.refuse()
+    )
+    relay = serve(second, server.RelayServer)
+    rejected = errors.Problem("no-capacity", 503, "Busy.", "no")
+    first = fakes.FakeGateway(
+        fakes.to_vm(relay.address, repeatable=False), fakes.refuse(rejected)
+    )
+    response = fakes.exchange(
+        serve(first).address,
+        fakes.get_request("/v1/services/s/x", "Connection: close"),
+    )
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert [e.outcome for e in first.ended()] == [UNKNOWN]
