Believe a refusal of a target only when it is complete, in serve

A single run was reported as not run, or sent to another target, as soon as the head of a response said `Mulberrydeck-Ran: no`, even if the response then broke off, stalled or had no end.

Cause: the body of a refusal was read only if another VM sent it.

The rest of a refusal is now read, up to 64 KiB and within the time limits of any response. One that breaks off, stalls or is larger leaves the outcome unknown.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -159,7 +159,7 @@
             self._read_head(connection)
             statement = statements.of_response(self.parser, self.hop.is_vm)
             if statement is not statements.Statement.NONE:
-                problem = self._read_problem(connection)
+                problem = self._decode_problem(self._read_refusal(connection))
                 may_be_copy = connection.reused and not self.hop.is_vm
                 return self._refused(statement, problem, may_be_copy)
             self._stream_response(connection, sink)
@@ -190,18 +190,18 @@
                 )
         self.latency_s = self.pool.now_s() - self.started_s
 
-    def _read_problem(
-        self, connection: pools.Connection
-    ) -> errors.Problem | None:
-        if not self.hop.is_vm:
-            return None
+    def _read_refusal(self, connection: pools.Connection) -> bytes:
+        """Returns the body of a refusal, which is believed only if complete."""
         body = self.parser.take()
         while not self.parser.complete:
-            if len(body) > refusals.MAX_PROBLEM_BYTES:
-                return None
+            if len(body) > refusals.MAX_BODY_BYTES:
+                raise response.HTTPParseError("the refusal is too large")
             self.parser.accept(self._receive(connection))
             body += self.parser.take()
-        return refusals.decode(body)
+        return body
+
+    def _decode_problem(self, body: bytes) -> errors.Problem | None:
+        return refusals.decode(body) if self.hop.is_vm else None
 
     def _stream_response(
         self, connection: pools.Connection, sink: Sink
--- a/mulberrydeck/forward/refusals.py
+++ b/mulberrydeck/forward/refusals.py
@@ -4,7 +4,8 @@
 
 from mulberrydeck import errors
 
-MAX_PROBLEM_BYTES = 64 * 1024
+# Largest body of a refusal of a target or VM.
+MAX_BODY_BYTES = 64 * 1024
 CONTENT_TYPE = "application/problem+json"
 
 
--- a/mulberrydeck/frontend/tests/test_refusals.py
+++ b/mulberrydeck/frontend/tests/test_refusals.py
@@ -78,6 +78,33 @@
     assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
 
 
+INCOMPLETE = {
+    "closed": send_and_close(encode(503, NO, length=9)),
+    "stalled": lambda sock: (
+        sock.sendall(encode(503, NO, length=9)),
+        gevent.sleep(1.0),
+    ),
+    "chunk": send_and_close(
+        b"HTTP/1.1 503 Full\r\nMulberrydeck-Ran: no\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n4\r\nbu"
+    ),
+    "malformed chunk": send_and_close(
+        b"HTTP/1.1 503 Full\r\nMulberrydeck-Ran: no\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"
+    ),
+    "too large": encode(503, NO, body=b"x" * 200_000),
+}
+
+
+@pytest.mark.parametrize("case", INCOMPLETE)
+def test_an_incomplete_refusal_does_not_state_that_nothing_ran(
+    serve, targets, case
+):
+    response, gateway = send_single_run(serve, targets, INCOMPLETE[case])
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
+
+
 INTERIM = {
     "100": send_and_close(
         b"HTTP/1.1 100 Continue\r\nMulberrydeck-Ran: no\r\n\r\n"
