Take a VM's refusal as not run only if its problem details agree

A relayed single run was reported as not run if the head of the other VM's response said so, whatever its problem document said: `ran: unknown`, another status, no JSON or nothing.

Cause: a document that could not be decoded was ignored, and its `ran` and status were not compared with the head.

A refusal of another VM now counts only if its document can be decoded and has the status and the `ran` of its head; responses to HEAD have no document. Otherwise the outcome is unknown. VMs make both from one value, so that this happens only when something else answers in their place or alters the response.

Six malformed or contradictory documents in frontend/tests/test_refusals.py were reported as not run before; now all are unknown. Documents that break off or are too large were unknown already.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -159,7 +159,8 @@
             self._read_head(connection)
             statement = statements.of_response(self.parser, self.hop.is_vm)
             if statement is not statements.Statement.NONE:
-                problem = self._decode_problem(self._read_refusal(connection))
+                body = self._read_refusal(connection)
+                problem = self._decode_problem(statement, body)
                 may_be_copy = connection.reused and not self.hop.is_vm
                 return self._refused(statement, problem, may_be_copy)
             self._stream_response(connection, sink)
@@ -200,8 +201,17 @@
             body += self.parser.take()
         return body
 
-    def _decode_problem(self, body: bytes) -> errors.Problem | None:
-        return refusals.decode(body) if self.hop.is_vm else None
+    def _decode_problem(
+        self, statement: statements.Statement, body: bytes
+    ) -> errors.Problem | None:
+        if not self.hop.is_vm or self.hop.method == "HEAD":
+            return None
+        problem = refusals.decode(body, self.parser.get_code(), statement.value)
+        if problem is None:
+            raise response.HTTPParseError(
+                "malformed problem details of another VM"
+            )
+        return problem
 
     def _stream_response(
         self, connection: pools.Connection, sink: Sink
--- a/mulberrydeck/forward/refusals.py
+++ b/mulberrydeck/forward/refusals.py
@@ -20,20 +20,24 @@
 _DECODER = msgspec.json.Decoder(_ProblemDetails)
 
 
-def decode(body: bytes) -> errors.Problem | None:
-    """Returns the decoded problem details, or None if malformed.
+def decode(body: bytes, status: int, ran: str) -> errors.Problem | None:
+    """Returns the decoded problem details.
 
     Args:
         body: Complete body of the response.
+        status: HTTP status of the response.
+        ran: Value of `Mulberrydeck-Ran`.
+
+    Returns:
+        The problem, or None if the problem details are malformed or contradict
+        the head of the response.
     """
     try:
         details = _DECODER.decode(body)
     except msgspec.MsgspecError:
         return None
+    if details.status != status or details.ran != ran:
+        return None
     return errors.Problem(
-        details.kind,
-        details.status,
-        details.detail,
-        details.ran,
-        details.retry_after_s,
+        details.kind, status, details.detail, ran, details.retry_after_s
     )
--- a/mulberrydeck/forward/statements.py
+++ b/mulberrydeck/forward/statements.py
@@ -18,7 +18,7 @@
     """
 
     NONE = "none"
-    NOT_RUN = "not-run"
+    NOT_RUN = "no"
     UNKNOWN = "unknown"
 
 
--- a/mulberrydeck/frontend/tests/test_refusals.py
+++ b/mulberrydeck/frontend/tests/test_refusals.py
@@ -9,6 +9,7 @@
 from mulberrydeck.frontend.tests import fakes
 
 UNKNOWN = outcomes.AttemptOutcome.UNKNOWN
+NOT_RUN = outcomes.AttemptOutcome.NOT_RUN
 ANSWERED = outcomes.AttemptOutcome.ANSWERED
 PAID = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid"
 
@@ -136,6 +137,55 @@
     assert [e.outcome for e in gateway.ended()] == [ANSWERED]
 
 
+def problem(ran="no", status=503):
+    return b'{"kind": "k", "status": %d, "detail": "d", "ran": "%b"}' % (
+        status,
+        ran.encode(),
+    )
+
+
+MALFORMED = {
+    "empty": encode(503, NO, body=b""),
+    "no JSON": encode(503, NO, body=b"busy"),
+    "cut JSON": encode(503, NO, body=problem()[:20]),
+    "ran unknown": encode(503, NO, body=problem("unknown")),
+    "ran is no value of ours": encode(503, NO, body=problem("maybe")),
+    "other status": encode(503, NO, body=problem(status=502)),
+    "too large": encode(503, NO, body=problem() + b" " * 200_000),
+    "cut": send_and_close(encode(503, NO, body=problem(), length=400)),
+}
+
+
+@pytest.mark.parametrize("case", MALFORMED)
+def test_a_malformed_refusal_of_a_vm_does_not_state_that_nothing_ran(
+    serve, targets, case
+):
+    response, gateway = send_single_run(
+        serve, targets, MALFORMED[case], fakes.to_vm
+    )
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert b'"ran": "unknown"' in response
+    assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
+
+
+def test_a_refusal_of_a_vm_to_head_has_no_body(serve, targets):
+    vm = targets(encode(503, NO, body=b"", length=80))
+    gateway = fakes.FakeGateway(fakes.to_vm(vm.address), fakes.refuse())
+    request = fakes.get_request("/v1/services/s/x", "Connection: close")
+    response = fakes.exchange(
+        serve(gateway).address, request.replace(b"GET", b"HEAD")
+    )
+    assert b"mulberrydeck-ran: no\r\n" in response
+    assert [e.outcome for e in gateway.ended()] == [NOT_RUN]
+
+
+def test_a_refusal_of_a_vm_states_that_nothing_ran(serve, targets):
+    refusal = encode(503, NO, body=problem())
+    response, gateway = send_single_run(serve, targets, refusal, fakes.to_vm)
+    assert b"mulberrydeck-ran: no\r\n" in response
+    assert [e.outcome for e in gateway.ended()] == [NOT_RUN]
+
+
 def test_a_body_that_becomes_malformed_leaves_the_outcome_unknown(
     serve, targets
 ):
