Pass on no status that invites to repeat a single run, in serve

A target that ran a single run and responded with 408, 421, 425, 429 or 503, without Mulberrydeck-Ran, made the caller read that status. VMs use 429 and 503 for requests that did not run, and RFC 9110, 6585 and 8470 let clients repeat any request after these statuses. A repetition with the same Mulberrydeck-Run-Id was not run; a caller that took the status for "not run" and paid anew was not protected. A problem document of the target with `ran: no` came with it.

Cause: a response without the statement that nothing ran was passed on whatever its status.

Such a response to a single run is now withheld, and the caller gets 502 `outcome-unknown` with `ran: unknown` and without Retry-After. The run is still recorded as finished with the target's status, and the status still counts for the target's health. Responses to repeatable requests and other statuses are passed on as before.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -51,8 +51,9 @@
         pace: Blocks until at least one of the given number of bytes may be
             sent, and returns how many may; None if not limited.
         is_vm: Whether the next hop is another VM.
-        fresh: Whether to open a new connection, since the outcome is unknown
-            if the peer has just closed a reused one.
+        repeatable: Whether the request may run more than once. Otherwise it
+            is sent on a new connection, since the outcome is unknown if the
+            peer has just closed a reused one.
         start_by_s: Latest time at which the first byte may be sent, on the
             clock of the pool, in seconds.
     """
@@ -63,7 +64,7 @@
     remaining_s: float
     pace: Callable[[int], int] | None = None
     is_vm: bool = False
-    fresh: bool = False
+    repeatable: bool = True
     start_by_s: float = float("inf")
 
 
@@ -75,7 +76,9 @@
         outcome: Outcome that is reported to the core.
         status: HTTP status of the response, or 0 if there was none.
         latency_s: Time from start to response head, in seconds.
-        response_started: Whether the response to the caller was started.
+        response_started: Whether the response to the caller was started. The
+            response to a single run is withheld if its status invites clients
+            to repeat the request.
         expired: Whether the deadline passed before the response started.
         reason: Why it failed, for logs.
         problem: Problem details with which another VM refused the request, or
@@ -136,7 +139,9 @@
             return self._failed("the deadline has passed")
         try:
             connection = self.pool.acquire(
-                self.hop.address, self._remaining_s(), self.hop.fresh
+                self.hop.address,
+                self._remaining_s(),
+                fresh=not self.hop.repeatable,
             )
         except pools.ConnectError as error:
             return self._failed(str(error))
@@ -163,6 +168,8 @@
                 problem = self._decode_problem(statement, body)
                 may_be_copy = connection.reused and not self.hop.is_vm
                 return self._refused(statement, problem, may_be_copy)
+            if self._is_withheld():
+                return self._answered(response_started=False)
             self._stream_response(connection, sink)
         except (
             OSError,
@@ -174,6 +181,12 @@
             return self._failed(str(error))
         return self.answered()
 
+    def _is_withheld(self) -> bool:
+        return (
+            not self.hop.repeatable
+            and self.parser.get_code() in statements.REPEAT_STATUSES
+        )
+
     def _start_upload(self, connection: pools.Connection) -> None:
         if self.hop.pace is None:
             self.upload.start(connection.sock, self.hop.head, self.body)
@@ -276,11 +289,14 @@
 
     def answered(self) -> Attempt:
         """Returns the result of an attempt whose response was started."""
+        return self._answered(response_started=True)
+
+    def _answered(self, response_started: bool) -> Attempt:
         return Attempt(
             outcomes.AttemptOutcome.ANSWERED,
             self.parser.get_code(),
             self.latency_s,
-            response_started=True,
+            response_started=response_started,
         )
 
     def _refused(
--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -78,7 +78,7 @@
         head=_encode_head(outgoing, outgoing.path, decision.address, added),
         method=outgoing.method,
         remaining_s=decision.remaining_s,
-        fresh=not decision.repeatable,
+        repeatable=decision.repeatable,
         start_by_s=decision.start_by_s,
     )
 
@@ -121,7 +121,7 @@
         remaining_s=decision.remaining_s,
         pace=(lambda count: allow_bytes(link, count)) if link else None,
         is_vm=True,
-        fresh=not decision.repeatable,
+        repeatable=decision.repeatable,
         start_by_s=decision.start_by_s,
     )
 
--- a/mulberrydeck/forward/statements.py
+++ b/mulberrydeck/forward/statements.py
@@ -7,6 +7,9 @@
 from mulberrydeck.forward import responses
 
 FIELD = "mulberrydeck-ran"
+# Statuses after which clients repeat any request, since they take it for not
+# run (RFC 9110, RFC 6585 and RFC 8470).
+REPEAT_STATUSES = frozenset((408, 421, 425, 429, 503))
 
 
 class Statement(enum.Enum):
--- a/mulberrydeck/frontend/problems.py
+++ b/mulberrydeck/frontend/problems.py
@@ -116,6 +116,21 @@
     )
 
 
+def answer_withheld(status: int) -> errors.Problem:
+    """Returns the refusal of a single run that a target may have run.
+
+    Args:
+        status: HTTP status of the target's response.
+    """
+    return errors.Problem(
+        "outcome-unknown",
+        502,
+        f"The target answered {status} and did not state whether the request "
+        "ran; ask the service's operators before sending it again.",
+        ran="unknown",
+    )
+
+
 ANSWER_BROKEN = errors.Problem(
     "answer-broken",
     502,
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -81,7 +81,8 @@
             progress.account = decision.account
             attempt = self._run_attempt(progress, decision)
             ended_event = self._attempt_ended(progress, decision, attempt)
-            if attempt.response_started or attempt.expired:
+            answered = attempt.outcome is outcomes.AttemptOutcome.ANSWERED
+            if answered or attempt.response_started or attempt.expired:
                 self.gateway.submit(ended_event)
                 self._finish(progress, attempt)
                 return
@@ -178,6 +179,8 @@
             self._count_response(progress)
         elif attempt.response_started:
             self._refuse(progress, problems.ANSWER_BROKEN)
+        elif attempt.outcome is outcomes.AttemptOutcome.ANSWERED:
+            self._refuse(progress, problems.answer_withheld(attempt.status))
         else:
             self._refuse(progress, problems.deadline_exceeded(progress.ran))
 
--- a/mulberrydeck/frontend/tests/test_refusals.py
+++ b/mulberrydeck/frontend/tests/test_refusals.py
@@ -186,6 +186,46 @@
     assert [e.outcome for e in gateway.ended()] == [NOT_RUN]
 
 
+@pytest.mark.parametrize("hop", [fakes.to_target, fakes.to_vm])
+@pytest.mark.parametrize("status", [408, 421, 425, 429, 503])
+def test_no_status_alone_states_that_nothing_ran(serve, targets, hop, status):
+    refusal = encode(status, "Retry-After: 1", body=problem(status=status))
+    response, gateway = send_single_run(serve, targets, refusal, hop)
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert b"retry-after" not in response
+    assert b'"ran": "no"' not in response
+    # The run is recorded as finished with this status.
+    (ended,) = gateway.ended()
+    assert (ended.outcome, ended.status) == (ANSWERED, status)
+
+
+@pytest.mark.parametrize("value", ["unknown", "yes", ""])
+def test_no_other_value_states_that_nothing_ran(serve, targets, value):
+    refusal = encode(503, f"Mulberrydeck-Ran: {value}")
+    response, _ = send_single_run(serve, targets, refusal)
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+
+
+@pytest.mark.parametrize("status", [400, 404, 409, 500, 504])
+def test_other_statuses_of_single_runs_are_passed_on(serve, targets, status):
+    response, gateway = send_single_run(serve, targets, encode(status))
+    assert response.startswith(b"HTTP/1.1 %d " % status)
+    assert b"mulberrydeck-ran" not in response
+    assert gateway.ended()[0].outcome is ANSWERED
+
+
+def test_a_status_of_a_repeatable_request_is_passed_on(serve, targets):
+    target = targets(encode(503, "Retry-After: 1"))
+    gateway = fakes.FakeGateway(fakes.to_target(target.address))
+    sock = fakes.connect(serve(gateway).address)
+    sock.sendall(fakes.get_request())
+    response = fakes.read_message(sock)
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 1\r\n" in response
+
+
 def test_a_body_that_becomes_malformed_leaves_the_outcome_unknown(
     serve, targets
 ):
--- a/standins/target/app.py
+++ b/standins/target/app.py
@@ -132,6 +132,9 @@
             case "deadline":
                 status = "504 Deadline Exceeded"
                 yield from serving.respond(start_response, status)
+            case "unavailable":
+                status = "503 Service Unavailable"
+                yield from serving.respond(start_response, status)
             case "failed":
                 status = "500 Internal Server Error"
                 yield from serving.respond(start_response, status)
--- a/standins/target/behaviour.py
+++ b/standins/target/behaviour.py
@@ -27,7 +27,8 @@
         fail_ratio: Share of runs that end with status 500 after their work.
         seed: Seed of the choice of failing runs.
         fault: Fault of the response: empty, `reset` (no response after the
-            complete request body was read), `truncate`, `hang` or `overlong`.
+            complete request body was read), `truncate`, `hang`, `overlong` or
+            `unavailable` (status 503 after the work).
         fault_count: Number of further runs with the fault; -1 means all.
     """
 
--- a/tests/features/single_runs.feature
+++ b/tests/features/single_runs.feature
@@ -21,6 +21,16 @@
     And the outcome through "east-b-vm1" is "started"
     And the fee ran once
 
+  Scenario: A target runs the request and responds with 503
+    Given a fleet that serves
+    And every target responds to its next run with 503
+    When a fee is paid through "east-a-vm1"
+    And the same fee is paid again through "west-a-vm1"
+    Then the first response is a refusal of kind "outcome-unknown"
+    And the second response is a refusal of kind "run-finished"
+    And the outcome through "east-b-vm1" is "finished"
+    And the fee ran once
+
   Scenario: The VM dies while the target works
     Given a fleet that serves
     When the VM "east-b-vm1" dies while a fee runs
--- a/tests/test_single_runs.py
+++ b/tests/test_single_runs.py
@@ -62,9 +62,18 @@
 
 @pytest_bdd.given("every target drops the connection of its next request")
 def given_resets(scene):
+    break_next_run(scene, "reset")
+
+
+@pytest_bdd.given("every target responds to its next run with 503")
+def given_unavailable(scene):
+    break_next_run(scene, "unavailable")
+
+
+def break_next_run(scene, fault):
     for target in scene.fleet.layout.deployment.targets:
         scene.fleet.stand_ins.change_target(
-            target["name"], fault="reset", fault_count=1
+            target["name"], fault=fault, fault_count=1
         )
 
 
