--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -184,13 +184,11 @@
 
     Args:
         status: HTTP status.
-        not_executed: Values of the not-executed fields.
+        not_executed: Members of the not-executed fields.
     """
     if status == WRONG_TARGET_STATUS:
         return Execution.WRONG_TARGET
-    denied = not _DENIALS.isdisjoint(
-        value.strip().lower() for value in not_executed
-    )
+    denied = not _DENIALS.isdisjoint(map(str.lower, not_executed))
     stated = bool(not_executed) and not denied
     rejected = 400 <= status < 500 or status == UNAVAILABLE_STATUS
     if stated and rejected:
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -281,7 +281,7 @@
 
     def _execution(self) -> headers.Execution:
         return headers.parse_execution(
-            self.parser.get_code(), self.parser.values(headers.NOT_EXECUTED)
+            self.parser.get_code(), self.parser.members(headers.NOT_EXECUTED)
         )
 
     def _read_rejection(self, connection: pools.Connection) -> None:
@@ -395,7 +395,7 @@
             sent_after_s=self.sent_after_s,
             kept_connection=self.kept_connection,
             identified=bool(self.parser.first(headers.ATTEMPT_ID)),
-            not_executed=self.parser.values(headers.NOT_EXECUTED),
+            not_executed=self.parser.members(headers.NOT_EXECUTED),
         )
 
     def _says_leaving(self) -> bool:
