Refuse no request because its VM was too late to send it

What callers saw: 503 no-capacity from `serve` for single requests although a target was free.

Cause: a request has to be written within admission_lifetime_s of its admission. A VM that stood still in between ended the attempt as "not run", like a hop that had refused it. So it excluded that VM, or itself, and with no other one left it refused the request, although the exception says that it is admitted again. The VM that owns a target refused a relayed request alike, and the late attempts counted as failures of the target, which could eject it.

Now such an attempt ends as "not sent". The request keeps its slot and its claim if its target may still be used, or its VM may be chosen again, and it is admitted anew; the unused token is spent, so that the limit holds. The deadline bounds this, and so do four such attempts, as connections to a hop may open too slowly each time. The unused connection is kept, so that opening it counts once. A wait for quota of a link ends as "not run" as before.

tests/test_late_attempts.py shows it in virtual time: with the earlier code 3 of its tests fail (relay, own target, relayed request). Formatter, linter, the unit tests, tests/test_planned_stop.py and tests/test_single_runs.py pass.

--- a/mulberrydeck/core/attempts.py
+++ b/mulberrydeck/core/attempts.py
@@ -27,7 +27,7 @@
     match event.outcome:
         case outcomes.AttemptOutcome.ANSWERED:
             status = event.status
-        case outcomes.AttemptOutcome.NOT_RUN:
+        case outcomes.AttemptOutcome.NOT_SENT | outcomes.AttemptOutcome.NOT_RUN:
             status = 0
         case outcomes.AttemptOutcome.UNKNOWN:
             return produced
@@ -58,6 +58,15 @@
     )
 
 
+def return_relay(state: core_state.State, request: core_state.Request) -> None:
+    """Ends a relay that was not sent; its VM may be chosen again."""
+    if not request.relayed_to:
+        return
+    routing.cancel(state.routing, state.now_s, request.request_id)
+    request.excluded.discard(request.relayed_to)
+    request.relayed_to = ""
+
+
 def cancel_attempt(
     state: core_state.State, request: core_state.Request
 ) -> Effects:
--- a/mulberrydeck/core/requests.py
+++ b/mulberrydeck/core/requests.py
@@ -24,6 +24,8 @@
 from mulberrydeck.routing import state as routing_state
 
 MAX_ATTEMPTS = 4
+# Bounds the attempts on a hop to which connections open too slowly.
+MAX_UNSENT_ATTEMPTS = 4
 NO_CAPACITY_RETRY_S = 0.5
 
 Effects = list[object]
@@ -133,7 +135,7 @@
     if state.now_s >= request.deadline_at_s:
         return _refuse(state, request, problems.deadline_exceeded("no"))
     chosen = None
-    if request.attempts < MAX_ATTEMPTS:
+    if request.attempts - request.unsent_attempts < MAX_ATTEMPTS:
         chosen = choice.choose(
             state.routing,
             state.now_s,
@@ -324,6 +326,8 @@
     request = state.requests.get(event.request_id)
     if request is None or event.attempt != request.attempts:
         return []
+    if _may_resend(state, request, event):
+        return _resend(state, request)
     produced = attempts.end_attempt(state, request, event)
     if event.outcome is outcomes.AttemptOutcome.ANSWERED:
         return produced
@@ -335,6 +339,34 @@
     return produced + _choose_vm(state, request)
 
 
+def _may_resend(
+    state: core_state.State,
+    request: core_state.Request,
+    event: events.AttemptEnded,
+) -> bool:
+    """Returns whether a request that was not sent may use its hop again."""
+    if event.outcome is not outcomes.AttemptOutcome.NOT_SENT:
+        return False
+    if request.unsent_attempts >= MAX_UNSENT_ATTEMPTS:
+        return False
+    if request.target and not routing.is_usable(
+        state.routing, state.now_s, request.target
+    ):
+        return False
+    return event.replayable
+
+
+def _resend(state: core_state.State, request: core_state.Request) -> Effects:
+    """Admits a request again that was too late for its admission.
+
+    It keeps its slot and its claim, or may be relayed to the same VM again, as
+    that did not fail and may be the only one that can serve the request.
+    """
+    request.unsent_attempts += 1
+    attempts.return_relay(state, request)
+    return _readmit(state, request)
+
+
 def _may_retry(
     state: core_state.State,
     request: core_state.Request,
--- a/mulberrydeck/core/state.py
+++ b/mulberrydeck/core/state.py
@@ -34,6 +34,7 @@
         admitted_at_s: When it was last admitted under the account's limit, in
             seconds; for a relayed request, when it arrived.
         attempts: Number of attempts started.
+        unsent_attempts: Number of those that were not sent in time.
         excluded: Names of VMs that must not be tried again.
         target: Target whose slot it holds, or empty.
         target_address: Address of that target.
@@ -50,6 +51,7 @@
     deadline_at_s: float
     admitted_at_s: float
     attempts: int = 0
+    unsent_attempts: int = 0
     excluded: set[str] = attrs.field(factory=set)
     target: str = ""
     target_address: str = ""
--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -162,6 +162,8 @@
                 may_be_copy = connection.reused and not self.hop.is_vm
                 return self._refused(problem, may_be_copy)
             self._stream_response(connection, sink)
+        except errors.AdmissionExpiredError as error:
+            return self._not_sent(str(error))
         except (
             OSError,
             response.HTTPParseError,
@@ -254,6 +256,8 @@
         )
 
     def _may_reuse(self, attempt: Attempt) -> bool:
+        if attempt.outcome is outcomes.AttemptOutcome.NOT_SENT:
+            return True
         return (
             attempt.status > 0
             and self.parser.keeps_connection
@@ -261,8 +265,8 @@
         )
 
     def _discard_idle_after_timeout(self, error: Exception) -> None:
-        # Also a TimeoutError, but not caused by the peer: nothing was sent yet.
-        if isinstance(error, errors.AdmissionExpiredError):
+        # Also a TimeoutError, but not caused by the peer.
+        if isinstance(error, errors.LinkBusyError):
             return
         if isinstance(error, (ExchangeTimeoutError, TimeoutError)):
             self.pool.discard_idle(self.hop.address)
@@ -290,6 +294,13 @@
             may_be_copy=may_be_copy,
         )
 
+    def _not_sent(self, reason: str) -> Attempt:
+        return Attempt(
+            outcomes.AttemptOutcome.NOT_SENT,
+            expired=self._is_expired(),
+            reason=reason,
+        )
+
     def _failed(self, reason: str) -> Attempt:
         outcome = outcomes.AttemptOutcome.UNKNOWN
         if not self.upload.sent_any:
--- a/mulberrydeck/forward/uploads.py
+++ b/mulberrydeck/forward/uploads.py
@@ -81,8 +81,9 @@
 
         Raises:
             OSError: The connection broke.
-            errors.AdmissionExpiredError: The first byte could not be sent by
+            errors.AdmissionExpiredError: The upload started after
                 `start_by_s`.
+            errors.LinkBusyError: The link had no quota until `start_by_s`.
         """
         self.sock = sock
         if body is None:
@@ -150,15 +151,17 @@
         if self.sent_any:
             return count if self.pace is None else self.pace(count)
         remaining_s = self.start_by_s - self.now_s()
-        expired = errors.AdmissionExpiredError(
-            "The admission expired before the request was sent; "
-            "it is admitted again."
-        )
         if remaining_s <= 0:
-            raise expired
+            raise errors.AdmissionExpiredError(
+                "The admission expired before the request was sent; "
+                "it is admitted again."
+            )
         if self.pace is None:
             return count
-        with gevent.Timeout(min(remaining_s, MAX_START_WAIT_S), expired):
+        busy = errors.LinkBusyError(
+            "The link had no quota until the admission expired."
+        )
+        with gevent.Timeout(min(remaining_s, MAX_START_WAIT_S), busy):
             return self.pace(count)
 
     def _send_allowed(self, view: memoryview) -> None:
--- a/mulberrydeck/routing/health.py
+++ b/mulberrydeck/routing/health.py
@@ -30,10 +30,11 @@
         now_s: Monotonic time, in seconds.
         target: The target that the request was sent to.
         outcome: How the attempt ended; None if the caller disconnected, which
-            says nothing about the target.
+            says nothing about the target, nor does an attempt that was not
+            sent.
         status: HTTP status of the response, or 0.
     """
-    if outcome is None:
+    if outcome in (None, outcomes.AttemptOutcome.NOT_SENT):
         return
     if outcome is outcomes.AttemptOutcome.NOT_RUN and status:
         _shed(target, now_s)
--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -300,6 +300,23 @@
     return slots.release(state, now_s, request_id, outcome, status)
 
 
+def is_usable(
+    state: routing_state.RoutingState, now_s: float, name: str
+) -> bool:
+    """Returns whether this VM may still send requests to a target.
+
+    Args:
+        state: State of the routing subsystem.
+        now_s: Monotonic time, in seconds.
+        name: Name of the target.
+    """
+    target = state.targets.get(name)
+    if target is None or not ownership.owns(state.grants, name, now_s):
+        return False
+    warmup_s = state.settings.target_warmup_s
+    return target_state.usable_slots(target, now_s, warmup_s) > 0
+
+
 def target_statuses(
     state: routing_state.RoutingState, now_s: float
 ) -> tuple[gateway.TargetStatus, ...]:
