Ask other lenders when the holder of a zone stands still

What callers saw: 503 no-capacity or 429 rate-limited from `serve` for requests within the limits while the VM that holds their zone's units stood still for some tenths of a second, as any VM does on a busy machine. So failed tests/test_drains.py::test_a_vm_stops_while_long_transfers_pass_through_it ("no-capacity, 503", the requests of a region that all go over a link) and ::test_a_target_is_drained_while_a_vm_stops ("rate-limited, 429").

Cause: a VM that holds no units of its own borrows nearly each token, and asked the holder of its zone alone until that had been silent for 0.15 s. A request waits for quota for at most 0.2 s, and for that of a link 0.15 s, the life of its admission. What the others hold came too late or was not asked for.

Now a holder that has not responded for 0.03 s counts as silent: the tokens that it was asked for are asked of the others too. A late response is accepted as before, and what is too much goes back.

--- a/mulberrydeck/quota/borrowing.py
+++ b/mulberrydeck/quota/borrowing.py
@@ -36,7 +36,7 @@
     if quota.stopping:
         return {}
     choosing.time_out_requests(resource, now_s)
-    tokens = _missing_tokens(resource, now_s)
+    tokens = _missing_tokens(quota, resource, now_s)
     units = _missing_units(resource, now_s)
     ready = choosing.ready_lenders(quota, resource, now_s)
     if tokens > 0:
@@ -136,7 +136,9 @@
         del quota.loan_requests[oldest]
 
 
-def _missing_tokens(resource: state.ResourceState, now_s: float) -> float:
+def _missing_tokens(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
     missing = needs.backlog_tokens(resource) - resource.tokens
     if missing <= bucket.TOKEN_TOLERANCE:
         return 0.0
@@ -144,12 +146,8 @@
     missing = min(
         missing * OVERREQUEST_RATIO + prefetched, resource.bound.burst
     )
-    requested = sum(
-        view.requested_tokens
-        for view in resource.lenders.values()
-        if choosing.awaits_response(view, now_s)
-    )
-    return max(0.0, missing - requested)
+    expected = choosing.expected_tokens(quota, resource, now_s)
+    return max(0.0, missing - expected)
 
 
 def _missing_units(resource: state.ResourceState, now_s: float) -> int:
--- a/mulberrydeck/quota/choosing.py
+++ b/mulberrydeck/quota/choosing.py
@@ -8,6 +8,9 @@
 MIN_BACKOFF_S = 0.04
 MAX_BACKOFF_S = 1.0
 RESPONSE_TIMEOUT_S = 0.15
+# The holder of a VM's own zone responds within a few milliseconds. One that
+# stands still is not waited for, since others may have what it lacks.
+ZONE_RESPONSE_S = 0.03
 EXPECTED_GRANT_RATIO = 0.7
 MIN_ESTIMATE_TOKENS = 1e-6
 PARALLEL_BELOW_TOKENS = 2.0
@@ -19,8 +22,8 @@
     """Returns the lenders that can be sent a loan request now, best first.
 
     That is the holder of this VM's zone alone, and the others only while
-    requests to that holder back off or there is none. A resource that is
-    requested in parallel has no such order.
+    requests to that holder back off or it is silent, or if there is none. A
+    resource that is requested in parallel has no such order.
     """
     if requests_in_parallel(quota, resource):
         return [
@@ -32,7 +35,7 @@
         nearest = _view(resource, quota.zone_holder)
         if now_s >= _ready_s(nearest):
             return [quota.zone_holder]
-        if nearest.retry_s <= now_s:
+        if nearest.retry_s <= now_s and not is_silent(nearest, now_s):
             return []
     return [
         name
@@ -127,6 +130,18 @@
     )
 
 
+def expected_tokens(
+    quota: state.QuotaState, resource: state.ResourceState, now_s: float
+) -> float:
+    """Returns the tokens that lenders were asked for and may soon grant."""
+    return sum(
+        view.requested_tokens
+        for name, view in resource.lenders.items()
+        if awaits_response(view, now_s)
+        and not (name == quota.zone_holder and is_silent(view, now_s))
+    )
+
+
 def next_request_s(
     quota: state.QuotaState, resource: state.ResourceState, now_s: float
 ) -> float:
@@ -160,6 +175,11 @@
     return view.ask_id > 0 and now_s - view.requested_s < RESPONSE_TIMEOUT_S
 
 
+def is_silent(view: state.LenderView, now_s: float) -> bool:
+    """Returns whether the holder of this VM's zone is late to respond."""
+    return view.ask_id > 0 and now_s - view.requested_s >= ZONE_RESPONSE_S
+
+
 def may_renew(view: state.LenderView, now_s: float) -> bool:
     """Returns whether a renewal can be sent to the lender."""
     interval_s = RESPONSE_TIMEOUT_S if view.ask_id else 0.0
