--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -171,6 +171,8 @@
             if self._is_withheld():
                 return self._answered(response_started=False)
             self._stream_response(connection, sink)
+        except errors.AdmissionExpiredError as error:
+            return self._not_sent(str(error))
         except (
             OSError,
             response.HTTPParseError,
@@ -274,6 +276,8 @@
         )
 
     def _may_reuse(self, attempt: Attempt) -> bool:
+        if attempt.outcome is outcomes.AttemptOutcome.NOT_SENT:
+            return True
         return (
             attempt.status > 0
             and self.parser.keeps_connection
@@ -281,8 +285,8 @@
         )
 
     def _discard_idle_after_timeout(self, error: Exception) -> None:
-        # Also a TimeoutError, but not caused by the peer: nothing was sent yet.
-        if isinstance(error, errors.AdmissionExpiredError):
+        # Also a TimeoutError, but not caused by the peer.
+        if isinstance(error, errors.LinkBusyError):
             return
         if isinstance(error, (ExchangeTimeoutError, TimeoutError)):
             self.pool.discard_idle(self.hop.address)
@@ -316,6 +320,13 @@
             may_be_copy=may_be_copy,
         )
 
+    def _not_sent(self, reason: str) -> Attempt:
+        return Attempt(
+            outcomes.AttemptOutcome.NOT_SENT,
+            expired=self._is_expired(),
+            reason=reason,
+        )
+
     def _failed(self, reason: str) -> Attempt:
         outcome = outcomes.AttemptOutcome.UNKNOWN
         if not self.upload.sent_any:
