Limit the memory of responses of the store and of tiny chunks

A VM that followed a store whose response never ended kept up to 64 MiB of each call, and of chunks of two bytes 250 MB within the 2 s of one call; VMs have 200 to 552 MB. Callers lose their requests when such a process ends.

Cause: the parser kept each chunk as an object of its own, which takes 50 bytes more than its content, until the response was complete; and the limit of a call was that of a VM without other work.

The parser now keeps one buffer. The limit is 16 MiB, above the changes of a fleet of hundreds within the history of the store; more is treated as a failed call, as before.

Ruled out: heads, trailers and chunk extensions of the store end at their own limits.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -213,7 +213,7 @@
         self.response_started = True
         sink.begin(parser.get_code(), parser.fields, parser.declared_length)
         while True:
-            if parser.pieces:
+            if parser.decoded:
                 sink.write(parser.take())
             if parser.complete:
                 break
--- a/mulberrydeck/forward/responses.py
+++ b/mulberrydeck/forward/responses.py
@@ -30,7 +30,7 @@
 
     Attributes:
         fields: Header fields in order: lower-case name and value.
-        pieces: Decoded body bytes that `take` has not yet returned.
+        decoded: Body bytes that `take` has not yet returned.
         surplus: Whether bytes followed the end of the response.
         head_bytes: Bytes received until the head was complete.
         body_bytes: Decoded body bytes so far.
@@ -45,7 +45,7 @@
         """
         super().__init__(method)
         self.fields: list[tuple[str, str]] = []
-        self.pieces: list[bytes] = []
+        self.decoded = bytearray()
         self.surplus = False
         self.head_bytes = 0
         self.body_bytes = 0
@@ -128,10 +128,8 @@
 
     def take(self) -> bytes:
         """Returns the decoded body bytes and removes them from the parser."""
-        if len(self.pieces) == 1:
-            return self.pieces.pop()
-        data = b"".join(self.pieces)
-        self.pieces.clear()
+        data = bytes(self.decoded)
+        self.decoded.clear()
         return data
 
     def _on_headers_complete(self) -> bool:
@@ -172,4 +170,5 @@
 
     def _on_body(self, buf: bytearray) -> None:
         self.body_bytes += len(buf)
-        self.pieces.append(bytes(buf))
+        # Not a list, since each of many tiny chunks would take 50 bytes more.
+        self.decoded += buf
--- a/mulberrydeck/forward/tests/test_responses.py
+++ b/mulberrydeck/forward/tests/test_responses.py
@@ -1,6 +1,7 @@
 """Parsing of complete responses and rejection of endless ones."""
 
 import itertools
+import tracemalloc
 
 from geventhttpclient import response
 import pytest
@@ -119,3 +120,16 @@
     parser.accept(INTERIM_HEAD + FINAL_HEAD)
     assert parser.complete
     assert parser.keeps_connection
+
+
+# Guards against tiny chunks that take fifty times their size in memory.
+def test_the_memory_of_a_body_does_not_depend_on_its_chunks():
+    chunks = b"2\r\nok\r\n" * 1000
+    parser = parse(CHUNKED)
+    tracemalloc.start()
+    for _ in range(500):
+        parser.accept(chunks)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(parser.take()) == 1_000_000
+    assert peak_bytes < 3_000_000
--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -23,7 +23,8 @@
 # A watch fails if its response is not complete this long after its wait time.
 WATCH_MARGIN_S = 1.0
 RECEIVE_BYTES = 256 * 1024
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Several times the changes of large fleets within the history of the store.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 MS_PER_S = 1000
 # The store gives out revisions again in a new era. What this client returns as
 # a revision is the pair of era and revision as one number, which only rises.
