--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -15,6 +15,7 @@
 
 from mulberrydeck import errors
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.forward import receiving
 from mulberrydeck.forward import responses
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import headers
@@ -23,7 +24,8 @@
 # A watch fails if its response is not complete this long after its wait time.
 WATCH_MARGIN_S = 1.0
 RECEIVE_BYTES = 256 * 1024
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Several times the changes of large fleets within the history of the store.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 MS_PER_S = 1000
 # The store gives out revisions again in a new era. What this client returns as
 # a revision is the pair of era and revision as one number, which only rises.
@@ -300,6 +302,7 @@
         self, connection: pools.Connection, method: str, timeout_s: float
     ) -> responses.ResponseParser:
         parser = responses.ResponseParser(method)
+        slicer = receiving.Slicer()
         deadline_s = self.pool.now_s() + timeout_s
         received = 0
         while not parser.complete:
@@ -313,7 +316,8 @@
                 raise OSError(
                     f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
                 )
-            parser.accept(data)
+            for piece in slicer.slices(data, remaining_s):
+                parser.accept(piece)
         return parser
 
     def _encode(self, method: str, path: str, body: object) -> bytes:
