Stand-in targets that run a request and answer with a status of refusals

Users saw requests run whose callers had been told that they had not. Only X-Not-Executed states that a target did not run a request; a target may also run it and answer 503, 429 or 408. It also breaks off rejections after their head, rejects before it has read a body, and repeats earlier refusals after an interim response or after empty lines.

The stand-in records the statuses of its signed responses, so that tests can compare them with what callers got.

--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -16,6 +16,16 @@
 # The copy of a refusal arrives while the next request is running.
 COPY_DELAY_S = 0.05
 CUT_HEAD_BYTES = 10
+# Length of a long body; larger than what a VM keeps of a failed response.
+LONG_BODY_BYTES = 400_000
+MISSING_BODY_BYTES = 9
+REASONS = {
+    200: "OK",
+    408: "Timeout",
+    429: "Too Many Requests",
+    500: "Failed",
+    503: "Busy",
+}
 
 
 @attrs.frozen
@@ -48,6 +58,10 @@
         pause: Value of `Retry-After` in refusals; empty for none.
         queued_faults: Faults of the next requests, in order; see `_respond`.
         runs: Requests that were run.
+        statuses: Statuses of its signed responses, by identifier of the
+            request.
+        copies: Refusals that are repeated before the next response on a
+            connection, by connection.
         rejected: Number of requests that were not run.
         running: Number of requests that are running.
         cancelled: Number of requests whose caller closed the connection while
@@ -65,6 +79,8 @@
         self.pause = ""
         self.queued_faults: collections.deque[str] = collections.deque()
         self.runs: list[Request] = []
+        self.statuses: dict[str, set[int]] = {}
+        self.copies: dict[socket.socket, bytes] = {}
         self.rejected = 0
         self.running = 0
         self.cancelled = 0
@@ -96,8 +112,11 @@
     def _serve(self, sock, _address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connections += 1
-        with contextlib.suppress(OSError):
-            self._serve_requests(sock)
+        try:
+            with contextlib.suppress(OSError):
+                self._serve_requests(sock)
+        finally:
+            self.copies.pop(sock, None)
 
     def _serve_requests(self, sock) -> None:
         """Serves requests until an `OSError` ends the connection."""
@@ -106,19 +125,19 @@
             while END_OF_HEAD not in rest:
                 rest += _receive(sock)
             head, _, rest = rest.partition(END_OF_HEAD)
-            received, rest = self._read(sock, head, rest)
+            method, path, fields = _parsed(head)
+            if self.queued_faults and self.queued_faults[0] == "reject early":
+                fault = self.queued_faults.popleft()
+                self._reject(sock, fault, fields.get("x-attempt-id", ""))
+                _, rest = self._read(sock, method, path, fields, rest)
+                continue
+            received, rest = self._read(sock, method, path, fields, rest)
             fault = self.queued_faults.popleft() if self.queued_faults else ""
             if not self._respond(sock, received, fault):
                 sock.close()
                 return
 
-    def _read(self, sock, head, rest):
-        lines = head.decode("latin-1").split("\r\n")
-        method, path, _ = lines[0].split(" ")
-        fields = {}
-        for line in lines[1:]:
-            name, _, value = line.partition(":")
-            fields[name.lower()] = value.strip()
+    def _read(self, sock, method, path, fields, rest):
         if fields.get("transfer-encoding") == "chunked":
             while not rest.endswith(b"0\r\n\r\n"):
                 rest += _receive(sock)
@@ -134,11 +153,13 @@
         Args:
             sock: Connection of the request.
             received: The request.
-            fault: Empty for none; `reject`, `reject twice` (the copy comes
-                late), `reject bare twice` (both without the identifier),
-                `hang`, or a fault of `_finish` or `_respond_endlessly`.
+            fault: Empty for none; `hang`, or a fault of `_reject`, `_finish`,
+                `_send_status` or `_respond_endlessly`.
         """
         attempt_id = received.fields.get("x-attempt-id", "")
+        if sock in self.copies:
+            interim = self._interim_head(attempt_id)
+            sock.sendall(interim + self.copies.pop(sock))
         addressee = received.fields.get("x-target-instance", self.name)
         if addressee != self.name:
             self.rejected += 1
@@ -157,20 +178,42 @@
         body = b"%s of %s" % (attempt_id.encode(), self.name.encode())
         if fault.startswith("endless"):
             return self._respond_endlessly(sock, fault, attempt_id, body)
+        if fault.startswith("ran "):
+            return self._send_status(sock, fault, attempt_id, body)
         return self._finish(sock, fault, attempt_id, body)
 
     def _reject(self, sock, fault: str, attempt_id: str) -> bool:
+        """Rejects a request.
+
+        Args:
+            sock: Connection of the request.
+            fault: Empty or `reject` for none; `reject broken` (it ends within
+                the body); `reject early` (before the request's body is read);
+                `reject twice` (the copy comes late), `reject twice spaced` (the
+                copy comes after empty lines), `reject twice interim` (the copy
+                comes after an interim response to the next request), each also
+                with `bare` (without the identifier).
+            attempt_id: Identifier of the request.
+
+        Returns:
+            Whether the connection is kept.
+        """
         self.rejected += 1
+        words = fault.split()
         extra = ["X-Not-Executed: 1"]
         if self.pause:
             extra.append(f"Retry-After: {self.pause}")
-        head = self._head("503 Busy", attempt_id, 0, extra)
-        if "bare" in fault:
+        length = MISSING_BODY_BYTES if "broken" in words else 0
+        head = self._head("503 Busy", attempt_id, length, extra)
+        if "bare" in words:
             head = head.replace(f"X-Attempt-Id: {attempt_id}\r\n".encode(), b"")
         sock.sendall(head)
-        if "twice" in fault:
-            gevent.spawn_later(COPY_DELAY_S, _send_copy, sock, head)
-        return True
+        if "interim" in words:
+            self.copies[sock] = head
+        elif "twice" in words:
+            copy = b"\r\n\r\n" + head if "spaced" in words else head
+            gevent.spawn_later(COPY_DELAY_S, _send_copy, sock, copy)
+        return "broken" not in words
 
     def _work(self, sock, fault: str) -> bool:
         """Waits for the work time.
@@ -203,7 +246,8 @@
             case "fail":
                 return self._send(sock, "500 Failed", attempt_id, body)
             case "truncate":
-                head = self._head("200 OK", attempt_id, len(body) + 9)
+                length = len(body) + MISSING_BODY_BYTES
+                head = self._head("200 OK", attempt_id, length)
                 sock.sendall(head + body)
                 return False
             case "cut head":
@@ -231,6 +275,39 @@
                 return True
         return self._send(sock, "200 OK", attempt_id, body)
 
+    def _send_status(self, sock, fault, attempt_id, body) -> bool:
+        """Sends a response with the status that the fault names.
+
+        Args:
+            sock: Connection of the request.
+            fault: `ran`, the status (as in `ran 503`), and any of the words
+                `pause` (with `Retry-After`), `marked` (with `X-Not-Executed`,
+                although the request ran), `blank` (the same, with an empty
+                value), `long` (with a long body) and `broken` (it ends within
+                the body).
+            attempt_id: Identifier of the request.
+            body: Body, or its start.
+
+        Returns:
+            Whether the connection is kept.
+        """
+        _, status, *words = fault.split()
+        extra = []
+        if "pause" in words:
+            extra.append("Retry-After: 1")
+        if "marked" in words:
+            extra.append("X-Not-Executed: 1")
+        if "blank" in words:
+            extra.append("X-Not-Executed:")
+        if "long" in words:
+            body += b"a" * LONG_BODY_BYTES
+        length = len(body)
+        if "broken" in words:
+            length += MISSING_BODY_BYTES
+        line = f"{status} {REASONS[int(status)]}"
+        sock.sendall(self._head(line, attempt_id, length, extra) + body)
+        return "broken" not in words
+
     def _respond_endlessly(self, sock, fault, attempt_id, body) -> bool:
         """Sends a response that never ends, until the caller closes."""
         start, repeated = b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"
@@ -273,7 +350,13 @@
         except OSError:
             return
 
+    def _interim_head(self, attempt_id) -> bytes:
+        lines = ["HTTP/1.1 103 Early Hints", f"X-Attempt-Id: {attempt_id}"]
+        return "\r\n".join(lines).encode() + END_OF_HEAD
+
     def _head(self, status, attempt_id, length, extra=()) -> bytes:
+        code = int(status.split()[0])
+        self.statuses.setdefault(attempt_id, set()).add(code)
         lines = [
             f"HTTP/1.1 {status}",
             f"X-Attempt-Id: {attempt_id}",
@@ -309,6 +392,17 @@
     return data
 
 
+def _parsed(head: bytes) -> tuple[str, str, dict[str, str]]:
+    """Returns the method, the path and the header fields of a request."""
+    lines = head.decode("latin-1").split("\r\n")
+    method, path, _ = lines[0].split(" ")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.lower()] = value.strip()
+    return method, path, fields
+
+
 def _unchunked(data: bytes) -> bytes:
     chunks = []
     while True:
