Soak: play targets that run what they refuse, and stops under long requests

Bodies of successes must now be equal to the target's. A call that may be repeated may get the failure of the very target that ran it; the check allowed no run at all before, but no target then gave such a status. A fault that is left out because its VM is disturbed no longer excuses calls.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,8 +20,22 @@
 MAX_UPLOAD_BYTES = 2_000_000
 PIECE_BYTES = 30_000
 PROBE_INTERVAL_S = 0.2
-# Timeout of a caller. The deadline in its requests is 2 s.
+# Timeout of a caller. The deadline in its requests is 2 s, in long ones 20 s.
 TIMEOUT_S = 12.0
+LIMIT_S = 2.0
+# Callers with requests of several seconds, shared out to the VMs.
+LONG_CALLERS = 160
+MEAN_LONG_PAUSE_S = 0.3
+LONG_HEADERS = {"X-Deadline-Ms": "20000"}
+# Requests with the longest work reach the time limit of their route.
+LONG_WORK_RANGE_MS = (1900, 5100)
+MAX_ATTEMPTS = 3
+SINGLE_PREFIXES = ("/once/", "/long-once/")
+# Statuses that promise that a request has not run, and never will.
+PROMISES = (408, 421, 429, 503)
+# Errors of requests that were not sent, or not completely. A reset is none of
+# them: it can also end a response.
+UNREAD = ("ConnectionRefused", "BrokenPipe")
 
 
 @attrs.frozen
@@ -37,6 +51,10 @@
             failed, in seconds.
         response: The complete response, or the reason why there is none.
         body: Body that was sent, or empty.
+        path: Path and query.
+        work: Identifier in the path that stays the same over all attempts of a
+            caller; empty if there is one attempt.
+        limit_s: Time limit of the request, in seconds.
     """
 
     attempt_id: str
@@ -46,6 +64,18 @@
     ended_s: float
     response: http_client.Response | http_client.NoResponse
     body: bytes = b""
+    path: str = ""
+    work: str = ""
+    limit_s: float = LIMIT_S
+
+    @property
+    def is_refused(self) -> bool:
+        """Returns whether the caller was told that it never runs."""
+        match self.response:
+            case http_client.Response(status=status):
+                return status in PROMISES
+            case http_client.NoResponse(reason=reason):
+                return reason.startswith(UNREAD)
 
 
 @attrs.frozen
@@ -72,8 +102,9 @@
         calls: Requests so far.
         probes: Requests that check which version is in force.
         stopping: Set to stop the callers.
-        large_uploads: Whether some bodies are sent in chunks and exceed what a
-            VM keeps in memory.
+        faulty: Whether some bodies are sent in chunks and exceed what a VM
+            keeps in memory, callers of single runs come back to another VM
+            after a refusal, and further callers send long requests.
     """
 
     def __init__(
@@ -81,9 +112,9 @@
         fleet: fleets.SoakFleet,
         seed: int,
         callers_per_vm: int = CALLERS_PER_VM,
-        large_uploads: bool = False,
+        faulty: bool = False,
     ):
-        self.large_uploads = large_uploads
+        self.faulty = faulty
         self.fleet = fleet
         self.calls: list[Call] = []
         self.probes: list[Probe] = []
@@ -96,6 +127,16 @@
         self.greenlets += [
             gevent.spawn(self._probe, vm) for vm in fleet.zone_by_vm
         ]
+        if faulty:
+            vms = sorted(fleet.zone_by_vm)
+            self.greenlets += [
+                gevent.spawn(
+                    self._run_long,
+                    vms[number % len(vms)],
+                    random.Random(f"{seed}/long/{number}"),
+                )
+                for number in range(LONG_CALLERS)
+            ]
 
     def finish(self) -> None:
         """Stops the callers and waits until their last requests have ended."""
@@ -107,7 +148,7 @@
         client.timeout_s = TIMEOUT_S
         while not self.stopping:
             kind = rng.choice(("read", "once", "keyed"))
-            self.calls.append(self._call(client, vm, kind, rng))
+            self._call(client, vm, kind, rng)
             gevent.sleep(rng.uniform(0, 2 * MEAN_PAUSE_S))
         client.close()
 
@@ -125,38 +166,93 @@
             gevent.sleep(PROBE_INTERVAL_S)
         client.close()
 
-    def _call(self, client, vm: str, kind: str, rng: random.Random) -> Call:
+    def _call(self, client, vm: str, kind: str, rng: random.Random) -> None:
+        """Makes a call; comes back to other VMs while its work is refused."""
         path = f"/{kind}/{rng.randrange(20)}"
         attempt_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
         headers = {"X-Affinity-Key": path}
         if kind == "keyed":
             headers["Authorization"] = f"Bearer {fleets.KEY}"
-        body = None
+        body, in_pieces = b"", False
         if kind == "once":
             body = rng.randbytes(rng.choice((10, 3000, 90000)))
-        sent = body
-        if self.large_uploads and body and rng.random() < LARGE_UPLOAD_RATIO:
-            body = rng.randbytes(rng.randrange(MAX_UPLOAD_BYTES))
-            sent = _pieces(body)
+            if self.faulty and rng.random() < LARGE_UPLOAD_RATIO:
+                body = rng.randbytes(rng.randrange(MAX_UPLOAD_BYTES))
+                in_pieces = True
+        work = attempt_id if self.faulty and kind == "once" else ""
+        if work:
+            path += f"?work={work}"
+        call = self._send(
+            client, vm, path, headers, attempt_id, body, in_pieces, work=work
+        )
+        for _ in range(1, MAX_ATTEMPTS):
+            if not work or not call.is_refused:
+                return
+            vm = rng.choice(sorted(self.fleet.zone_by_vm.keys() - {vm}))
+            client = self.fleet.client(vm)
+            client.timeout_s = TIMEOUT_S
+            call = self._send(
+                client,
+                vm,
+                path,
+                headers,
+                uuid.UUID(int=rng.getrandbits(128)).hex[:16],
+                body,
+                in_pieces,
+                work=work,
+            )
+            client.close()
+
+    def _run_long(self, vm: str, rng: random.Random) -> None:
+        """Sends long requests, on one connection while its VM keeps it."""
+        client = self.fleet.client(vm, **LONG_HEADERS)
+        client.timeout_s = TIMEOUT_S
+        limit_s = fleets.LONG_TIMEOUT_MS / fleets.MS_PER_S
+        while not self.stopping:
+            kind = rng.choice(sorted(fleets.LONG_ROUTES))
+            work_ms = rng.randint(*LONG_WORK_RANGE_MS)
+            attempt_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
+            path = f"/{kind}/1?work_ms={work_ms}"
+            self._send(client, vm, path, {}, attempt_id, limit_s=limit_s)
+            gevent.sleep(rng.uniform(0, 2 * MEAN_LONG_PAUSE_S))
+        client.close()
+
+    def _send(
+        self,
+        client: http_client.Client,
+        vm: str,
+        path: str,
+        headers: dict[str, str],
+        attempt_id: str,
+        body: bytes = b"",
+        in_pieces: bool = False,
+        work: str = "",
+        limit_s: float = LIMIT_S,
+    ) -> Call:
+        """Sends one request and records it with its outcome."""
         sent_s = time.monotonic()
         _, response = self.fleet.request(
             client,
             path,
             "POST" if body else "GET",
-            sent,
+            _pieces(body) if in_pieces else body or None,
             attempt_id=attempt_id,
             **headers,
         )
-        single = kind == "once"
-        return Call(
+        call = Call(
             attempt_id,
             vm,
-            single,
+            path.startswith(SINGLE_PREFIXES),
             sent_s,
             time.monotonic(),
             response,
-            body or b"",
+            body,
+            path,
+            work,
+            limit_s,
         )
+        self.calls.append(call)
+        return call
 
 
 def _pieces(body: bytes) -> Iterator[bytes]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,9 +9,12 @@
 from soak import faults
 from soak import fleet as fleets
 from standins import http_client
+from standins.users_platform import instances
 
 # HTTP statuses by which a VM states that a request has not run.
-NOT_RUN = (401, 404, 413, 429, 503)
+NOT_RUN = (401, 404, 413, *callers.PROMISES)
+# A response without a target's signature is the VM's own.
+SIGNATURE = "x-response-signature"
 # Bounds of the users' platform.
 MAX_DRAIN_S = 3.0
 MAX_EVACUATION_S = 5.0
@@ -23,6 +26,14 @@
 IDLE_CLOSE_WINDOW_S = 0.2
 # `ColdPerS` x `ColdOverage` + `ColdSlack` of the configured services.
 MAX_COLD_RUNS_PER_S = 6.9 * 1.5 + 5.0
+# A request that ends so long before its time limit was broken off earlier.
+LIMIT_MARGIN_S = 0.3
+# A VM's own response follows within this time after it breaks off a request.
+OWN_RESPONSE_S = 0.5
+# Within the last part of a stop, a VM may break off requests that arrived in
+# the first seconds of it.
+LAST_STOP_FRACTION = 1 / 6
+ACCEPTED_IN_STOP_S = 3.0
 LIMIT_WINDOW_S = 5.0
 LIMIT_FACTOR = 1.1
 LIMIT_EXTRA_RUNS = 20
@@ -44,9 +55,11 @@
     checks = [
         _check_single_runs,
         _check_refusals,
-        _check_response_bodies,
-        _check_request_bodies,
+        _check_repeated_works,
+        _check_responses,
+        _check_requests,
         _check_lost_calls,
+        _check_cut_runs,
         _check_key_secrecy,
         _check_exits,
         _check_version_order,
@@ -72,54 +85,145 @@
     )
 
 
+def _played(fleet: fleets.SoakFleet, attempt_id: str) -> str:
+    """Returns the faults of the targets that received a request, if any."""
+    played = [
+        f"{target.name}: {fault}"
+        for target in fleet.targets.values()
+        for fault in target.played_faults.get(attempt_id, ())
+    ]
+    return f" ({', '.join(played)})" if played else ""
+
+
 def _check_single_runs(
     fleet: fleets.SoakFleet, calls: list[Call]
 ) -> Iterator[str]:
     runs = _runs_by_attempt(fleet)
     for call in calls:
         if call.single and runs[call.attempt_id] > 1:
-            yield f"{call.attempt_id} ran {runs[call.attempt_id]} times"
+            count = runs[call.attempt_id]
+            targets = _played(fleet, call.attempt_id)
+            yield f"TWICE: {call.attempt_id} ran {count} times{targets}"
 
 
 def _check_refusals(
     fleet: fleets.SoakFleet, calls: list[Call]
 ) -> Iterator[str]:
+    """REFUSED: a call that is refused never runs."""
     runs = _runs_by_attempt(fleet)
     for call in calls:
         status = getattr(call.response, "status", 0)
-        if status in NOT_RUN and runs[call.attempt_id]:
-            yield f"{call.attempt_id} got {status} and ran"
+        is_promise = status in NOT_RUN and not (
+            not call.single and _is_targets_own_failure(fleet, call)
+        )
+        if is_promise and runs[call.attempt_id]:
+            targets = _played(fleet, call.attempt_id)
+            yield f"REFUSED: {call.attempt_id} got {status} and ran{targets}"
+
+
+def _is_targets_own_failure(fleet: fleets.SoakFleet, call: Call) -> bool:
+    """Returns whether a target ran a call and gave the status of its response.
+
+    For a call that may be repeated, its response is passed on unchanged.
+    """
+    target = _signer(fleet, call.response)
+    return (
+        target is not None
+        and call.response.status in target.statuses.get(call.attempt_id, ())
+        and any(
+            run.fields.get("x-attempt-id") == call.attempt_id
+            for run in target.runs
+        )
+    )
+
+
+def _signer(
+    fleet: fleets.SoakFleet,
+    response: http_client.Response | http_client.NoResponse,
+) -> instances.Instance | None:
+    """Returns the target whose signature a response has, if any."""
+    match response:
+        case http_client.Response(headers=headers):
+            _, _, name = headers.get(SIGNATURE, "").partition(".")
+            return fleet.targets.get(name)
+    return None
 
 
-def _check_response_bodies(
+def _check_repeated_works(
     fleet: fleets.SoakFleet, calls: list[Call]
 ) -> Iterator[str]:
-    del fleet
-    for call in calls:
-        response = call.response
-        expected = call.attempt_id.encode()
-        if getattr(
-            response, "status", 0
-        ) == 200 and not response.body.startswith(expected):
-            yield f"{call.attempt_id} got the response {response.body[:40]!r}"
-
+    """TWICE, REFUSED: of a work's attempts, those that were refused don't run.
 
-def _check_request_bodies(
+    Works are told apart by the path, not by the identifier of an attempt.
+    """
+    runs = collections.Counter(
+        run.path for target in fleet.targets.values() for run in target.runs
+    )
+    attempts_by_path = collections.defaultdict(list)
+    for call in calls:
+        if call.work:
+            attempts_by_path[call.path].append(call)
+    for path, attempts in attempts_by_path.items():
+        max_runs = sum(not call.is_refused for call in attempts)
+        if runs[path] > max_runs:
+            outcomes = [
+                f"{call.vm} "
+                f"{getattr(call.response, 'status', 0) or call.response.reason}"
+                for call in attempts
+            ]
+            yield f"REFUSED: {path} ran {runs[path]} times, after {outcomes}"
+
+
+def _check_responses(
     fleet: fleets.SoakFleet, calls: list[Call]
 ) -> Iterator[str]:
-    bodies = {call.attempt_id: call.body for call in calls}
+    """MIXED: a response is a target's whole response to the call, or no 2xx."""
+    for call in calls:
+        match call.response:
+            case http_client.Response(status, headers, body):
+                pass
+            case _:
+                continue
+        answered_id = headers.get("x-attempt-id", call.attempt_id)
+        target = _signer(fleet, call.response)
+        got = f"MIXED: {call.attempt_id} got {status} {body[:40]!r}"
+        if answered_id != call.attempt_id:
+            yield f"{got} of {answered_id}"
+        elif SIGNATURE not in headers:
+            if 200 <= status < 300:
+                yield f"{got} without a signature"
+        elif target is None:
+            yield f"{got} signed {headers[SIGNATURE]}"
+        elif status not in target.statuses.get(call.attempt_id, ()):
+            given = sorted(target.statuses.get(call.attempt_id, ()))
+            yield f"{got}, but {target.name} gave {given}"
+        elif call.attempt_id in target.broken_off:
+            yield f"{got}, which {target.name} broke off"
+        elif 200 <= status < 300 and body != target.body(call.attempt_id):
+            yield f"{got}, which is not the body of {target.name}"
+
+
+def _check_requests(
+    fleet: fleets.SoakFleet, calls: list[Call]
+) -> Iterator[str]:
+    """UNASKED: a call runs with the path and the body that were sent."""
+    call_by_id = {call.attempt_id: call for call in calls}
     for target in fleet.targets.values():
         for run in target.runs:
-            attempt_id = run.fields.get("x-attempt-id", "")
-            if run.body != bodies.get(attempt_id, run.body):
-                yield f"{attempt_id} ran with a changed body"
+            call = call_by_id.get(run.fields.get("x-attempt-id", ""))
+            if call and (run.path, run.body) != (call.path, call.body):
+                yield f"UNASKED: {call.attempt_id} ran as {run.path}"
 
 
 def _check_lost_calls(
     fleet: fleets.SoakFleet, calls: list[Call]
 ) -> Iterator[str]:
-    """A VM responds to accepted requests, unless it was killed or suspended."""
+    """LOST: a VM that was not killed or suspended responds to its requests."""
     runs = _runs_by_attempt(fleet)
+    recovered = [
+        (injected, _recovered_s(injected, calls))
+        for injected in fleet.injected_faults
+    ]
     for call in calls:
         if isinstance(call.response, http_client.Response):
             continue
@@ -128,12 +232,11 @@
             and call.ended_s - call.sent_s <= IDLE_CLOSE_WINDOW_S
         )
         if not any(
-            _explains_loss(
-                injected, call, not_accepted, _recovered_s(injected, calls)
-            )
-            for injected in fleet.injected_faults
+            _explains_loss(injected, call, not_accepted, recovered_s)
+            for injected, recovered_s in recovered
         ):
-            yield f"{call.attempt_id} at {call.vm}: {call.response.reason}"
+            lost = f"LOST: {call.attempt_id} at {call.vm}"
+            yield f"{lost}: {call.response.reason}"
 
 
 def _explains_loss(
@@ -153,7 +256,7 @@
             fault, in seconds.
     """
     match injected.fault:
-        case faults.Kill(vm) | faults.Pause(vm):
+        case faults.Kill(vm) | faults.Pause(vm) | faults.Stop(vm, how="paused"):
             allowed = vm == call.vm
         case faults.Stop(vm):
             allowed = vm == call.vm and not_accepted
@@ -166,6 +269,64 @@
     )
 
 
+def _check_cut_runs(
+    fleet: fleets.SoakFleet, calls: list[Call]
+) -> Iterator[str]:
+    """LOST: a VM that stops does not break off what a target works on."""
+    cut_s_by_id = {
+        attempt_id: cut_s
+        for target in fleet.targets.values()
+        for attempt_id, cut_s in target.cancelled_s.items()
+    }
+    for call in calls:
+        cut_s = cut_s_by_id.get(call.attempt_id, math.inf)
+        is_own_response = (
+            isinstance(call.response, http_client.Response)
+            and SIGNATURE not in call.response.headers
+            and abs(call.ended_s - cut_s) <= OWN_RESPONSE_S
+        )
+        if (
+            is_own_response
+            and cut_s < call.sent_s + call.limit_s - LIMIT_MARGIN_S
+            and any(
+                _forbids_cut(injected, call, cut_s)
+                for injected in fleet.injected_faults
+            )
+            and not _is_disturbed_otherwise(fleet, call.vm, cut_s)
+        ):
+            yield (
+                f"LOST: {call.attempt_id} at {call.vm} was broken off after "
+                f"{cut_s - call.sent_s:.1f} s with {call.response.status}"
+            )
+
+
+def _forbids_cut(
+    injected: fleets.InjectedFault, call: Call, cut_s: float
+) -> bool:
+    """Returns whether a VM must let a call end, as it stops by a fault."""
+    match injected.fault:
+        case faults.Stop(vm, how) if vm == call.vm and how != "paused":
+            stop_s = cut_s - injected.started_s
+            last_s = fleets.STOP_TIMEOUT_S * (1 - LAST_STOP_FRACTION)
+            is_early = call.sent_s <= injected.started_s + ACCEPTED_IN_STOP_S
+            return 0 <= stop_s <= fleets.STOP_TIMEOUT_S and not (
+                stop_s >= last_s and is_early
+            )
+    return False
+
+
+def _is_disturbed_otherwise(
+    fleet: fleets.SoakFleet, vm: str, at_s: float
+) -> bool:
+    """Returns whether an unplanned fault disturbed a VM shortly before."""
+    return any(
+        injected.started_s <= at_s <= injected.ended_s + SETTLING_TIME_S
+        and not isinstance(injected.fault, faults.Stop)
+        and _disturbs(injected.fault, vm)
+        for injected in fleet.injected_faults
+    )
+
+
 def _recovered_s(injected: fleets.InjectedFault, calls: list[Call]) -> float:
     """Returns the time of a VM's first response after a fault, in seconds.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,23 @@
     "reject twice",
     "reject bare twice",
     "extra late",
+    "ran 408",
+    "ran 429",
+    "ran 429 pause",
+    "ran 500",
+    "ran 503",
+    "ran 503 pause",
+    "ran 503 blank",
+    "ran 503 broken",
+    "ran 503 long",
+    "ran 503 long broken",
+    "ran 200 marked",
+    "ran 500 marked",
+    "reject broken",
+    "reject early",
+    "reject twice interim",
+    "reject twice interim bare",
+    "reject twice spaced",
 )
 # Range of the number of faults in a series. They are the same fault, started
 # again after a short gap.
@@ -44,6 +61,10 @@
 COLD_GAP_RANGE_S = (0.5, 6.0)
 # Time from the loss of the store by VMs until a target turns cold.
 STORE_LOSS_LEAD_S = 3.0
+# Gap between the starts of two groups of stops.
+STOP_GAP_RANGE_S = (7.0, 10.0)
+# Range in which the VMs of a group are told to stop.
+STOP_SPREAD_S = 0.3
 
 
 @attrs.frozen
@@ -55,9 +76,16 @@
 
 @attrs.frozen
 class Stop:
-    """A VM's process is stopped by SIGTERM, and restarted later."""
+    """A VM's process is stopped by SIGTERM, and restarted later.
+
+    Attributes:
+        vm: Name of the VM.
+        how: Empty; `reloading` if a SIGHUP precedes the signal; `paused` if the
+            process is suspended and resumed while it stops.
+    """
 
     vm: str
+    how: str = ""
 
 
 @attrs.frozen
@@ -284,6 +312,34 @@
     return tuple(planned_faults)
 
 
+def plan_stops(
+    seed: int, duration_s: float, vms: dict[str, str]
+) -> tuple[PlannedFault, ...]:
+    """Returns stops of one VM, or of several at once.
+
+    Args:
+        seed: Seed of the random generator.
+        duration_s: Time within which stops start, in seconds.
+        vms: Zones of the VMs by name.
+    """
+    rng = random.Random(f"stops/{seed}")
+    planned_faults = []
+    start_s = rng.uniform(*DURATION_RANGE_S)
+    while start_s < duration_s:
+        count = rng.choice((1, 2, len(vms) - 1))
+        for vm in rng.sample(sorted(vms), count):
+            how = rng.choice(("", "", "reloading", "paused"))
+            planned_faults.append(
+                PlannedFault(
+                    start_s + rng.uniform(0, STOP_SPREAD_S),
+                    rng.uniform(*GAP_RANGE_S),
+                    Stop(vm, how),
+                )
+            )
+        start_s += rng.uniform(*STOP_GAP_RANGE_S)
+    return tuple(planned_faults)
+
+
 def _draw_fault(rng: random.Random, vms: dict[str, str]) -> Fault:
     vm = rng.choice(sorted(vms))
     target = rng.choice(sorted(TARGETS))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,11 +20,16 @@
 
 FIRST_LINK_PORT = 8700
 STOP_TIMEOUT_S = 6.0  # As on the users' platform.
+# A VM that stops is suspended after the first time, until the second.
+PAUSE_IN_STOP_S = (0.5, 2.0)
+LONG_TIMEOUT_MS = 5000
 DELAY_S = 0.15
 SLOW_WORK_S = 1.5
+LONG_ROUTES = {"long": "safe", "long-once": "non_idempotent"}
 MS_PER_S = 1000
 KEY = "key-1"
 BURST = 10
+DEFAULT_SLOTS = 4
 
 
 @attrs.frozen
@@ -67,8 +72,17 @@
         self,
         directory: pathlib.Path,
         zone_by_vm: dict[str, str],
+        slots: int = DEFAULT_SLOTS,
         **settings: object,
     ):
+        """Creates a fleet without running VMs.
+
+        Args:
+            directory: Directory of the logs.
+            zone_by_vm: Zone of each VM, by name of the VM.
+            slots: Requests that a target runs at once.
+            **settings: Settings of the VMs that differ from the defaults.
+        """
         super().__init__(directory, stop_timeout_s=STOP_TIMEOUT_S, **settings)
         self.zone_by_vm = zone_by_vm
         self.injected_faults: list[InjectedFault] = []
@@ -80,12 +94,12 @@
         self.link_addresses: dict[str, str] = {}
         self.disturbed_vms: set[str] = set()
         self.store_outages = 0
-        self.proxy = self._make_proxy()
+        self.proxy = self._make_proxy(slots)
 
-    def _make_proxy(self) -> proxies.Proxy:
+    def _make_proxy(self, slots: int) -> proxies.Proxy:
         upstreams = {"store": self.platform_address}
         for name in faults.TARGETS:
-            self.targets[name] = instances.Instance(name, work_s=0.01)
+            self.targets[name] = instances.Instance(name, slots, work_s=0.01)
             upstreams[name] = self.targets[name].address
         places = [specification.Place(name) for name in upstreams]
         places += [
@@ -133,6 +147,16 @@
             Name=f"v{self.version}", PathPrefix=f"/v{self.version}/"
         )
         routes = [*fleets.configuration()["Routes"], version_route]
+        routes += [
+            fleets.route(
+                Name=name,
+                PathPrefix=f"/{name}/",
+                Kind=kind,
+                TimeoutMs=LONG_TIMEOUT_MS,
+                TargetLatencyMs=LONG_TIMEOUT_MS,
+            )
+            for name, kind in LONG_ROUTES.items()
+        ]
         self.configure(self.version, Tenants=[account], Routes=routes)
         written_s = time.monotonic()
         self.written_s[self.version] = written_s
@@ -159,7 +183,14 @@
             self._put_entry(name, stored["Spec"])
 
     def inject(self, planned: faults.PlannedFault) -> None:
-        """Injects a fault and ends it after its duration."""
+        """Injects a fault and ends it after its duration.
+
+        A fault of a VM's process is left out while there is another one.
+        """
+        match planned.fault:
+            case faults.Kill(vm) | faults.Stop(vm) | faults.Pause(vm):
+                if vm in self.disturbed_vms:
+                    return
         started_s = time.monotonic()
         with contextlib.ExitStack() as cleanup:
             self._start_fault(planned.fault, cleanup)
@@ -174,13 +205,11 @@
     ) -> None:
         match fault:
             case faults.Kill(vm) | faults.Stop(vm) | faults.Pause(vm):
-                if vm not in self.disturbed_vms:
-                    self.disturbed_vms.add(vm)
-                    cleanup.callback(self.disturbed_vms.discard, vm)
-                    self._start_vm_fault(fault, vm, cleanup)
+                self.disturbed_vms.add(vm)
+                cleanup.callback(self.disturbed_vms.discard, vm)
+                self._start_vm_fault(fault, vm, cleanup)
             case faults.Reload(vm, signalled):
-                path = self.group.directory / f"{vm}.toml"
-                path.write_text(path.read_text() + "\n")
+                self._rewrite_settings(vm)
                 if signalled:
                     _wait_signals_handled(self.vms[vm])
                     self.vms[vm].send_signal(signal.SIGHUP)
@@ -204,17 +233,33 @@
             case faults.Kill():
                 process.kill()
                 cleanup.callback(self._restart_vm, vm)
-            case faults.Stop():
-                requested_s = time.monotonic()
-                process.send_signal(signal.SIGTERM)
-                code = _wait_end(process)
-                elapsed_s = time.monotonic() - requested_s
-                self.exits.append((vm, code, elapsed_s))
+            case faults.Stop(how=how):
+                self._stop(process, vm, how)
                 cleanup.callback(self._restart_vm, vm)
             case faults.Pause():
                 process.send_signal(signal.SIGSTOP)
                 cleanup.callback(process.send_signal, signal.SIGCONT)
 
+    def _stop(self, process: processes.Process, vm: str, how: str) -> None:
+        if how == "reloading":
+            self._rewrite_settings(vm)
+            process.send_signal(signal.SIGHUP)
+        requested_s = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        if how == "paused":
+            pause_s, resume_s = PAUSE_IN_STOP_S
+            gevent.sleep(pause_s)
+            process.send_signal(signal.SIGSTOP)
+            gevent.sleep(resume_s - pause_s)
+            process.send_signal(signal.SIGCONT)
+        code = _wait_end(process, requested_s + STOP_TIMEOUT_S)
+        elapsed_s = time.monotonic() - requested_s
+        self.exits.append((vm, code, elapsed_s))
+
+    def _rewrite_settings(self, vm: str) -> None:
+        path = self.group.directory / f"{vm}.toml"
+        path.write_text(path.read_text() + "\n")
+
     def _restart_vm(self, vm: str) -> None:
         self.launch_vm(vm, self.zone_by_vm[vm], first_start=False)
 
@@ -276,10 +321,10 @@
         return getattr(response, "status", 0) == 200
 
 
-def _wait_end(process: processes.Process) -> int:
+def _wait_end(process: processes.Process, latest_s: float) -> int:
     """Returns the exit code; kills a process that does not stop in time."""
     try:
-        return process.wait_end(STOP_TIMEOUT_S)
+        return process.wait_end(latest_s - time.monotonic())
     except processes.ProcessError:
         process.kill()
         return process.popen.returncode
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -16,6 +16,10 @@
 # first; with the second, each zone shares its heartbeats and its watches.
 MESH_VMS = 16
 ZONES_MESH_VMS = 2
+# Room for the long requests of all callers.
+FAULTY_SLOTS = 64
+# Time in which requests that were refused might still run.
+SETTLING_TIME_S = 1.0
 
 
 @attrs.frozen
@@ -54,7 +58,7 @@
         crowded: Whether one zone has many VMs.
         cold: Whether targets also turn cold.
         faulty: Whether the targets and their entries also fail in the ways that
-            operators of similar systems reported.
+            operators reported, and VMs stop with long requests in progress.
     """
     mesh_vms = MESH_VMS if mesh else ZONES_MESH_VMS
     broken_promises: list[str] = []
@@ -62,7 +66,8 @@
     callers_per_vm = caller_sets.CALLERS_PER_VM
     if cold:
         callers_per_vm = caller_sets.COLD_CALLERS_PER_VM
-    with fleets.SoakFleet(directory, vms, mesh_vms=mesh_vms) as fleet:
+    slots = FAULTY_SLOTS if faulty else fleets.DEFAULT_SLOTS
+    with fleets.SoakFleet(directory, vms, slots, mesh_vms=mesh_vms) as fleet:
         fleet.start()
         start_s = time.monotonic()
         callers = caller_sets.Callers(fleet, seed, callers_per_vm, faulty)
@@ -71,6 +76,7 @@
             plan += faults.plan_cold_targets(seed, duration_s, vms)
         if faulty:
             plan += faults.plan_faulty_targets(seed, duration_s)
+            plan += faults.plan_stops(seed, duration_s, vms)
         for greenlet in [
             gevent.spawn_later(planned.start_s, fleet.inject, planned)
             for planned in plan
@@ -81,6 +87,7 @@
         except waiting.ConditionError as error:
             broken_promises.append(str(error))
         callers.finish()
+        gevent.sleep(SETTLING_TIME_S)
         broken_promises += checks.broken_promises(fleet, callers, timed)
     served = sum(
         getattr(call.response, "status", 0) == 200 for call in callers.calls
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import time
+import urllib.parse
 
 import attrs
 import gevent
@@ -19,6 +20,7 @@
 # Length of a long body; larger than what a VM keeps of a failed response.
 LONG_BODY_BYTES = 400_000
 MISSING_BODY_BYTES = 9
+MS_PER_S = 1000
 REASONS = {
     200: "OK",
     408: "Timeout",
@@ -53,19 +55,24 @@
     Attributes:
         name: Identifier of the target.
         slots: Requests that run at once; more are rejected.
-        work_s: Work time of a request, in seconds.
+        work_s: Work time of a request, in seconds. A request with `work_ms` in
+            its query sets its own, in milliseconds.
         leaving: Whether all responses say that it is about to stop.
         pause: Value of `Retry-After` in refusals; empty for none.
         queued_faults: Faults of the next requests, in order; see `_respond`.
         runs: Requests that were run.
         statuses: Statuses of its signed responses, by identifier of the
             request.
+        played_faults: Faults so far, by identifier of the request.
+        broken_off: Identifiers of requests whose last response breaks off.
         copies: Refusals that are repeated before the next response on a
             connection, by connection.
         rejected: Number of requests that were not run.
         running: Number of requests that are running.
         cancelled: Number of requests whose caller closed the connection while
             they ran.
+        cancelled_s: Monotonic time at which that was noticed, in seconds, by
+            identifier of the request.
         connections: Number of connections accepted so far.
         endless_responses_started: Number of endless responses started so far.
         endless_responses_open: Number of them whose connection is still open.
@@ -80,10 +87,13 @@
         self.queued_faults: collections.deque[str] = collections.deque()
         self.runs: list[Request] = []
         self.statuses: dict[str, set[int]] = {}
+        self.played_faults: dict[str, list[str]] = {}
+        self.broken_off: set[str] = set()
         self.copies: dict[socket.socket, bytes] = {}
         self.rejected = 0
         self.running = 0
         self.cancelled = 0
+        self.cancelled_s: dict[str, float] = {}
         self.connections = 0
         self.endless_responses_started = 0
         self.endless_responses_open = 0
@@ -109,6 +119,10 @@
             "Status": {"State": "ready", "Seq": 1, **status},
         }
 
+    def body(self, attempt_id: str) -> bytes:
+        """Returns the body of a successful response to a request."""
+        return f"{attempt_id} of {self.name}".encode()
+
     def _serve(self, sock, _address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connections += 1
@@ -128,7 +142,9 @@
             method, path, fields = _parsed(head)
             if self.queued_faults and self.queued_faults[0] == "reject early":
                 fault = self.queued_faults.popleft()
-                self._reject(sock, fault, fields.get("x-attempt-id", ""))
+                attempt_id = fields.get("x-attempt-id", "")
+                self.played_faults.setdefault(attempt_id, []).append(fault)
+                self._reject(sock, fault, attempt_id)
                 _, rest = self._read(sock, method, path, fields, rest)
                 continue
             received, rest = self._read(sock, method, path, fields, rest)
@@ -157,6 +173,8 @@
                 `_send_status` or `_respond_endlessly`.
         """
         attempt_id = received.fields.get("x-attempt-id", "")
+        if fault:
+            self.played_faults.setdefault(attempt_id, []).append(fault)
         if sock in self.copies:
             interim = self._interim_head(attempt_id)
             sock.sendall(interim + self.copies.pop(sock))
@@ -169,13 +187,14 @@
         self.runs.append(received)
         self.running += 1
         try:
-            caller_closed = self._work(sock, fault)
+            caller_closed = self._work(sock, received, fault)
         finally:
             self.running -= 1
         if caller_closed:
             self.cancelled += 1
+            self.cancelled_s[attempt_id] = time.monotonic()
             return False
-        body = b"%s of %s" % (attempt_id.encode(), self.name.encode())
+        body = self.body(attempt_id)
         if fault.startswith("endless"):
             return self._respond_endlessly(sock, fault, attempt_id, body)
         if fault.startswith("ran "):
@@ -207,6 +226,8 @@
         head = self._head("503 Busy", attempt_id, length, extra)
         if "bare" in words:
             head = head.replace(f"X-Attempt-Id: {attempt_id}\r\n".encode(), b"")
+        if "broken" in words:
+            self.broken_off.add(attempt_id)
         sock.sendall(head)
         if "interim" in words:
             self.copies[sock] = head
@@ -215,13 +236,13 @@
             gevent.spawn_later(COPY_DELAY_S, _send_copy, sock, copy)
         return "broken" not in words
 
-    def _work(self, sock, fault: str) -> bool:
+    def _work(self, sock, received: Request, fault: str) -> bool:
         """Waits for the work time.
 
         Returns:
             Whether the caller closed the connection meanwhile.
         """
-        work_s = 60.0 if fault == "hang" else self.work_s
+        work_s = 60.0 if fault == "hang" else self._work_s(received)
         if not work_s:
             return False
         try:
@@ -231,6 +252,11 @@
             return True
         return False
 
+    def _work_s(self, received: Request) -> float:
+        _, _, query = received.path.partition("?")
+        values = urllib.parse.parse_qs(query).get("work_ms")
+        return float(values[0]) / MS_PER_S if values else self.work_s
+
     def _finish(self, sock, fault, attempt_id, body) -> bool:
         """Sends the response to a request that ran, with its fault.
 
@@ -248,10 +274,12 @@
             case "truncate":
                 length = len(body) + MISSING_BODY_BYTES
                 head = self._head("200 OK", attempt_id, length)
+                self.broken_off.add(attempt_id)
                 sock.sendall(head + body)
                 return False
             case "cut head":
                 head = self._head("200 OK", attempt_id, len(body))
+                self.broken_off.add(attempt_id)
                 sock.sendall(head[:-CUT_HEAD_BYTES])
                 return False
             case "garbage":
@@ -266,6 +294,7 @@
                 return False
             case "unframed reset":
                 head = self._head("200 OK", attempt_id, None)
+                self.broken_off.add(attempt_id)
                 sock.sendall(head + body)
                 gevent.sleep(0.05)
                 return self._finish(sock, "reset", attempt_id, body)
@@ -301,12 +330,14 @@
             extra.append("X-Not-Executed:")
         if "long" in words:
             body += b"a" * LONG_BODY_BYTES
-        length = len(body)
-        if "broken" in words:
-            length += MISSING_BODY_BYTES
+        is_broken = "broken" in words
+        length = len(body) + MISSING_BODY_BYTES * is_broken
         line = f"{status} {REASONS[int(status)]}"
-        sock.sendall(self._head(line, attempt_id, length, extra) + body)
-        return "broken" not in words
+        head = self._head(line, attempt_id, length, extra)
+        if is_broken:
+            self.broken_off.add(attempt_id)
+        sock.sendall(head + body)
+        return not is_broken
 
     def _respond_endlessly(self, sock, fault, attempt_id, body) -> bool:
         """Sends a response that never ends, until the caller closes."""
@@ -357,6 +388,7 @@
     def _head(self, status, attempt_id, length, extra=()) -> bytes:
         code = int(status.split()[0])
         self.statuses.setdefault(attempt_id, set()).add(code)
+        self.broken_off.discard(attempt_id)
         lines = [
             f"HTTP/1.1 {status}",
             f"X-Attempt-Id: {attempt_id}",
