Soak: excuse only long responses that a target breaks off; name the faults

Shorter responses are still expected to be replaced. Messages name the faults of the targets that received a request. docs/soak.md says what is played and checked.

A sound record and one of a short response show both sides in the tests.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -225,7 +225,9 @@
         for injected in fleet.injected_faults
     ]
     for call in calls:
-        if isinstance(call.response, http_client.Response):
+        if isinstance(
+            call.response, http_client.Response
+        ) or _broke_off_in_transit(fleet, call.attempt_id):
             continue
         not_accepted = call.response.reason.startswith("ConnectionRefused") or (
             not runs[call.attempt_id]
@@ -235,10 +237,23 @@
             _explains_loss(injected, call, not_accepted, recovered_s)
             for injected, recovered_s in recovered
         ):
-            lost = f"LOST: {call.attempt_id} at {call.vm}"
+            targets = _played(fleet, call.attempt_id)
+            lost = f"LOST: {call.attempt_id} at {call.vm}{targets}"
             yield f"{lost}: {call.response.reason}"
 
 
+def _broke_off_in_transit(fleet: fleets.SoakFleet, attempt_id: str) -> bool:
+    """Returns whether a target broke off a response too long to be kept.
+
+    A VM responds itself if a shorter one is broken off.
+    """
+    return any(
+        "long broken" in fault
+        for target in fleet.targets.values()
+        for fault in target.played_faults.get(attempt_id, ())
+    )
+
+
 def _explains_loss(
     injected: fleets.InjectedFault,
     call: Call,
--- a/standins/users_platform/instances.py
+++ b/standins/users_platform/instances.py
@@ -63,7 +63,8 @@
         runs: Requests that were run.
         statuses: Statuses of its signed responses, by identifier of the
             request.
-        played_faults: Faults so far, by identifier of the request.
+        played_faults: Faults so far, by identifier of the request; `copy` if an
+            earlier refusal was repeated before its response.
         broken_off: Identifiers of requests whose last response breaks off.
         copies: Refusals that are repeated before the next response on a
             connection, by connection.
@@ -176,6 +177,7 @@
         if fault:
             self.played_faults.setdefault(attempt_id, []).append(fault)
         if sock in self.copies:
+            self.played_faults.setdefault(attempt_id, []).append("copy")
             interim = self._interim_head(attempt_id)
             sock.sendall(interim + self.copies.pop(sock))
         addressee = received.fields.get("x-target-instance", self.name)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -144,6 +144,17 @@
     assert broken.startswith("REFUSED: /once/1?work=w ran 2 times")
 
 
+@pytest.mark.parametrize(
+    ("fault", "is_lost"),
+    [("", True), ("ran 503 broken", True), ("ran 503 long broken", False)],
+)
+def test_only_a_long_response_may_be_broken_off(record, fault, is_lost):
+    record.run("t1", "a1", 503)
+    record.targets["t1"].played_faults["a1"] = [fault]
+    record.call("a1", CLOSED)
+    assert [line[:8] for line in record.broken()] == ["LOST: a1"] * is_lost
+
+
 @pytest.mark.parametrize("how", ["", "reloading"])
 def test_a_call_that_a_planned_stop_cuts_is_found(record, how):
     stop = attrs.evolve(STOP, fault=faults.Stop(VM, how))
