--- a/mulberrydeck/forward/responses.py
+++ b/mulberrydeck/forward/responses.py
@@ -85,6 +85,26 @@
                 return value
         return ""
 
+    def values(self, field_name: str) -> tuple[str, ...]:
+        """Returns the values of all fields of a name, in order.
+
+        Args:
+            field_name: Name in lower case.
+        """
+        return tuple(value for name, value in self.fields if name == field_name)
+
+    def members(self, field_name: str) -> tuple[str, ...]:
+        """Returns the members of a list that may be split into several fields.
+
+        Args:
+            field_name: Name in lower case.
+        """
+        return tuple(
+            member.strip()
+            for value in self.values(field_name)
+            for member in value.split(",")
+        )
+
     def accept(self, data: bytes) -> None:
         """Parses received bytes; empty if the peer closed the connection.
 
--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -1,5 +1,6 @@
 """Header fields and paths of callers' requests and targets' responses."""
 
+import enum
 import re
 import urllib.parse
 
@@ -34,10 +35,14 @@
 RETRY_AFTER = "retry-after"
 
 WRONG_TARGET_STATUS = 421
+# Tell a caller that its request did not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 UNAVAILABLE_STATUS = 503
 # Longer pauses are taken as this long.
 MAX_PAUSE_S = 3600.0
 
+# Values of the not-executed field that do not state what its name says.
+_DENIALS = frozenset(("", "0", "false", "no"))
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?")
 
 _NOT_FORWARDED = frozenset(
@@ -55,6 +60,22 @@
 )
 
 
+class Execution(enum.Enum):
+    """What a response states about whether its request ran.
+
+    `RAN`: the target processed the request, successfully or not.
+    `NOT_RUN`: the target did not run the request.
+    `WRONG_TARGET`: another target has the address; it did not run the request.
+    `UNCLEAR`: the status would tell the caller that the request did not run,
+    but the target does not state so, or it states so with a success.
+    """
+
+    RAN = enum.auto()
+    NOT_RUN = enum.auto()
+    WRONG_TARGET = enum.auto()
+    UNCLEAR = enum.auto()
+
+
 @attrs.frozen
 class CallerFields:
     """Header fields of a caller's request that this VM uses.
@@ -154,6 +175,41 @@
     return TargetLoad(running, waiting, slots)
 
 
+def parse_execution(status: int, not_executed: tuple[str, ...]) -> "Execution":
+    """Returns what a response states about whether its request ran.
+
+    Only the not-executed field and status 421 state that it did not. A target
+    may run a request and respond with 408, 429 or 503. A statement that the
+    status or another field contradicts is none.
+
+    Args:
+        status: HTTP status.
+        not_executed: Members of the not-executed fields.
+    """
+    if status == WRONG_TARGET_STATUS:
+        return Execution.WRONG_TARGET
+    denied = not _DENIALS.isdisjoint(map(str.lower, not_executed))
+    stated = bool(not_executed) and not denied
+    rejected = 400 <= status < 500 or status == UNAVAILABLE_STATUS
+    if stated and rejected:
+        return Execution.NOT_RUN
+    succeeded = 200 <= status < 300
+    if status in NOT_RUN_STATUSES or (stated and succeeded):
+        return Execution.UNCLEAR
+    return Execution.RAN
+
+
+def response_fields(
+    fields: list[header_fields.Field],
+) -> list[header_fields.Field]:
+    """Returns the fields of a response that a caller may get.
+
+    Args:
+        fields: Fields as received, names in lower case.
+    """
+    return [field for field in fields if field[0] != NOT_EXECUTED]
+
+
 def parse_leaving(text: str) -> bool:
     """Returns whether a response says that its target is about to stop."""
     return text.strip() == "1"
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -22,6 +22,9 @@
 
 # Responses up to this size are buffered until they are complete.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Largest body of a rejection, and time for the rest of it after its head.
+MAX_REJECTION_BYTES = 64 * 1024
+REJECTION_TIMEOUT_S = 0.25
 # Fraction of the announced keep-alive timeout for which an idle connection is
 # kept; the rest is a margin, since the target applies its own clock.
 KEEP_ALIVE_FRACTION = 0.7
@@ -30,6 +33,14 @@
 MAX_IDLE_AT_MOST_ONCE_S = 0.5
 
 Outcome = events.Outcome
+Execution = headers.Execution
+
+# Outcomes of responses that no caller gets.
+UNDELIVERED_OUTCOMES = {
+    Execution.NOT_RUN: Outcome.REJECTED,
+    Execution.WRONG_TARGET: Outcome.WRONG_TARGET,
+    Execution.UNCLEAR: Outcome.UNCLEAR,
+}
 
 
 @attrs.frozen
@@ -89,6 +100,10 @@
         reason: Reason of a failure, for logs.
         sent_after_s: Time from the start of the attempt to the first byte of
             the request, in seconds; None if nothing was sent.
+        kept_connection: Whether the connection carried an earlier request.
+        identified: Whether the response carries the request's identifier.
+        not_executed: Values of the fields by which the target states that it
+            did not run the request, for logs.
     """
 
     outcome: Outcome
@@ -100,6 +115,9 @@
     pause_s: float = 0.0
     reason: str = ""
     sent_after_s: float | None = None
+    kept_connection: bool = False
+    identified: bool = False
+    not_executed: tuple[str, ...] = ()
 
 
 class InvalidResponseError(Exception):
@@ -136,6 +154,7 @@
         self.sent_after_s: float | None = None
         self.response_started = False
         self.identified = False
+        self.kept_connection = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
         self.parser = responses.ResponseParser(hop.method)
         self.filter = response_filter.MismatchedResponseFilter(
@@ -153,18 +172,10 @@
                 cancelled.
         """
         try:
-            connection = self.pool.acquire(
-                self.hop.address,
-                self._remaining_s(),
-                # Only an identifier tells a late response to an earlier request
-                # of the connection from the response to this one.
-                fresh=not self.hop.attempt_id,
-                max_idle_s=math.inf
-                if self.hop.repeatable
-                else MAX_IDLE_AT_MOST_ONCE_S,
-            )
+            connection = self._acquire()
         except pools.ConnectError as error:
             return Attempt(Outcome.NOT_SENT, reason=str(error))
+        self.kept_connection = connection.reused
         reusable = False
         try:
             attempt = self._exchange(connection, sink)
@@ -177,6 +188,32 @@
             else:
                 connection.sock.close()
 
+    def _acquire(self) -> pools.Connection:
+        """Returns a connection on which only this response is identified.
+
+        Without an identifier, a late response to an earlier request of the
+        connection is not recognized, nor is one to an earlier attempt of this
+        request.
+
+        Raises:
+            pools.ConnectError: The target is unreachable.
+        """
+        request_id = self.hop.attempt_id
+        connection = self.pool.acquire(
+            self.hop.address,
+            self._remaining_s(),
+            fresh=not request_id,
+            max_idle_s=math.inf
+            if self.hop.repeatable
+            else MAX_IDLE_AT_MOST_ONCE_S,
+        )
+        if not request_id or connection.request_id != request_id:
+            return connection
+        connection.sock.close()
+        return self.pool.acquire(
+            self.hop.address, self._remaining_s(), fresh=True
+        )
+
     def _exchange(
         self, connection: pools.Connection, sink: exchanges.Sink
     ) -> Attempt:
@@ -184,10 +221,13 @@
         try:
             self.sent_after_s = self.now_s() - self.started_s
             self.upload.start(connection.sock, self.hop.head, self.body)
+            connection.request_id = self.hop.attempt_id
             self._read_head(connection)
-            rejected = self._rejection()
-            if rejected is not None:
-                return self._completed(rejected)
+            outcome = UNDELIVERED_OUTCOMES.get(self._execution())
+            if outcome is not None:
+                if outcome is not Outcome.UNCLEAR:
+                    self._read_rejection(connection)
+                return self._completed(outcome)
             buffered = self._read_body(connection, sink)
         except errors.AdmissionExpiredError as error:
             return Attempt(Outcome.DELAYED, reason=str(error))
@@ -219,11 +259,16 @@
         self.identified = status != headers.WRONG_TARGET_STATUS
 
     def _check_identifier(self, connection: pools.Connection) -> None:
-        """Checks that a kept connection carries the response to this request.
+        """Checks that the final response is the one to this request.
 
-        A response without an identifier may be the copy of an earlier one.
+        On a kept connection, a response without an identifier may be the copy
+        of an earlier one.
         """
-        if connection.reused and not self.parser.first(headers.ATTEMPT_ID):
+        expected_id = self.hop.attempt_id
+        identifiers = set(self.parser.values(headers.ATTEMPT_ID))
+        if expected_id and identifiers - {expected_id}:
+            raise InvalidResponseError("response to another request")
+        if connection.reused and not identifiers:
             raise InvalidResponseError(
                 "response without identifier on a kept connection"
             )
@@ -231,16 +276,28 @@
     def _check_success(self) -> None:
         if not self.parser.first(headers.SIGNATURE):
             raise InvalidResponseError("successful response without signature")
-        attempt_id = self.parser.first(headers.ATTEMPT_ID)
-        if self.hop.attempt_id and attempt_id != self.hop.attempt_id:
-            raise InvalidResponseError("response to another request")
+        if self.hop.attempt_id and not self.parser.first(headers.ATTEMPT_ID):
+            raise InvalidResponseError("successful response without identifier")
 
-    def _rejection(self) -> Outcome | None:
-        if self.parser.get_code() == headers.WRONG_TARGET_STATUS:
-            return Outcome.WRONG_TARGET
-        if self.parser.first(headers.NOT_EXECUTED):
-            return Outcome.REJECTED
-        return None
+    def _execution(self) -> headers.Execution:
+        return headers.parse_execution(
+            self.parser.get_code(), self.parser.members(headers.NOT_EXECUTED)
+        )
+
+    def _read_rejection(self, connection: pools.Connection) -> None:
+        """Reads a rejection to its end; one that breaks off states nothing."""
+        end_s = min(self.hop.deadline_s, self.now_s() + REJECTION_TIMEOUT_S)
+        size = len(self.parser.take())
+        while not self.parser.complete:
+            if size > MAX_REJECTION_BYTES:
+                raise InvalidResponseError("rejection too large")
+            try:
+                self._receive(connection, end_s)
+            except DeadlineExceededError as error:
+                raise InvalidResponseError(
+                    "rejection not complete in time"
+                ) from error
+            size += len(self.parser.take())
 
     def _read_body(
         self, connection: pools.Connection, sink: exchanges.Sink
@@ -255,15 +312,16 @@
             chunks.append(chunk)
             size += len(chunk)
         chunks.append(parser.take())
+        fields = headers.response_fields(parser.fields)
         if parser.complete:
             return Response(
                 parser.get_code(),
-                parser.fields,
+                fields,
                 parser.declared_length,
                 b"".join(chunks),
             )
         self.response_started = True
-        sink.begin(parser.get_code(), parser.fields, parser.declared_length)
+        sink.begin(parser.get_code(), fields, parser.declared_length)
         sink.write(b"".join(chunks))
         while not parser.complete:
             sink.flush()
@@ -273,16 +331,25 @@
         sink.finish()
         return None
 
-    def _receive(self, connection: pools.Connection) -> int:
-        """Feeds received bytes to the parser; returns their number."""
-        remaining_s = self.hop.deadline_s - self.now_s()
+    def _receive(
+        self, connection: pools.Connection, end_s: float | None = None
+    ) -> int:
+        """Feeds received bytes to the parser; returns their number.
+
+        Args:
+            connection: Connection to the target.
+            end_s: Latest time to receive, in seconds; None for the deadline.
+        """
+        if end_s is None:
+            end_s = self.hop.deadline_s
+        remaining_s = end_s - self.now_s()
         if remaining_s <= 0:
             raise DeadlineExceededError("response not complete by the deadline")
         connection.sock.settimeout(max(exchanges.MIN_TIMEOUT_S, remaining_s))
         try:
             data = connection.sock.recv(exchanges.RECEIVE_BYTES)
         except TimeoutError as error:
-            if self.now_s() < self.hop.deadline_s:
+            if self.now_s() < end_s:
                 raise  # The kernel timed the connection out (ETIMEDOUT).
             raise DeadlineExceededError(
                 "response not complete by the deadline"
@@ -326,6 +393,9 @@
             leaving=self._says_leaving(),
             pause_s=self._pause_s(),
             sent_after_s=self.sent_after_s,
+            kept_connection=self.kept_connection,
+            identified=bool(self.parser.first(headers.ATTEMPT_ID)),
+            not_executed=self.parser.members(headers.NOT_EXECUTED),
         )
 
     def _says_leaving(self) -> bool:
@@ -333,7 +403,8 @@
         return self.identified and headers.parse_leaving(text)
 
     def _pause_s(self) -> float:
-        if self.parser.get_code() != headers.UNAVAILABLE_STATUS:
+        status = self.parser.get_code()
+        if not self.identified or status != headers.UNAVAILABLE_STATUS:
             return 0.0
         return headers.parse_pause_s(self.parser.first(headers.RETRY_AFTER))
 
@@ -347,8 +418,10 @@
             outcome,
             response_started=self.response_started,
             leaving=self._says_leaving(),
+            pause_s=self._pause_s(),
             reason=reason,
             sent_after_s=self.sent_after_s,
+            kept_connection=self.kept_connection,
         )
 
 
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -1,11 +1,13 @@
 """Log lines, limited in volume, and metrics of a steering VM."""
 
 from collections.abc import Callable
+import math
 
 import prometheus_client
 
 from mulberrydeck.frontend import requests
 from mulberrydeck.observability import logs
+from mulberrydeck.platform import headers
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import exchange
@@ -64,10 +66,14 @@
     """Writes log lines and updates metrics.
 
     Attributes:
+        now_s: Monotonic clock, in seconds.
         registry: Registry of the metrics.
+        restored_s: When the store last came back from an older copy, in
+            seconds; -inf if never.
     """
 
     def __init__(self, now_s: Callable[[], float]) -> None:
+        self.now_s = now_s
         self.registry = prometheus_client.CollectorRegistry()
         self.routine_lines = LogRateLimiter(MAX_ROUTINE_LINES_PER_S, now_s)
         self.other_lines = LogRateLimiter(MAX_OTHER_LINES_PER_S, now_s)
@@ -86,6 +92,11 @@
             registry=self.registry,
         )
         self.attempts = self._counter("attempts", "Attempts.", "outcome")
+        self.not_run = self._counter(
+            "not_run_responses",
+            "Responses that tell the caller that its request did not run.",
+            "basis",
+        )
         self.send_delay = prometheus_client.Histogram(
             "mulberrydeck_send_delay_seconds",
             "Time from the choice of a target to the first byte sent.",
@@ -106,6 +117,21 @@
         self.store_calls = self._counter(
             "store_calls", "Calls to the store.", "cause"
         )
+        self.ignored_objects = self._counter(
+            "ignored_objects",
+            "Objects of the store that could not be read or used.",
+            "kind",
+        )
+        self.store_restores = self._counter(
+            "store_restores", "Returns of the store from an older copy."
+        )
+        self.restored_s = -math.inf
+        restore_age = prometheus_client.Gauge(
+            "mulberrydeck_store_restore_age_seconds",
+            "Time since the last return of the store from an older copy.",
+            registry=self.registry,
+        )
+        restore_age.set_function(lambda: now_s() - self.restored_s)
         self.messages = self._counter(
             "peer_messages", "Messages between VMs.", "direction"
         )
@@ -130,7 +156,11 @@
             self.send_delay.observe(attempt.sent_after_s)
             if decision.cold:
                 self.cold_sends.inc()
-        if attempt.outcome is events.Outcome.ANSWERED and attempt.status < 500:
+        if (
+            attempt.outcome is events.Outcome.ANSWERED
+            and attempt.status < 500
+            and attempt.status not in headers.NOT_RUN_STATUSES
+        ):
             return
         self.write(
             "attempt",
@@ -142,6 +172,9 @@
             outcome=attempt.outcome.value,
             status=attempt.status,
             reason=attempt.reason,
+            kept_connection=attempt.kept_connection,
+            identified=attempt.identified,
+            not_executed=attempt.not_executed,
             **decision.inputs,
             **_send_time_fields(attempt.sent_after_s),
         )
@@ -174,6 +207,10 @@
             fields |= last_attempt.inputs | _send_time_fields(
                 progress.sent_after_s
             )
+        if request.response.status in headers.NOT_RUN_STATUSES:
+            basis = progress.not_run_basis
+            self.not_run.labels(basis.value).inc()
+            fields["not_run_basis"] = basis.value
         match progress.decision:
             case effects.Refuse(kind=kind, inputs=inputs):
                 self.latency.labels(kind).observe(elapsed_s)
@@ -231,6 +268,28 @@
         """
         self.store_calls.labels(cause).inc()
 
+    def object_ignored(self, kind: str, reason: str, **fields: object) -> None:
+        """Counts and logs an object of the store that is not used.
+
+        Args:
+            kind: Kind of the object.
+            reason: Why it is not used.
+            **fields: What is known of the object.
+        """
+        self.ignored_objects.labels(kind).inc()
+        self.write(
+            "store",
+            "An object was ignored.",
+            kind=kind,
+            reason=reason,
+            **fields,
+        )
+
+    def store_restored(self) -> None:
+        """Counts a return of the store from an older copy."""
+        self.store_restores.inc()
+        self.restored_s = self.now_s()
+
     def peer_message(self, direction: str, size: int) -> None:
         """Counts a message between VMs, as the transport requires.
 
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -11,6 +11,8 @@
 REFUSAL = (
     b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n%s\r\n"
 )
+OWN = b"X-Attempt-Id: a1\r\n"
+OTHER = b"X-Attempt-Id: a0\r\n"
 RESPONSE = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Attempt-Id: a1\r\n"
     b"X-Response-Signature: s\r\n\r\nok"
@@ -111,6 +113,43 @@
     assert target.connections == 1
 
 
+# Other bytes hide the copy where responses to other requests are skipped.
+@pytest.mark.parametrize(
+    "preceding", [b"HTTP/1.1 103 Early Hints\r\n%s\r\n" % OWN, b"\r\n\r\n"]
+)
+def test_a_refusal_of_an_earlier_request_is_not_accepted(target, preceding):
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    target.responses = [RESPONSE.replace(b"a1", b"a0")]
+    run_attempt(target, clock, pool, attempt_id="a0")
+    target.responses = [preceding + REFUSAL % OTHER]
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.BROKEN
+    assert target.connections == 1
+
+
+# Copies of the response to an earlier attempt carry the same identifier.
+def test_no_two_attempts_of_a_request_use_the_same_connection(target):
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    target.responses = [REFUSAL % OWN]
+    first = run_attempt(target, clock, pool)
+    assert first.outcome is exchange.Outcome.REJECTED
+    second = run_attempt(target, clock, pool)
+    assert second.outcome is exchange.Outcome.ANSWERED
+    assert target.connections == 2
+
+
+@pytest.mark.parametrize("identifiers", [OTHER, OWN + OTHER, OTHER + OWN])
+def test_a_refusal_of_two_requests_is_not_accepted(target, identifiers):
+    target.responses = [REFUSAL % identifiers]
+    target.closes = True
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.BROKEN
+
+
 @pytest.mark.parametrize("identifier", [b"X-Attempt-Id: a1\r\n", b""])
 def test_a_refusal_on_a_new_connection_is_accepted(target, identifier):
     target.responses = [REFUSAL % identifier]
@@ -131,8 +170,6 @@
 
 
 NOTICE = b"Server-Leaving: 1\r\nRetry-After: 2\r\n"
-OWN = b"X-Attempt-Id: a1\r\n"
-OTHER = b"X-Attempt-Id: a0\r\n"
 
 
 @pytest.mark.parametrize(
@@ -158,3 +195,62 @@
     pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
     attempt = run_attempt(target, clock, pool)
     assert (attempt.leaving, attempt.pause_s) == (leaving, pause_s)
+
+
+@pytest.mark.parametrize("status", [b"408", b"429", b"503"])
+@pytest.mark.parametrize("length", [b"0", b"400000"])
+def test_a_status_of_a_refusal_is_no_statement_that_nothing_ran(
+    target, status, length
+):
+    response = REFUSAL.replace(b"X-Not-Executed: 1\r\n", b"") % OWN
+    response = response.replace(b"503", status)
+    target.responses = [response.replace(b"Length: 0", b"Length: " + length)]
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.UNCLEAR
+    assert not attempt.response_started
+    assert attempt.status == int(status)
+
+
+NOT_EXECUTED = b"X-Not-Executed: 1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        # In an interim response.
+        b"HTTP/1.1 103 Early Hints\r\n%s\r\n%s" % (NOT_EXECUTED, RESPONSE),
+        # In the trailers.
+        RESPONSE.replace(b"Content-Length: 2\r\n", b"").replace(
+            b"\r\n\r\nok", b"\r\n" + CHUNKED + NOT_EXECUTED + b"\r\n"
+        ),
+    ],
+)
+def test_a_statement_outside_the_final_head_is_none(target, response):
+    target.responses = [response]
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.ANSWERED
+    assert attempt.response.body == b"ok"
+
+
+# A target that breaks off may do so at any point of its work.
+@pytest.mark.parametrize(
+    "end", [b"", b"part", b"x" * (2 * exchange.MAX_REJECTION_BYTES)]
+)
+@pytest.mark.parametrize("closes", [True, False])
+def test_a_rejection_that_is_not_complete_states_nothing(target, end, closes):
+    notice = OWN + NOTICE
+    rejection = (REFUSAL % notice).replace(b"Length: 0", b"Length: 999999")
+    target.responses = [rejection + end]
+    target.closes = closes
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.outcome is exchange.Outcome.BROKEN
+    assert attempt.leaving
+    assert attempt.pause_s == 2.0
+    assert not pool.idle
