Leave time to write the last responses of a stop

The response of that instant, often a 504, is written by a greenlet that competes with the one that ends the process, so callers may see their connection end without a response.

Cause: no margin, and the wait ended at its deadline without letting greenlets run that had become ready. Ruled out: a second SIGTERM, and SIGHUP with a shorter stop_timeout_s.

The latest accepted deadline is RESPONSE_MARGIN_S, 0.25 s, before the end, and the wait ends one poll interval after its deadline is noticed, so that responses that are ready are written even after a pause.

--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -330,12 +330,7 @@
             gevent.sleep(serving.STOP_POLL_INTERVAL_S)
         self.caller_listener.stop_accepting()
         gevent.sleep(serving.FIRST_REQUEST_GRACE_S)
-        while now_s() < plan.finish_by_s and (
-            self.caller_listener.in_flight
-            or self.caller_listener.open_connections
-        ):
-            self.caller_listener.close_idle()
-            gevent.sleep(serving.STOP_POLL_INTERVAL_S)
+        self.caller_listener.finish(plan.finish_by_s, now_s)
         self.loop.submit(events.StopFinished(now_s()))
         if now_s() < plan.finish_by_s:
             with gevent.Timeout(DEREGISTER_TIMEOUT_S, False):
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -4,6 +4,7 @@
 import json
 
 import attrs
+import gevent
 
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import listeners
@@ -49,6 +50,22 @@
         super().__init__(address, LISTEN_BACKLOG)
         self.handle_request = handle_request
 
+    def finish(self, until_s: float, now_s: Callable[[], float]) -> None:
+        """Waits for requests in progress and closes idle connections.
+
+        Greenlets that became ready by `until_s` still run, so that a process
+        that was paused writes the responses that are ready when it resumes.
+
+        Args:
+            until_s: When to stop waiting, in seconds.
+            now_s: Clock of the process, in seconds.
+        """
+        expired = False
+        while not expired and (self.in_flight or self.open_connections):
+            self.close_idle()
+            expired = now_s() >= until_s
+            gevent.sleep(STOP_POLL_INTERVAL_S)
+
 
 @attrs.define(eq=False)
 class CallerRequestHandler:
--- a/mulberrydeck/steering/stopping.py
+++ b/mulberrydeck/steering/stopping.py
@@ -2,7 +2,7 @@
 
 A request whose deadline is later than the end of the process could be cut off
 while a target works on it. It is rejected at once, so that it runs at another
-VM.
+VM. The last response must also be written before the process ends.
 """
 
 import attrs
@@ -14,6 +14,9 @@
 # until the second.
 ACCEPT_FRACTION = 0.5
 FINISH_FRACTION = 0.95
+# Time between the latest accepted deadline and the end of the last request. A
+# process that gets little processor time notices a deadline late.
+RESPONSE_MARGIN_S = 0.25
 # Other VMs serve the request without a delay.
 RETRY_S = 0.0
 
@@ -46,5 +49,6 @@
 
 
 def may_cut_off(state: states.State, request: states.Request) -> bool:
-    """Returns whether the process may end before a new request does."""
-    return request.deadline_s > state.finish_by_s
+    """Returns whether the process may end before the response is written."""
+    latest_deadline_s = state.finish_by_s - RESPONSE_MARGIN_S
+    return request.deadline_s > latest_deadline_s
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -5,6 +5,7 @@
 from mulberrydeck.steering import admission
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import stopping
 from mulberrydeck.steering import tables
 from mulberrydeck.steering import targets as targets_module
 from mulberrydeck.steering.tests import samples
@@ -351,6 +352,19 @@
     assert isinstance(vm.arrive(timeout_s=5.0), effects.Forward)
 
 
+# Guards against an error response that is lost as the process ends.
+def test_a_stopping_vm_leaves_time_to_write_its_last_response():
+    vm = samples.Vm(entries=entries(), stop_timeout_s=6.0)
+    vm.reduce(events.StopRequested(vm.now_s))
+    end_s = vm.state.finish_by_s - vm.now_s
+    margin_s = stopping.RESPONSE_MARGIN_S
+    vm.now_s += end_s - 1.0
+    accepted = vm.arrive(timeout_s=1.0 - 1.01 * margin_s)
+    assert isinstance(accepted, effects.Forward)
+    refusal = vm.arrive(timeout_s=1.0 - 0.99 * margin_s)
+    assert (refusal.status, refusal.kind) == (503, "stopping")
+
+
 def test_no_cold_target_gets_two_requests_of_a_vm_in_a_second_when_written():
     table = samples.make_table(
         services=(tables.Service("status", cold_rate_per_s=50.0),)
