Log each request that the end of a stop cuts off

A line per request tells its identifier, the time since its arrival, the status of a response that was begun, and the target that works on it. `left` is counted when the wait for requests ends.

--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -65,6 +65,7 @@
         settings: Settings of this VM.
         loop: Event loop that owns the state.
         reports: Log lines and metrics.
+        request_handler: Handler of callers' requests.
         caller_listener: Listener for callers' requests.
         lookup_listeners: Listeners for lookups and readiness checks.
         metrics_listener: Listener for metrics.
@@ -121,13 +122,13 @@
 
     def _create_listeners(self) -> None:
         settings = self.settings
-        request_handler = serving.CallerRequestHandler(
+        self.request_handler = serving.CallerRequestHandler(
             self.loop, self.targets_pool, self.reports
         )
         lookup_handler = serving.LookupHandler(self.loop)
         new_listener = serving.Listener
         self.caller_listener = new_listener(
-            settings.caller_address, request_handler.serve
+            settings.caller_address, self.request_handler.serve
         )
         self.lookup_listeners = (
             new_listener(settings.ready_address, lookup_handler.serve),
@@ -331,6 +332,8 @@
         self.caller_listener.stop_accepting()
         gevent.sleep(serving.FIRST_REQUEST_GRACE_S)
         self.caller_listener.finish(plan.finish_by_s, now_s)
+        left = self.caller_listener.in_flight
+        self.request_handler.report_unfinished()
         self.loop.submit(events.StopFinished(now_s()))
         if now_s() < plan.finish_by_s:
             with gevent.Timeout(DEREGISTER_TIMEOUT_S, False):
@@ -341,7 +344,7 @@
             "steer",
             "Stopped.",
             taken_s=round(now_s() - started_s, 3),
-            left=self.caller_listener.in_flight,
+            left=left,
         )
 
 
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -191,6 +191,26 @@
                 if self.routine_lines.allows():
                     logs.write("request", "Answered.", **fields)
 
+    def request_cut_off(
+        self, request: requests.Request, elapsed_s: float, target: str
+    ) -> None:
+        """Logs a request that is in progress as the process ends.
+
+        Args:
+            request: The request.
+            elapsed_s: Time since its arrival, in seconds.
+            target: Name of the target that works on it; empty for none.
+        """
+        self.write(
+            "request",
+            "Cut off by the end of the process.",
+            request_id=request.request_id,
+            path=request.path,
+            status=request.response.status,
+            taken_s=round(elapsed_s, 4),
+            target=target,
+        )
+
     def log(self, effect: effects.Log) -> None:
         """Writes a log line that the reducer returned as an effect."""
         self.write(effect.part, effect.text, **effect.fields)
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -67,6 +67,19 @@
             gevent.sleep(STOP_POLL_INTERVAL_S)
 
 
+@attrs.frozen(eq=False)
+class Arrival:
+    """A request in progress.
+
+    Attributes:
+        request: The request.
+        arrived_s: When its head was read, in seconds.
+    """
+
+    request: requests.Request
+    arrived_s: float
+
+
 @attrs.define(eq=False)
 class CallerRequestHandler:
     """Forwards callers' requests to targets.
@@ -75,17 +88,38 @@
         loop: Event loop of this VM.
         pool: Connections to targets.
         reports: Log lines and metrics of requests.
+        in_progress: Requests in progress by identifier of their handling.
     """
 
     loop: event_loop.EventLoop
     pool: pools.ConnectionPool
     reports: reporting.Reports
+    in_progress: dict[str, Arrival] = attrs.field(factory=dict)
 
     def serve(self, request: requests.Request) -> None:
         """Serves a caller's request until it is complete."""
+        arrived_s = self.loop.now_s()
+        self.in_progress[request.handling_id] = Arrival(request, arrived_s)
+        try:
+            self._serve(request, arrived_s)
+        finally:
+            del self.in_progress[request.handling_id]
+
+    def report_unfinished(self) -> None:
+        """Logs each request that the end of the process cuts off."""
+        now_s = self.loop.now_s()
+        for handling_id, arrival in self.in_progress.items():
+            placed = self.loop.state.requests.get(handling_id)
+            target = None if placed is None else placed.target
+            self.reports.request_cut_off(
+                arrival.request,
+                now_s - arrival.arrived_s,
+                "" if target is None else target.entry.name,
+            )
+
+    def _serve(self, request: requests.Request, arrived_s: float) -> None:
         caller_fields = headers.parse_caller_fields(request.head)
         request.request_id = caller_fields.attempt_id or request.handling_id
-        arrived_s = self.loop.now_s()
         event = events.RequestArrived(
             at_s=arrived_s,
             request_id=request.handling_id,
