Decide on a request with a slow body for the time at which it was read

The event of a request carried the time of its head, although it is submitted after up to 1 MiB of the body. The time of the reducer then went back by the seconds that the body took: what it compares with its clock (pauses, leaving targets, loans, the time until which a decision to send holds) was judged as of then, and each such request was decided twice, as its first decision to send had expired.

The event now has both times; the deadline still counts from the head. The test failed before: 100.0 instead of 101.5.

--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -214,7 +214,7 @@
 
 @attrs.frozen
 class RequestArrived:
-    """The head of a caller's request was read.
+    """A caller's request was read, up to what is buffered of its body.
 
     Attributes:
         request_id: Identifier that is unique to this handling of the request.
@@ -222,10 +222,11 @@
         path: Path without query.
         key: API key of the caller, or empty.
         object_key: Key of the object that the request concerns, or empty.
-        timeout_s: Time after `at_s` within which the caller wants the final
-            response, in seconds; None if not given.
+        timeout_s: Time after `arrived_s` within which the caller wants the
+            final response, in seconds; None if not given.
         body_bytes: Declared length of the body, in bytes; 0 if there is none or
             its length is unknown.
+        arrived_s: When the head was read, in seconds; by default `at_s`.
     """
 
     at_s: float
@@ -236,6 +237,9 @@
     object_key: str
     timeout_s: float | None
     body_bytes: int = 0
+    arrived_s: float = attrs.field(
+        default=attrs.Factory(lambda event: event.at_s, takes_self=True)
+    )
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -85,8 +85,8 @@
         service=route.pick_service(state.rng),
         object_digest=digest,
         allowed_regions=tables.allowed_regions(route, account),
-        arrived_s=event.at_s,
-        deadline_s=event.at_s + timeout_s,
+        arrived_s=event.arrived_s,
+        deadline_s=event.arrived_s + timeout_s,
     )
     state.requests[event.request_id] = request
     return request
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -120,8 +120,11 @@
     def _serve(self, request: requests.Request, arrived_s: float) -> None:
         caller_fields = headers.parse_caller_fields(request.head)
         request.request_id = caller_fields.attempt_id or request.handling_id
+        if request.body is not None:
+            request.body.read_ahead(MAX_BUFFERED_BODY_BYTES)
         event = events.RequestArrived(
-            at_s=arrived_s,
+            # The body took time; the reducer's time must not go back.
+            at_s=self.loop.now_s(),
             request_id=request.handling_id,
             host=caller_fields.host,
             path=request.path,
@@ -129,9 +132,8 @@
             object_key=caller_fields.object_key,
             timeout_s=caller_fields.timeout_s,
             body_bytes=request.head.length or 0,
+            arrived_s=arrived_s,
         )
-        if request.body is not None:
-            request.body.read_ahead(MAX_BUFFERED_BODY_BYTES)
         progress = progresses.Progress()
         try:
             self._run_attempts(request, caller_fields, event, progress)
--- /dev/null
+++ b/mulberrydeck/steering/tests/test_serving.py
@@ -0,0 +1,59 @@
+"""Events of callers' requests."""
+
+import types
+
+from mulberrydeck.frontend import heads
+from mulberrydeck.steering import effects
+from mulberrydeck.steering import events
+from mulberrydeck.steering import serving
+
+HEAD = b"POST /read/1 HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 2000"
+BODY_S = 1.5
+
+
+class Loop:
+    """Event loop with a simulated clock that refuses all requests."""
+
+    def __init__(self):
+        self.time_s = 100.0
+        self.events = []
+
+    def now_s(self):
+        return self.time_s
+
+    def submit(self, event):
+        self.events.append(event)
+
+    def decide(self, event):
+        self.submit(event)
+        return effects.Refuse(event.request_id, 503, "no-capacity", "Full.")
+
+
+def serve_slow_body():
+    """Returns the events of a request whose body takes `BODY_S`."""
+    loop = Loop()
+
+    def read_ahead(_):
+        loop.time_s += BODY_S
+
+    request = types.SimpleNamespace(
+        head=heads.parse(HEAD),
+        body=types.SimpleNamespace(read_ahead=read_ahead),
+        handling_id="r1",
+        path="/read/1",
+        fully_read=True,
+        response=types.SimpleNamespace(
+            closing=False, send_complete=lambda *_: None
+        ),
+    )
+    reports = types.SimpleNamespace(request_ended=lambda *_: None)
+    serving.CallerRequestHandler(loop, None, reports).serve(request)
+    return loop.events
+
+
+# Guards against decisions on a slow body that take the time of its head as now.
+def test_the_time_of_the_reducer_does_not_go_back_to_the_start_of_a_body():
+    arrived = serve_slow_body()[0]
+    assert isinstance(arrived, events.RequestArrived)
+    assert arrived.at_s == 100.0 + BODY_S
+    assert arrived.arrived_s == 100.0
