Accept only the response to its own attempt on a used connection, in serve

Cause: targets of serve sent nothing that tells the response to one request from that to another.

VMs now send Mulberrydeck-Attempt-Id, which no two attempts share, and targets repeat it. On a used connection only a response that repeats it is accepted; on a new one a response may lack it, but its connection is not used again. Anything else is an unknown outcome, after which a repeatable request is sent again. The request identifier does not do, since all tries and any other request of the caller may have the same. At-most-once requests were not affected, as they use new connections.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -19,6 +19,7 @@
 RECEIVE_BYTES = 64 * 1024
 # A timeout of 0 would make the socket non-blocking.
 MIN_TIMEOUT_S = 0.001
+ATTEMPT_ID_FIELD = "mulberrydeck-attempt-id"
 
 
 class Sink(Protocol):
@@ -51,6 +52,8 @@
         pace: Blocks until at least one of the given number of bytes may be
             sent, and returns how many may; None if not limited.
         is_vm: Whether the next hop is another VM.
+        attempt_id: Identifier that a target repeats in its response; empty if
+            the next hop is another VM.
         repeatable: Whether the request may run more than once. Otherwise it
             is sent on a new connection, since the outcome is unknown if the
             peer has just closed a reused one.
@@ -64,6 +67,7 @@
     remaining_s: float
     pace: Callable[[int], int] | None = None
     is_vm: bool = False
+    attempt_id: str = ""
     repeatable: bool = True
     start_by_s: float = float("inf")
 
@@ -83,9 +87,6 @@
         reason: Why it failed, for logs.
         problem: Problem details with which another VM refused the request, or
             None.
-        may_be_copy: Whether a refusal may be the copy of one to an earlier
-            request, which a faulty target writes once more on a kept
-            connection.
     """
 
     outcome: outcomes.AttemptOutcome
@@ -95,7 +96,6 @@
     expired: bool = False
     reason: str = ""
     problem: errors.Problem | None = None
-    may_be_copy: bool = False
 
 
 class ExchangeTimeoutError(Exception):
@@ -122,6 +122,7 @@
         self.deadline_s = self.started_s + hop.remaining_s
         self.latency_s = 0.0
         self.response_started = False
+        self.identified = False
         self.upload = uploads.Upload(hop.pace, pool.now_s, hop.start_by_s)
         self.parser = responses.ResponseParser(hop.method)
 
@@ -162,12 +163,12 @@
         try:
             self._start_upload(connection)
             self._read_head(connection)
+            self._check_attempt_id(connection)
             statement = statements.of_response(self.parser, self.hop.is_vm)
             if statement is not statements.Statement.NONE:
                 body = self._read_refusal(connection)
                 problem = self._decode_problem(statement, body)
-                may_be_copy = connection.reused and not self.hop.is_vm
-                return self._refused(statement, problem, may_be_copy)
+                return self._refused(statement, problem)
             if self._is_withheld():
                 return self._answered(response_started=False)
             self._stream_response(connection, sink)
@@ -204,6 +205,22 @@
                 )
         self.latency_s = self.pool.now_s() - self.started_s
 
+    def _check_attempt_id(self, connection: pools.Connection) -> None:
+        """Raises an error if the response may not be to this request.
+
+        A faulty target may send more than one response to an earlier request
+        on a reused connection.
+        """
+        if self.hop.is_vm:
+            return
+        attempt_ids = self.parser.values(ATTEMPT_ID_FIELD)
+        self.identified = set(attempt_ids) == {self.hop.attempt_id}
+        if not self.identified and (attempt_ids or connection.reused):
+            raise response.HTTPParseError(
+                f"response with attempt identifiers {attempt_ids} instead of "
+                f"{self.hop.attempt_id}"
+            )
+
     def _read_refusal(self, connection: pools.Connection) -> bytes:
         """Returns the body of a refusal, which is believed only if complete."""
         body = self.parser.take()
@@ -276,6 +293,7 @@
     def _may_reuse(self, attempt: Attempt) -> bool:
         return (
             attempt.status > 0
+            and (self.identified or self.hop.is_vm)
             and self.parser.keeps_connection
             and self.upload.finished
         )
@@ -303,7 +321,6 @@
         self,
         statement: statements.Statement,
         problem: errors.Problem | None,
-        may_be_copy: bool,
     ) -> Attempt:
         outcome = outcomes.AttemptOutcome.UNKNOWN
         if statement is statements.Statement.NOT_RUN:
@@ -313,7 +330,6 @@
             self.parser.get_code(),
             self.latency_s,
             problem=problem,
-            may_be_copy=may_be_copy,
         )
 
     def _failed(self, reason: str) -> Attempt:
--- a/mulberrydeck/forward/hops.py
+++ b/mulberrydeck/forward/hops.py
@@ -60,8 +60,10 @@
         decision: Chosen target.
         traceparent: W3C trace context, or empty.
     """
+    attempt_id = f"{decision.request_id}-{decision.attempt}"
     added = [
         ("mulberrydeck-request-id", outgoing.request_id),
+        (exchange.ATTEMPT_ID_FIELD, attempt_id),
         ("mulberrydeck-deadline", f"{decision.remaining_s:.3f}"),
         outgoing.request_start_field(),
     ]
@@ -78,6 +80,7 @@
         head=_encode_head(outgoing, outgoing.path, decision.address, added),
         method=outgoing.method,
         remaining_s=decision.remaining_s,
+        attempt_id=attempt_id,
         repeatable=decision.repeatable,
         start_by_s=decision.start_by_s,
     )
--- a/mulberrydeck/frontend/services.py
+++ b/mulberrydeck/frontend/services.py
@@ -111,8 +111,7 @@
                 self._report_cancelled(progress, decision, hop_exchange)
             progresses.end_attempt_span(span, decision, attempt)
         progress.peer_problem = attempt.problem
-        is_unknown = attempt.outcome is outcomes.AttemptOutcome.UNKNOWN
-        if is_unknown or attempt.may_be_copy:
+        if attempt.outcome is outcomes.AttemptOutcome.UNKNOWN:
             progress.may_have_run = True
         return attempt
 
--- a/standins/target/app.py
+++ b/standins/target/app.py
@@ -53,6 +53,7 @@
         if path.startswith("/_control"):
             return self.control(path, environ, start_response)
         run = self.new_run(environ)
+        start_response = identified(start_response, environ)
         if not self.state.acquire_slot(run):
             return serving.respond(
                 start_response, "503 Slots Full", headers=[NOT_RUN]
@@ -170,6 +171,21 @@
         return serving.respond_json(start_response, fields)
 
 
+def identified(
+    start_response: serving.StartResponse, environ: serving.Environ
+) -> serving.StartResponse:
+    """Returns a WSGI callable that adds the identifier of the attempt."""
+    attempt_id = environ.get("HTTP_MULBERRYDECK_ATTEMPT_ID")
+    if attempt_id is None:
+        return start_response
+    added = ("Mulberrydeck-Attempt-Id", attempt_id)
+
+    def start(status: str, headers: list[tuple[str, str]]) -> object:
+        return start_response(status, [*headers, added])
+
+    return start
+
+
 def options_of(environ: serving.Environ) -> RequestOptions:
     """Returns the options in the query of a request."""
     query = serving.query_of(environ)
