Test single runs while VMs freeze, stop and die

A VM that freezes and wakes, stops as planned or is killed must not report a fee as not run that a target ran. 240 fees are sent once each through VMs of which two freeze for 1.5 s, one stops and one is killed.

--- a/tests/features/single_runs.feature
+++ b/tests/features/single_runs.feature
@@ -71,3 +71,10 @@
     Then no fee ran twice
     And every fee that was refused as not run did not run
     And at least half of the fees were paid
+
+  Scenario: VMs freeze, stop and die while callers send each fee once
+    Given a fleet that serves
+    When many fees are paid without retries while VMs freeze, stop and die
+    Then no fee ran twice
+    And every fee that was refused as not run did not run
+    And at least half of the fees were paid
--- a/tests/test_single_runs.py
+++ b/tests/test_single_runs.py
@@ -23,6 +23,7 @@
 FEES_PER_S = 20.0
 MAX_TRIES = 3
 FAULT_INTERVAL_S = 2.0
+FREEZE_S = 1.5
 
 
 class FeePayer:
@@ -158,6 +159,45 @@
         gevent.sleep(0.3)
 
 
+@pytest_bdd.when(
+    "many fees are paid without retries while VMs freeze, stop and die",
+    target_fixture="responses_by_fee",
+)
+def when_many_once(scene, fee_payer):
+    responses_by_fee = {}
+    greenlets = gevent.pool.Group()
+    disruption = gevent.spawn(disrupt_vms_in_turn, scene.fleet)
+    for number in range(FEE_COUNT):
+        greenlets.spawn(pay_once, fee_payer, responses_by_fee, f"fee-{number}")
+        gevent.sleep(1 / FEES_PER_S)
+    greenlets.join()
+    disruption.get()
+    return responses_by_fee
+
+
+def pay_once(fee_payer, responses_by_fee, run_id):
+    """Pays a fee through a VM that may be frozen."""
+    vms = [
+        name
+        for name, process in fee_payer.scene.fleet.vms.items()
+        if process.is_running()
+    ]
+    vm = sorted(vms)[hash_of(run_id) % len(vms)]
+    responses_by_fee[run_id] = [fee_payer.pay(vm, run_id, work_ms=30)]
+
+
+def disrupt_vms_in_turn(fleet):
+    """Freezes two VMs, then stops one as planned and kills another."""
+    for name in ("east-a-vm1", "east-b-vm1"):
+        gevent.sleep(FAULT_INTERVAL_S)
+        fleet.pause_vm(name)
+        gevent.sleep(FREEZE_S)
+        fleet.resume_vm(name)
+    gevent.sleep(FAULT_INTERVAL_S)
+    fleet.stop_vm("east-a-vm2")
+    fleet.replace_vm("east-a-vm1")
+
+
 def hash_of(text):
     return sum(text.encode()) % 97
 
