Cut connections while a response passes through them, by construction

It cut connections to targets for 50 ms at three fixed times, and whether a response had begun and not ended then was left to the load of the machine.

Now a caller asks, before each cut, for a response for which the target needs 45 s, and the cut follows the arrival of its head, so that this response is in transit. Each of these three responses, through three VMs, must be incomplete; before, one incomplete response of all callers was enough. The other callers and all checks of their responses are as before. Clients of the stand-ins can be told when the head of a response has arrived.

--- a/standins/http_client.py
+++ b/standins/http_client.py
@@ -111,6 +111,7 @@
         path: str,
         body: Body = None,
         headers: dict[str, str] | None = None,
+        on_head: collections.abc.Callable[[int], None] = lambda _status: None,
     ) -> Response | NoResponse:
         """Sends one request and reads the complete response.
 
@@ -119,6 +120,8 @@
             path: Path and query.
             body: Body; an iterable is sent in chunks.
             headers: Headers in addition to those of the client.
+            on_head: Called with the status when the head of the response has
+                arrived.
         """
         start_s = time.monotonic()
         merged = self.headers | (headers or {})
@@ -126,6 +129,7 @@
             connection = self.open()
             connection.request(method, path, body, merged)
             response = connection.getresponse()
+            on_head(response.status)
             content = response.read()
         except (OSError, http.client.HTTPException) as error:
             self.close()
--- a/tests/test_complete_responses.py
+++ b/tests/test_complete_responses.py
@@ -3,6 +3,7 @@
 import itertools
 
 import gevent
+import gevent.event
 import pytest
 import pytest_bdd
 from pytest_bdd import parsers
@@ -21,6 +22,8 @@
 SMALL_BYTES = 9_000
 LARGE_BYTES = 2_000_000
 BLOCK_PAUSE_MS = 30
+# The target needs 45 s for it, longer than any wait of the test.
+ENDURING_BYTES = 100_000_000
 PAUSE_S = 0.05
 FAULT_AFTER_S = 1.0
 FREEZE_S = 1.5
@@ -37,8 +40,7 @@
 
     def __init__(self, scene, size_bytes, pace_ms=0):
         self.scene = scene
-        query = f"bytes={size_bytes}&pace_ms={pace_ms}"
-        self.path = f"/v1/services/permits/status?{query}"
+        self.path = self.path_of(size_bytes, pace_ms)
         self.size_bytes = size_bytes
         self.numbers = itertools.count(1)
         self.results = []
@@ -50,15 +52,43 @@
             for _ in range(2)
         ]
 
+    @staticmethod
+    def path_of(size_bytes, pace_ms):
+        query = f"bytes={size_bytes}&pace_ms={pace_ms}"
+        return f"/v1/services/permits/status?{query}"
+
     def send_repeatedly(self, client):
         while self.active:
             self.results.append(self.send(client))
             gevent.sleep(PAUSE_S)
 
     def send(self, client):
+        return self.send_to(client, self.path)
+
+    def send_to(self, client, path, **options):
         request_id = f"ask-{next(self.numbers)}"
         headers = {"Mulberrydeck-Request-Id": request_id}
-        return request_id, client.request("GET", self.path, None, headers)
+        response = client.request("GET", path, None, headers, **options)
+        return request_id, response
+
+    def send_enduring(self, vm, begun):
+        """Requests a response that lasts until it is cut.
+
+        Args:
+            vm: Name of the VM.
+            begun: Set when the head of the response has arrived.
+        """
+
+        def on_head(status):
+            if status == 200:
+                begun.set()
+
+        client = self.scene.fleet.client(vm, self.scene.key("acme"))
+        path = self.path_of(ENDURING_BYTES, BLOCK_PAUSE_MS)
+        while not begun.is_set():
+            result = self.send_to(client, path, on_head=on_head)
+            self.results.append(result)
+        return result
 
     def finish(self):
         self.active = False
@@ -128,17 +158,18 @@
 )
 def when_large_are_cut(scene):
     callers = Callers(scene, LARGE_BYTES, BLOCK_PAUSE_MS)
-    for _ in range(3):
+    for vm in sorted(scene.fleet.vms)[:3]:
         gevent.sleep(FAULT_AFTER_S)
+        begun = gevent.event.Event()
+        enduring = gevent.spawn(callers.send_enduring, vm, begun)
+        assert begun.wait(waiting.WAIT_TIMEOUT_S)
         with scene.fleet.stand_ins.rule(
             "any", "any", kinds=("target",), cut=True
         ):
             gevent.sleep(PAUSE_S)
+        _, result = enduring.get(timeout=waiting.WAIT_TIMEOUT_S)
+        assert isinstance(result, http_client.NoResponse), result
     callers.finish()
-    assert any(
-        isinstance(result, http_client.NoResponse)
-        for _, result in callers.results
-    )
     return callers
 
 
