--- a/mulberrydeck/frontend/tests/test_refusals.py
+++ b/mulberrydeck/frontend/tests/test_refusals.py
@@ -79,6 +79,14 @@
     assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
 
 
+def test_a_response_to_another_attempt_is_an_unknown_outcome(serve, targets):
+    response, gateway = send_single_run(
+        serve, targets, encode(200, "Mulberrydeck-Attempt-Id: other")
+    )
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert [e.outcome for e in gateway.ended()] == [UNKNOWN]
+
+
 INCOMPLETE = {
     "closed": send_and_close(encode(503, NO, length=9)),
     "stalled": lambda sock: (
