Give slots freed in a stall to the requests that waited through it

What callers saw: 503 no-capacity from `serve` although the slots of its only target were free, after the VM had stood still for some tenths of a second.

Cause: a request waits for a slot for at most 0.1 s. In the kept records the refused requests are those that waited while the target ran four others for 6 to 9 ms each: their responses had arrived, but the VM handled nothing for 0.3 s. Then it first rejected all requests whose time was over, before it assigned the first free slot; the timer of the event loop even comes before sockets that are ready. Ruled out: the target (it ran nothing for that time), and the other VMs (later requests arrived with the four).

Now slots that become free are assigned also to requests whose time is over, and only the timer rejects those that are left, after it has let the event loop handle what arrived. A request that gets no slot learns that up to one timer interval (0.1 s) later.

--- a/mulberrydeck/routing/reducer.py
+++ b/mulberrydeck/routing/reducer.py
@@ -203,6 +203,7 @@
     for service, service_state in state.services.items():
         if service_state.queue.size:
             produced.extend(slots.dispatch(state, now_s, service))
+            produced.extend(slots.expire(state, now_s, service))
     if state.grants.withdrawn:
         produced.extend(_release_idle(state, now_s))
     return produced
--- a/mulberrydeck/routing/slots.py
+++ b/mulberrydeck/routing/slots.py
@@ -62,13 +62,15 @@
 ) -> RaisedEvents:
     """Assigns free slots to waiting requests, round robin over the accounts.
 
+    A request whose wait has ended gets a slot too, until `expire` rejects it.
+
     Args:
         state: State of the routing subsystem.
         now_s: Monotonic time, in seconds.
         service: Name of the service.
     """
     queue = routing_state.service_state(state, service).queue
-    raised = _expire(state, now_s, queue)
+    raised: RaisedEvents = []
     while queue.size:
         target = _least_loaded(state, now_s, service)
         if target is None:
@@ -83,6 +85,26 @@
     return raised
 
 
+def expire(
+    state: routing_state.RoutingState, now_s: float, service: str
+) -> RaisedEvents:
+    """Rejects the requests whose wait for a slot has ended.
+
+    Call it only when responses that have arrived are handled: after a stall of
+    the process, they may have freed the slots that these requests wait for.
+
+    Args:
+        state: State of the routing subsystem.
+        now_s: Monotonic time, in seconds.
+        service: Name of the service.
+    """
+    queue = routing_state.service_state(state, service).queue
+    return [
+        _reject(state, now_s, waiter)
+        for waiter in queueing.expire(queue, now_s)
+    ]
+
+
 def release(
     state: routing_state.RoutingState,
     now_s: float,
@@ -270,15 +292,6 @@
     return max(MIN_RETRY_AFTER_S, rounds * service_state.mean_hold_s)
 
 
-def _expire(
-    state: routing_state.RoutingState, now_s: float, queue: queueing.FairQueue
-) -> RaisedEvents:
-    return [
-        _reject(state, now_s, waiter)
-        for waiter in queueing.expire(queue, now_s)
-    ]
-
-
 def _reject(
     state: routing_state.RoutingState, now_s: float, waiter: queueing.Waiter
 ) -> quota_effects.Raise:
--- a/mulberrydeck/routing/tests/test_slots.py
+++ b/mulberrydeck/routing/tests/test_slots.py
@@ -52,6 +52,32 @@
     assert refused == [quota_effects.Raise(events.SlotDecided(100.3, "late"))]
 
 
+def test_slots_freed_during_a_stall_go_to_requests_that_waited_through_it():
+    state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t", 2),)))
+    fill(state, 100.0, 2)
+    for name in ("w0", "w1", "w2"):
+        reducer.acquire(state, 100.0, "s", "a", name)
+    resumed_s = 100.5
+    raised = [
+        item.event
+        for number in range(2)
+        for item in reducer.release(
+            state, resumed_s, f"r{number}", ANSWERED, 200, 0.5
+        )
+    ]
+    result, more = reducer.acquire(state, resumed_s, "s", "a", "new")
+    raised += [item.event for item in more]
+    assert isinstance(result, routing_state.Queued)
+    decided = [(event.request_id, event.target) for event in raised]
+    assert decided == [("w0", "t"), ("w1", "t")]
+    refused = [
+        item.event.request_id
+        for item in reducer.tick(state, resumed_s)
+        if isinstance(item, quota_effects.Raise)
+    ]
+    assert refused == ["w2"]
+
+
 def test_an_expired_grant_admits_no_request():
     state = fakes.warm_owner(fakes.FakeCompiled((fakes.target("t"),)))
     result, _ = reducer.acquire(state, 105.0, "s", "a", "r")
--- a/mulberrydeck/shell/runtime.py
+++ b/mulberrydeck/shell/runtime.py
@@ -32,9 +32,14 @@
         self.handlers[effects.Exit] = lambda _: self.stopped.set()
 
     def run_ticks(self) -> None:
-        """Submits the timer event once per tick interval, forever."""
+        """Submits the timer event once per tick interval, forever.
+
+        After a stall of the process, what arrived meanwhile is handled first,
+        since the timer ends waits for it.
+        """
         while True:
             gevent.sleep(self.state.settings.tick_interval_s)
+            gevent.sleep(0)
             self.submit(events.Tick(self.now_s()))
 
 
--- a/mulberrydeck/shell/tests/test_core_gateway.py
+++ b/mulberrydeck/shell/tests/test_core_gateway.py
@@ -18,8 +18,8 @@
 LINK = "east/west"
 
 
-def make_gateway(own_units):
-    settings = declarations.Settings(
+def make_settings():
+    return declarations.Settings(
         name="east-vm1",
         zone="east-a",
         caller_address="127.0.0.1:1",
@@ -29,6 +29,10 @@
         fleet_secret="0" * 64,
         idle_timeout_s=0.2,
     )
+
+
+def make_gateway(own_units):
+    settings = make_settings()
     runtime = runtime_module.Runtime(core_state.create(settings, "1"))
     bound = quota_state.Bound(f"link/{LINK}", UNITS, RATE_PER_S, BURST)
     now_s = time.monotonic()
