Wait for a port that is in use when a VM starts

Cause of what can be shown: a VM whose caller, lookup, readiness or metrics port was in use ended at once with a traceback, without another try, so that it never became ready. Ports that were free when they were chosen may be taken by an outgoing connection of any program, or still held by an earlier process of the VM. With `steer`, a peer port in use was worse: the task that joins the fleet is started again after a failure, but took the transport of the failed start for one that works. The VM went on without messages of any other VM.

Other errors of an address end it at once. `serve` and `steer` share this, for HTTP and peer ports, and the transport of a start that failed is not kept.

--- a/mulberrydeck/errors.py
+++ b/mulberrydeck/errors.py
@@ -15,6 +15,10 @@
     """A settings file is missing, malformed or contains an invalid value."""
 
 
+class AddressError(MulberrydeckError):
+    """An address of this VM cannot be bound."""
+
+
 class ConfigurationError(MulberrydeckError):
     """A configuration, a change to it or a stored document is invalid."""
 
--- a/mulberrydeck/frontend/listeners.py
+++ b/mulberrydeck/frontend/listeners.py
@@ -3,6 +3,7 @@
 import gevent.pywsgi
 import gevent.socket
 
+from mulberrydeck import binding
 from mulberrydeck.frontend import connections
 from mulberrydeck.frontend import disconnects
 from mulberrydeck.frontend import requests
@@ -55,8 +56,13 @@
         return f"{host}:{port}"
 
     def start(self) -> None:
-        """Binds the listener and starts to serve."""
-        self.listener.start()
+        """Binds the listener and starts to serve.
+
+        Raises:
+            errors.AddressError: The address cannot be bound.
+        """
+        host, port = self.listener.address[:2]
+        binding.bind(self.listener.start, f"{host}:{port}")
         self.watcher.start()
 
     def handle_request(self, request: requests.Request) -> None:
--- a/mulberrydeck/peers/tests/test_transport.py
+++ b/mulberrydeck/peers/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Tests of the peer transport over loopback."""
 
 import gevent
+import gevent.socket
 import pytest
 
 from mulberrydeck.peers import feed_messages
@@ -10,6 +11,7 @@
 from standins import waiting
 
 PORT = 8390
+USED_S = 0.3
 MESSAGE_COUNT = 60  # More than `transport.MAX_MESSAGES_PER_TURN`.
 HEARTBEAT = messages.SteeringHeartbeat("process", ready=True, leaving=False)
 
@@ -37,6 +39,22 @@
     return started
 
 
+def test_a_port_that_is_in_use_for_a_moment_loses_no_messages():
+    subnet = addresses.reserve()
+    address = f"{subnet.ip(1, 2)}:{PORT}"
+    user = gevent.socket.create_server((subnet.ip(1, 2), PORT))
+    gevent.spawn_later(USED_S, user.close)
+    received = []
+    second = start("b", address, received)
+    first = start("a", f"{subnet.ip(1, 1)}:{PORT}", [])
+    first.connect("b", address)
+    waiting.until(
+        lambda: first.send("b", HEARTBEAT) or received, "a message arrives"
+    )
+    first.stop()
+    second.stop()
+
+
 def test_messages_arrive_in_order_and_stop_closes_all_sockets():
     subnet = addresses.reserve()
     received = []
--- a/mulberrydeck/peers/transport.py
+++ b/mulberrydeck/peers/transport.py
@@ -18,6 +18,7 @@
 import zmq
 import zmq.green
 
+from mulberrydeck import binding
 from mulberrydeck import errors
 from mulberrydeck.peers import codec
 from mulberrydeck.peers import envelope
@@ -119,14 +120,24 @@
         self._sealed = b""
 
     def start(self) -> None:
-        """Binds the listening socket and starts receiving."""
+        """Binds the listening socket and starts receiving.
+
+        Raises:
+            errors.AddressError: The address cannot be bound.
+        """
         self._pull = self.context.socket(zmq.PULL)
         self._configure(self._pull)
         self._pull.setsockopt(zmq.HEARTBEAT_IVL, 0)
         self._pull.setsockopt(zmq.MAXMSGSIZE, 2 * codec.MAX_MESSAGE_BYTES)
-        self._pull.bind(f"tcp://{self.listen_address}")
+        binding.bind(self._bind, self.listen_address)
         self._reader = gevent.spawn(self._read)
 
+    def _bind(self) -> None:
+        try:
+            self._pull.bind(f"tcp://{self.listen_address}")
+        except zmq.ZMQError as error:
+            raise OSError(error.errno, str(error)) from error
+
     def stop(self) -> None:
         """Closes all sockets; unsent messages get 200 ms to be flushed."""
         for greenlet in (self._reader, self._flusher):
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -208,8 +208,9 @@
         vm_registration = self._registration()
         secret = vm_registration.fleet_secret()
         if self.peers is None:
-            self.peers = self._create_transport(secret)
-            self.peers.start()
+            peers = self._create_transport(secret)
+            peers.start()
+            self.peers = peers
         if vm_registration.register():
             self.loop.submit(events.VmAdded(now_s()))
         self.store_sync.add(self.store_kinds.vms_kind())
