Count calls to the store only when those sent before have arrived

The test of the VMs that get updates from another one failed once with "assert 1 == 0" calls. The VM had changed to the other VM 0.1 s before the test took its first count: a call that the VM had sent to the store before that, and that lay in the socket of the stand-in, which runs in the process of the test, was counted as one that came after. docs/design/fleets.md lets a VM read the store until it has a source, so that this call was allowed.

The test now waits until the store has counted as many calls as the VMs say on /metrics that they have sent, before each of its two counts. It still wants no call of these VMs, and it now also sees one that is under way at the end, which it missed before. The wait is bounded like all others of the stand-ins.

--- a/tests/test_store_feeds.py
+++ b/tests/test_store_feeds.py
@@ -1,6 +1,7 @@
 """VMs of a zone that follow the store through one of them."""
 
 import contextlib
+import re
 import signal
 import time
 
@@ -106,13 +107,40 @@
         )
 
 
+def _calls_sent(fleet, name):
+    """Returns how many calls to the store a VM says that it has sent."""
+    address = fleet.vm_addresses[name]["metrics_address"]
+    response = http_client.call(address, "GET", "/metrics")
+    lines = response.body.decode().splitlines()
+    return sum(
+        float(line.rpartition(" ")[2])
+        for line in lines
+        if re.match(r"\w*store_calls_total{", line)
+    )
+
+
+def _wait_counted(fleet, *names):
+    """Waits until the store has counted all calls that VMs have sent."""
+    for name in names:
+        waiting.until(
+            lambda name=name: (
+                0
+                < _calls_sent(fleet, name)
+                <= fleet.store.calls_by_ip[_ip(fleet, name)]
+            ),
+            f"the store counts the calls of {name}",
+        )
+
+
 def test_one_vm_reads_the_store_for_the_others(fleet):
+    _wait_counted(fleet, *VMS)
     before = fleet.store.calls_by_ip.copy()
     for version in (2, 3, 4):
         _wait_applied(fleet, version, *VMS)
     fleet.add_target("t2")
     for name in VMS:
         assert _status(fleet, name, "/read/1") == 200
+    _wait_counted(fleet, *VMS)
     calls = fleet.store.calls_by_ip - before
     assert calls[_ip(fleet, SOURCE)] >= 3
     for name in VMS[1:]:
