--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -6,6 +6,7 @@
 import attrs
 import gevent
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import listeners
 from mulberrydeck.frontend import requests
@@ -21,6 +22,8 @@
 # Bodies up to this size are read completely before a target is chosen, so that
 # they can be sent again and a slow caller occupies no slot of a target.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
+# All such bodies of a VM; beyond this size, they are sent while they are read.
+MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
 # All callers of a region may connect at the same time.
 LISTEN_BACKLOG = 512
 # While stopping, interval between checks whether requests are in progress.
@@ -88,12 +91,20 @@
         loop: Event loop of this VM.
         pool: Connections to targets.
         reports: Log lines and metrics of requests.
+        body_budget: Memory of all bodies that are read ahead.
+        response_budget: Memory of all buffered responses.
         in_progress: Requests in progress by identifier of their handling.
     """
 
     loop: event_loop.EventLoop
     pool: pools.ConnectionPool
     reports: reporting.Reports
+    body_budget: budgets.ByteBudget = attrs.field(
+        factory=lambda: budgets.ByteBudget(MAX_TOTAL_BODY_BYTES)
+    )
+    response_budget: budgets.ByteBudget = attrs.field(
+        factory=lambda: budgets.ByteBudget(exchange.MAX_TOTAL_BUFFERED_BYTES)
+    )
     in_progress: dict[str, Arrival] = attrs.field(factory=dict)
 
     def serve(self, request: requests.Request) -> None:
@@ -120,28 +131,40 @@
     def _serve(self, request: requests.Request, arrived_s: float) -> None:
         caller_fields = headers.parse_caller_fields(request.head)
         request.request_id = caller_fields.attempt_id or request.handling_id
-        if request.body is not None:
-            request.body.read_ahead(MAX_BUFFERED_BODY_BYTES)
-        event = events.RequestArrived(
-            # The body took time; the reducer's time must not go back.
-            at_s=self.loop.now_s(),
-            request_id=request.handling_id,
-            host=caller_fields.host,
-            path=request.path,
-            key=caller_fields.key,
-            object_key=caller_fields.object_key,
-            timeout_s=caller_fields.timeout_s,
-            body_bytes=request.head.length or 0,
-            arrived_s=arrived_s,
-        )
+        with self.body_budget.reserve() as read_ahead:
+            if request.body is not None:
+                request.body.read_ahead(MAX_BUFFERED_BODY_BYTES, read_ahead)
+            event = events.RequestArrived(
+                # The body took time; the reducer's time must not go back.
+                at_s=self.loop.now_s(),
+                request_id=request.handling_id,
+                host=caller_fields.host,
+                path=request.path,
+                key=caller_fields.key,
+                object_key=caller_fields.object_key,
+                timeout_s=caller_fields.timeout_s,
+                body_bytes=request.head.length or 0,
+                arrived_s=arrived_s,
+            )
+            self._decide(request, caller_fields, event)
+
+    def _decide(
+        self,
+        request: requests.Request,
+        caller_fields: headers.CallerFields,
+        event: events.RequestArrived,
+    ) -> None:
         progress = progresses.Progress()
         try:
-            self._run_attempts(request, caller_fields, event, progress)
+            with self.response_budget.reserve() as buffered:
+                self._run_attempts(
+                    request, caller_fields, event, progress, buffered
+                )
         finally:
             self.loop.submit(
                 events.RequestClosed(self.loop.now_s(), event.request_id)
             )
-            elapsed_s = self.loop.now_s() - arrived_s
+            elapsed_s = self.loop.now_s() - event.arrived_s
             self.reports.request_ended(request, progress, elapsed_s)
 
     def _run_attempts(
@@ -150,6 +173,7 @@
         caller_fields: headers.CallerFields,
         event: events.RequestArrived,
         progress: progresses.Progress,
+        buffered: budgets.Reservation,
     ) -> None:
         forwarded_fields = headers.encode_forwarded_fields(request.head)
         decision = self.loop.decide(event)
@@ -157,8 +181,10 @@
         while isinstance(decision, effects.Forward):
             progress.last_forward = decision
             hop = self._hop(request, caller_fields, forwarded_fields, decision)
+            # The response of an earlier attempt is no longer needed.
+            buffered.release()
             target_exchange = exchange.TargetExchange(
-                self.pool, hop, request.body, self.loop.now_s
+                self.pool, hop, request.body, self.loop.now_s, buffered
             )
             attempt = target_exchange.run(request.response)
             progress.sent_after_s = attempt.sent_after_s
--- a/mulberrydeck/steering/tests/test_serving.py
+++ b/mulberrydeck/steering/tests/test_serving.py
@@ -33,7 +33,7 @@
     """Returns the events of a request whose body takes `BODY_S`."""
     loop = Loop()
 
-    def read_ahead(_):
+    def read_ahead(*_):
         loop.time_s += BODY_S
 
     request = types.SimpleNamespace(
