Share the event loop between responses that are costly to parse

With 200 requests to a target whose responses never end, other callers of the same VM waited 1.2 to 2.0 s for an answer: endless chunks of one byte, interim responses, trailers, or responses to other requests. One such response held the loop for 0.27 s, one of the store for the 2 s of the call.

Cause: an attempt reads and parses as long as bytes are ready, and gevent's sleep(0) between two reads runs up to 50 other such attempts before it polls the sockets again. A piece of 64 KiB of tiny chunks takes 11 ms to parse.

Received bytes are parsed in slices of 4 KiB. All responses together get 2 ms of parsing per turn of the loop; those that have used 0.5 ms themselves queue for the next turn, at most until their deadline. Usual responses take less and never queue, so that they aren't delayed by those of faulty targets.

Tried and not kept: yielding after each costly slice (others still waited 1.0 s); queueing all responses (an ordinary one waited behind the 200, 2.5 s).

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -10,6 +10,7 @@
 from mulberrydeck import errors
 from mulberrydeck.forward import outcomes
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.forward import receiving
 from mulberrydeck.forward import refusals
 from mulberrydeck.forward import responses
 from mulberrydeck.forward import sending
@@ -121,6 +122,7 @@
         self.response_started = False
         self.upload = uploads.Upload(hop.pace, pool.now_s, hop.start_by_s)
         self.parser = responses.ResponseParser(hop.method)
+        self.slicer = receiving.Slicer()
 
     def run(self, sink: Sink) -> Attempt:
         """Performs the attempt.
@@ -182,7 +184,7 @@
 
     def _read_head(self, connection: pools.Connection) -> None:
         while not self.parser.head_complete:
-            self.parser.accept(self._receive(connection))
+            self._receive(connection)
             if self.parser.get_code() == responses.SWITCHING_PROTOCOLS:
                 raise response.HTTPParseError(
                     "unexpected 101 Switching Protocols response"
@@ -202,7 +204,7 @@
         while not self.parser.complete:
             if len(body) > refusals.MAX_PROBLEM_BYTES:
                 return None
-            self.parser.accept(self._receive(connection))
+            self._receive(connection)
             body += self.parser.take()
         return refusals.decode(body)
 
@@ -219,10 +221,15 @@
                 break
             sink.flush()
             sending.yield_to_other_greenlets()
-            parser.accept(self._receive(connection))
+            self._receive(connection)
         sink.finish()
 
-    def _receive(self, connection: pools.Connection) -> bytes:
+    def _receive(self, connection: pools.Connection) -> None:
+        data = self._receive_bytes(connection)
+        for piece in self.slicer.slices(data, self._timeout_s()):
+            self.parser.accept(piece)
+
+    def _receive_bytes(self, connection: pools.Connection) -> bytes:
         while True:
             timeout_s = self._timeout_s()
             connection.sock.settimeout(timeout_s)
--- a/mulberrydeck/platform/store.py
+++ b/mulberrydeck/platform/store.py
@@ -15,6 +15,7 @@
 
 from mulberrydeck import errors
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.forward import receiving
 from mulberrydeck.forward import responses
 from mulberrydeck.platform import documents
 from mulberrydeck.platform import headers
@@ -301,6 +302,7 @@
         self, connection: pools.Connection, method: str, timeout_s: float
     ) -> responses.ResponseParser:
         parser = responses.ResponseParser(method)
+        slicer = receiving.Slicer()
         deadline_s = self.pool.now_s() + timeout_s
         received = 0
         while not parser.complete:
@@ -314,7 +316,8 @@
                 raise OSError(
                     f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
                 )
-            parser.accept(data)
+            for piece in slicer.slices(data, remaining_s):
+                parser.accept(piece)
         return parser
 
     def _encode(self, method: str, path: str, body: object) -> bytes:
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -13,6 +13,7 @@
 from mulberrydeck import errors
 from mulberrydeck.forward import exchange as exchanges
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.forward import receiving
 from mulberrydeck.forward import responses
 from mulberrydeck.forward import sending
 from mulberrydeck.forward import uploads
@@ -138,6 +139,7 @@
         self.identified = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
         self.parser = responses.ResponseParser(hop.method)
+        self.slicer = receiving.Slicer()
         self.filter = response_filter.MismatchedResponseFilter(
             headers.ATTEMPT_ID, hop.attempt_id
         )
@@ -191,7 +193,7 @@
             buffered = self._read_body(connection, sink)
         except errors.AdmissionExpiredError as error:
             return Attempt(Outcome.DELAYED, reason=str(error))
-        except DeadlineExceededError as error:
+        except (DeadlineExceededError, receiving.ParsingTimeoutError) as error:
             return self._failed(Outcome.EXPIRED, error)
         except (
             OSError,
@@ -287,9 +289,10 @@
             raise DeadlineExceededError(
                 "response not complete by the deadline"
             ) from error
-        matching = self.filter.accept(data)
-        if matching or not data:
-            self.parser.accept(matching)
+        for piece in self.slicer.slices(data, self._remaining_s()):
+            matching = self.filter.accept(piece)
+            if matching or not piece:
+                self.parser.accept(matching)
         return len(data)
 
     def _remaining_s(self) -> float:
