Limit what status checks and calls of the platform keep of a response

serve checks its targets about every second. A target that answered the check with header fields, trailers or one field without end held the loop for the 1 s of the check and took 40 to 70 MB; each such target did, and no request was served meanwhile. Endless bodies were kept up to 64 MB.

Cause: these calls used the parser of the HTTP package, which limits neither the head nor the trailers, and the limit of a body was that of the largest object of the platform.

They now use the parser of responses with its limits, in turns of the loop. A status report has 64 KiB at most, any other response 16 MiB.

--- a/mulberrydeck/platformapi/exchange.py
+++ b/mulberrydeck/platformapi/exchange.py
@@ -7,8 +7,11 @@
 import gevent.socket
 from geventhttpclient import response as http_response
 
+from mulberrydeck.forward import receiving
+from mulberrydeck.forward import responses
+
 RECEIVE_BYTES = 65_536
-MAX_RESPONSE_BYTES = 64_000_000
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class NotSentError(Exception):
@@ -28,12 +31,14 @@
         path: Path with query.
         headers: Additional headers.
         body: Raw body.
+        max_response_bytes: Size of the largest body of the response, in bytes.
     """
 
     method: str
     path: str
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
+    max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
 @attrs.frozen
@@ -102,7 +107,7 @@
         try:
             _set_timeout(connection, deadline_s)
             connection.sendall(self._encode(request))
-            return _receive(connection, request.method, deadline_s)
+            return _receive(connection, request, deadline_s)
         except (OSError, http_response.HTTPParseError) as error:
             raise NoResponseError(str(error) or type(error).__name__) from error
         finally:
@@ -139,37 +144,26 @@
 
 
 def _receive(
-    connection: gevent.socket.socket, method: str, deadline_s: float
+    connection: gevent.socket.socket, request: Request, deadline_s: float
 ) -> Response:
-    parser = _ResponseParser(method)
-    while not parser.is_final():
-        _set_timeout(connection, deadline_s)
+    parser = responses.ResponseParser(request.method)
+    slicer = receiving.Slicer()
+    while not parser.complete:
+        timeout_s = _set_timeout(connection, deadline_s)
         data = connection.recv(RECEIVE_BYTES)
-        parser.feed(data)
-        if not data and not parser.is_final():
-            raise OSError("connection closed before the end of the response")
-        if len(parser.body) > MAX_RESPONSE_BYTES:
-            raise OSError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
-    headers = {name.lower(): value for name, value in parser.items()}
-    return Response(parser.status_code, headers, bytes(parser.body))
-
-
-class _ResponseParser(http_response.HTTPResponse):
-    """Collects the body of a response and skips interim responses."""
-
-    def __init__(self, method: str) -> None:
-        super().__init__(method)
-        self.body = bytearray()
-
-    def is_final(self) -> bool:
-        return self.message_complete and self.status_code >= 200
-
-    def _on_body(self, buf: bytearray) -> None:
-        self.body += buf
+        for piece in slicer.slices(data, timeout_s):
+            parser.accept(piece)
+        if parser.body_bytes > request.max_response_bytes:
+            raise OSError(
+                f"the response exceeds {request.max_response_bytes} bytes"
+            )
+    return Response(parser.get_code(), dict(parser.fields), parser.take())
 
 
-def _set_timeout(connection: gevent.socket.socket, deadline_s: float) -> None:
+def _set_timeout(connection: gevent.socket.socket, deadline_s: float) -> float:
+    """Sets and returns the time until the deadline, in seconds."""
     remaining_s = deadline_s - time.monotonic()
     if remaining_s <= 0:
         raise TimeoutError("response not complete within the timeout")
     connection.settimeout(remaining_s)
+    return remaining_s
--- a/mulberrydeck/shell/target_poller.py
+++ b/mulberrydeck/shell/target_poller.py
@@ -10,6 +10,8 @@
 
 STATUS_PATH = "/_target/status"
 POLL_TIMEOUT_S = 1.0
+# Many times a usual report; all targets may be polled at the same time.
+MAX_REPORT_BYTES = 64 * 1024
 POLL_ERRORS = (
     exchange.NotSentError,
     exchange.NoResponseError,
@@ -46,7 +48,9 @@
 
     def _fetch_report(self, address: str) -> events.TargetReport | None:
         endpoint = exchange.Endpoint(f"http://{address}", self.source_ip)
-        request = exchange.Request("GET", STATUS_PATH)
+        request = exchange.Request(
+            "GET", STATUS_PATH, max_response_bytes=MAX_REPORT_BYTES
+        )
         try:
             response = endpoint.exchange(request, POLL_TIMEOUT_S)
             return msgspec.json.decode(response.body, type=events.TargetReport)
