Limit what all responses of a VM that are not yet delivered take

With 400 requests to a target whose bodies never end, the process of a VM grew from 43 to 196 MB; with callers that don't read it stayed there, long past the deadlines, until the idle time-out of 15 s closed their connections. VMs have 200 to 552 MB; beyond that the process ends, and the requests of other callers with it.

Cause: each attempt buffers up to 256 KiB before it passes a response on, and kept these pieces while it passed on the rest. Nothing limited their sum. The deadline was checked when bytes were received, not while the caller was awaited.

All buffered responses of a VM now share 32 MiB. Beyond that a response is passed on at once, as one above 256 KiB is; if it breaks off it can't be repeated, which only matters while memory is short. Pieces that were passed on are dropped, and the deadline also ends the wait for a caller. A response that was received completely may still be sent after it, as before.

The new tests fail without the change.

--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -8,9 +8,11 @@
 import math
 
 import attrs
+import gevent
 from geventhttpclient import response
 
 from mulberrydeck import errors
+from mulberrydeck.forward import budgets
 from mulberrydeck.forward import exchange as exchanges
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.forward import receiving
@@ -23,6 +25,9 @@
 
 # Responses up to this size are buffered until they are complete.
 MAX_BUFFERED_BYTES = 256 * 1024
+# All buffered responses of a VM; beyond this size, responses are passed on at
+# once. Together with request bodies a third of the memory of a small VM.
+MAX_TOTAL_BUFFERED_BYTES = 32 * 1024 * 1024
 # Fraction of the announced keep-alive timeout for which an idle connection is
 # kept; the rest is a margin, since the target applies its own clock.
 KEEP_ALIVE_FRACTION = 0.7
@@ -120,6 +125,7 @@
         hop: Hop,
         body: uploads.Body | None,
         now_s: Callable[[], float],
+        buffered: budgets.Reservation | None = None,
     ) -> None:
         """Prepares an attempt.
 
@@ -128,6 +134,8 @@
             hop: Destination and head of the request.
             body: Request body, or None.
             now_s: Clock of the process, in seconds.
+            buffered: Memory of the buffered response; None for a budget of its
+                own.
         """
         self.pool = pool
         self.hop = hop
@@ -138,6 +146,9 @@
         self.response_started = False
         self.identified = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
+        if buffered is None:
+            buffered = budgets.ByteBudget(MAX_TOTAL_BUFFERED_BYTES).reserve()
+        self.buffered = buffered
         self.parser = responses.ResponseParser(hop.method)
         self.slicer = receiving.Slicer()
         self.filter = response_filter.MismatchedResponseFilter(
@@ -249,31 +260,48 @@
     ) -> Response | None:
         """Returns the response, or None if it was passed to the sink."""
         parser = self.parser
-        chunks: list[bytes] = []
-        size = 0
-        while not parser.complete and size <= MAX_BUFFERED_BYTES:
-            self._receive(connection)
-            chunk = parser.take()
-            chunks.append(chunk)
-            size += len(chunk)
-        chunks.append(parser.take())
+        self._fill_buffer(connection)
         if parser.complete:
             return Response(
                 parser.get_code(),
                 parser.fields,
                 parser.declared_length,
-                b"".join(chunks),
+                parser.take(),
             )
         self.response_started = True
         sink.begin(parser.get_code(), parser.fields, parser.declared_length)
-        sink.write(b"".join(chunks))
+        # Also ends the wait for a caller that does not read.
+        timeout = DeadlineExceededError("response not read by the deadline")
+        with gevent.Timeout(self._remaining_s(), timeout):
+            self._stream(connection, sink)
+        sink.finish()
+        return None
+
+    def _fill_buffer(self, connection: pools.Connection) -> None:
+        """Reads the body to its end or until no more of it may be buffered."""
+        parser = self.parser
+        may_buffer = self.buffered.grow(parser.body_bytes)
+        while (
+            not parser.complete
+            and may_buffer
+            and parser.body_bytes <= MAX_BUFFERED_BYTES
+        ):
+            previous_bytes = parser.body_bytes
+            self._receive(connection)
+            may_buffer = self.buffered.grow(parser.body_bytes - previous_bytes)
+
+    def _stream(
+        self, connection: pools.Connection, sink: exchanges.Sink
+    ) -> None:
+        """Passes on the rest of the body except its last piece."""
+        parser = self.parser
+        sink.write(parser.take())
         while not parser.complete:
             sink.flush()
+            self.buffered.release()
             sending.yield_to_other_greenlets()
             self._receive(connection)
             sink.write(parser.take())
-        sink.finish()
-        return None
 
     def _receive(self, connection: pools.Connection) -> int:
         """Feeds received bytes to the parser; returns their number."""
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.frontend import listeners
 from mulberrydeck.frontend import requests
@@ -58,11 +59,15 @@
         loop: Event loop of this VM.
         pool: Connections to targets.
         reports: Log lines and metrics of requests.
+        response_budget: Memory of all buffered responses.
     """
 
     loop: event_loop.EventLoop
     pool: pools.ConnectionPool
     reports: reporting.Reports
+    response_budget: budgets.ByteBudget = attrs.field(
+        factory=lambda: budgets.ByteBudget(exchange.MAX_TOTAL_BUFFERED_BYTES)
+    )
 
     def serve(self, request: requests.Request) -> None:
         """Serves a caller's request until it is complete."""
@@ -83,7 +88,10 @@
             request.body.read_ahead(MAX_BUFFERED_BODY_BYTES)
         progress = progresses.Progress()
         try:
-            self._run_attempts(request, caller_fields, event, progress)
+            with self.response_budget.reserve() as buffered:
+                self._run_attempts(
+                    request, caller_fields, event, progress, buffered
+                )
         finally:
             self.loop.submit(
                 events.RequestClosed(self.loop.now_s(), event.request_id)
@@ -97,6 +105,7 @@
         caller_fields: headers.CallerFields,
         event: events.RequestArrived,
         progress: progresses.Progress,
+        buffered: budgets.Reservation,
     ) -> None:
         forwarded_fields = headers.encode_forwarded_fields(request.head)
         decision = self.loop.decide(event)
@@ -104,8 +113,10 @@
         while isinstance(decision, effects.Forward):
             progress.last_forward = decision
             hop = self._hop(request, caller_fields, forwarded_fields, decision)
+            # The response of an earlier attempt is no longer needed.
+            buffered.release()
             target_exchange = exchange.TargetExchange(
-                self.pool, hop, request.body, self.loop.now_s
+                self.pool, hop, request.body, self.loop.now_s, buffered
             )
             attempt = target_exchange.run(request.response)
             progress.sent_after_s = attempt.sent_after_s
--- a/mulberrydeck/steering/tests/test_endless_responses.py
+++ b/mulberrydeck/steering/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.forward.tests import endless
 from mulberrydeck.forward.tests import loop_holds
@@ -35,11 +36,21 @@
         """Does nothing."""
 
 
-def run_attempt(address, pool, sink=None):
+class UnreadSink(DiscardingSink):
+    """Passes a response to a caller that does not read."""
+
+    def flush(self):
+        """Blocks."""
+        gevent.sleep(30.0)
+
+
+def run_attempt(address, pool, sink=None, **options):
     hop = exchange.Hop(
         address, REQUEST, "GET", "a1", time.monotonic() + DEADLINE_S
     )
-    target_exchange = exchange.TargetExchange(pool, hop, None, time.monotonic)
+    target_exchange = exchange.TargetExchange(
+        pool, hop, None, time.monotonic, **options
+    )
     return target_exchange.run(sink or DiscardingSink())
 
 
@@ -64,3 +75,36 @@
     outcomes = {attempt.get().outcome for attempt in attempts}
     assert outcomes <= {exchange.Outcome.EXPIRED, exchange.Outcome.BROKEN}
     assert holds.longest_s < MAX_HOLD_S
+
+
+# Guards against a caller that does not read and keeps a target at work.
+def test_an_attempt_ends_at_the_deadline_if_its_caller_does_not_read():
+    pool = pools.ConnectionPool("", 1.0, 30.0, time.monotonic)
+    with endless.EndlessServer(OWN + b"\r\n", b"a" * 65536) as server:
+        start_s = time.monotonic()
+        attempt = run_attempt(server.address, pool, UnreadSink())
+    assert attempt.outcome is exchange.Outcome.EXPIRED
+    assert attempt.response_started
+    assert DEADLINE_S <= time.monotonic() - start_s < DEADLINE_S + 0.5
+
+
+# Guards against many endless bodies that together exhaust the memory.
+def test_the_buffered_responses_of_a_vm_have_a_common_limit():
+    limit_bytes = 1_000_000
+    count = 40
+    budget = budgets.ByteBudget(limit_bytes)
+    pool = pools.ConnectionPool("", 1.0, 30.0, time.monotonic)
+
+    def run(address):
+        with budget.reserve() as buffered:
+            return run_attempt(address, pool, UnreadSink(), buffered=buffered)
+
+    with endless.EndlessServer(OWN + b"\r\n", b"a" * 65536) as server:
+        attempts = [gevent.spawn(run, server.address) for _ in range(count)]
+        gevent.sleep(0.7 * DEADLINE_S)
+        assert budget.used_bytes > limit_bytes
+        # Each response may exceed the limit by one read.
+        assert budget.used_bytes < limit_bytes + count * 2 * 65536
+        gevent.joinall(attempts)
+    assert all(attempt.get().response_started for attempt in attempts)
+    assert budget.used_bytes == 0
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -124,3 +124,50 @@
         MAX_CLOSE_S,
     )
     assert _peak_bytes(fleet) - peak_bytes < MAX_GROWTH_BYTES
+
+
+UNREAD_RESPONSES = 300
+# A third of the memory of a small VM; unlimited, these responses took 116 MB.
+MAX_UNREAD_GROWTH_BYTES = 64 * 1024 * 1024
+
+
+def _open_unread(fleet, number, deadline_s):
+    """Sends a request and returns its connection, from which nobody reads."""
+    host, _, port = fleet.client().address.rpartition(":")
+    head = (
+        f"GET /read/{number} HTTP/1.1\r\nHost: permits.example\r\n"
+        f"X-Attempt-Id: unread{number}\r\n"
+        f"X-Deadline-Ms: {deadline_s * 1000:.0f}\r\n\r\n"
+    )
+    sock = gevent.socket.create_connection((host, int(port)))
+    sock.sendall(head.encode())
+    return sock
+
+
+# Guards against a VM that runs out of memory, with all requests on it.
+def test_many_endless_bodies_that_nobody_reads_fit_into_memory(fleet):
+    deadline_s = 1.5
+    for name in ("t1", "t2"):
+        fleet.store.remove("servers", name)
+    target = fleet.add_target("large", slots=2 * UNREAD_RESPONSES)
+    waiting.until(lambda: _serves(fleet) and target.runs, "it is used")
+    target.queued_faults.extend(["endless body"] * UNREAD_RESPONSES)
+    peak_bytes = _peak_bytes(fleet)
+    socks = [
+        _open_unread(fleet, number, deadline_s)
+        for number in range(UNREAD_RESPONSES)
+    ]
+    waiting.until(
+        lambda: target.endless_responses_started == UNREAD_RESPONSES,
+        "all responses have started",
+    )
+    _, response = fleet.request(fleet.client(), "/read/1")
+    assert response.status == 200
+    waiting.until(
+        lambda: target.endless_responses_open == 0,
+        "the connections to the target are closed",
+        deadline_s + 2.0,
+    )
+    for sock in socks:
+        sock.close()
+    assert _peak_bytes(fleet) - peak_bytes < MAX_UNREAD_GROWTH_BYTES
