Limit what all bodies that are read ahead take together

300 callers that sent bodies of 1 MB and paused before the end took the process of a VM from 43 to 512 MB, 200 chunked ones to 430 MB. VMs have 200 to 552 MB, beyond which the process ends with the requests of all callers on it.

Cause: each body of up to 1 MiB is read before a target is chosen, and nothing limited their sum.

All such bodies now share 32 MiB. Beyond that a body is sent to its target while it is read, like one above 1 MiB. It can't be sent again then.

--- a/mulberrydeck/frontend/bodies.py
+++ b/mulberrydeck/frontend/bodies.py
@@ -4,6 +4,7 @@
 import enum
 import re
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.frontend import buffered_connection as buffered
 from mulberrydeck.frontend import heads
 
@@ -149,6 +150,7 @@
         read_bytes: Number of bytes read from the caller so far.
         max_kept_bytes: Size of the largest body kept for replay, in bytes.
         replayable: Whether all bytes read so far can be sent again.
+        reservation: Memory of the kept pieces, or None.
     """
 
     def __init__(
@@ -171,6 +173,7 @@
         self.read_bytes = 0
         self.max_kept_bytes = MAX_REPLAY_BYTES
         self.replayable = True
+        self.reservation: budgets.Reservation | None = None
 
     @property
     def finished(self) -> bool:
@@ -186,15 +189,18 @@
         while self.read_next():
             pass
 
-    def read_ahead(self, limit: int) -> None:
-        """Reads the body until its end or until it exceeds the limit.
+    def read_ahead(self, limit: int, reservation: budgets.Reservation) -> None:
+        """Reads the body until its end or until it exceeds a limit.
 
         All bytes are kept until the body is sent.
 
         Args:
             limit: Size of the largest body that is read to its end, in bytes.
+            reservation: Memory of this body; it is read no further once the
+                budget of all bodies is exceeded.
         """
         self.max_kept_bytes = limit
+        self.reservation = reservation
         if (self.length or 0) > limit:
             return
         while self.read_bytes <= limit:
@@ -202,6 +208,10 @@
             self.kept_pieces.append(piece)
             if not piece:
                 return
+            if not reservation.grow(len(piece)) and not self.finished:
+                # The rest is read while the body is sent, and is not kept.
+                self.max_kept_bytes = 0
+                return
 
     def pieces(self) -> "Pieces":
         """Returns an iterator over the body from its first byte."""
@@ -219,6 +229,8 @@
         else:
             self.kept_pieces.clear()
             self.replayable = False
+            if self.reservation is not None:
+                self.reservation.release()
         return piece
 
     def _read(self) -> bytes:
--- a/mulberrydeck/frontend/tests/test_bodies.py
+++ b/mulberrydeck/frontend/tests/test_bodies.py
@@ -6,6 +6,7 @@
 import gevent.socket
 import pytest
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.frontend import bodies
 from mulberrydeck.frontend import buffered_connection
 
@@ -46,6 +47,10 @@
             gevent.sleep(0)
 
 
+def reserve(limit_bytes=LIMIT * 10):
+    return budgets.ByteBudget(limit_bytes).reserve()
+
+
 @pytest.fixture(name="caller")
 def fixture_caller():
     opened = Caller()
@@ -67,7 +72,7 @@
         body = caller.body_of_length(len(content))
         data = content
     gevent.spawn(caller.send, data, piece_bytes)
-    body.read_ahead(LIMIT)
+    body.read_ahead(LIMIT, reserve())
     assert body.replayable
     assert b"".join(body.pieces()) == content
     if body.replayable:
@@ -78,7 +83,7 @@
     content = bytes(3 * LIMIT)
     gevent.spawn(caller.send, encode(content, LIMIT // 10), LIMIT // 10)
     body = caller.chunked_body()
-    body.read_ahead(LIMIT)
+    body.read_ahead(LIMIT, reserve())
     assert b"".join(body.pieces()) == content
     assert not body.replayable
 
@@ -93,3 +98,35 @@
     caller.sock.sendall(b"\nde\r\n0\r\n\r\n")
     assert body.replayable
     assert b"".join(body.pieces()) == b"abcde"
+
+
+# Guards against bodies of many slow callers that together exhaust the memory.
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_body_is_read_ahead_only_within_the_common_budget(caller, chunked):
+    content = random.Random(1).randbytes(LIMIT)
+    reservation = reserve(LIMIT // 2)
+    if chunked:
+        body = caller.chunked_body()
+        data = encode(content, LIMIT // 10)
+    else:
+        body = caller.body_of_length(LIMIT)
+        data = content
+    received = 65 * len(data) // 100  # Within a chunk.
+    caller.sock.sendall(data[:received])
+    body.read_ahead(LIMIT, reservation)
+    assert LIMIT // 2 < reservation.reserved_bytes < LIMIT
+    caller.sock.sendall(data[received:])
+    assert body.replayable
+    assert b"".join(body.pieces()) == content
+    assert not body.replayable
+    assert reservation.budget.used_bytes == 0
+
+
+def test_a_body_that_is_complete_at_the_limit_can_be_sent_again(caller):
+    content = bytes(range(100))
+    caller.sock.sendall(content)
+    body = caller.body_of_length(len(content))
+    body.read_ahead(LIMIT, reserve(1))
+    for _ in range(2):
+        assert b"".join(body.pieces()) == content
+    assert body.replayable
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -21,6 +21,8 @@
 # Bodies up to this size are read completely before a target is chosen, so that
 # they can be sent again and a slow caller occupies no slot of a target.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
+# All such bodies of a VM; beyond this size, they are sent while they are read.
+MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
 # All callers of a region may connect at the same time.
 LISTEN_BACKLOG = 512
 # While stopping, interval between checks whether requests are in progress.
@@ -59,12 +61,16 @@
         loop: Event loop of this VM.
         pool: Connections to targets.
         reports: Log lines and metrics of requests.
+        body_budget: Memory of all bodies that are read ahead.
         response_budget: Memory of all buffered responses.
     """
 
     loop: event_loop.EventLoop
     pool: pools.ConnectionPool
     reports: reporting.Reports
+    body_budget: budgets.ByteBudget = attrs.field(
+        factory=lambda: budgets.ByteBudget(MAX_TOTAL_BODY_BYTES)
+    )
     response_budget: budgets.ByteBudget = attrs.field(
         factory=lambda: budgets.ByteBudget(exchange.MAX_TOTAL_BUFFERED_BYTES)
     )
@@ -73,9 +79,8 @@
         """Serves a caller's request until it is complete."""
         caller_fields = headers.parse_caller_fields(request.head)
         request.request_id = caller_fields.attempt_id or request.handling_id
-        arrived_s = self.loop.now_s()
         event = events.RequestArrived(
-            at_s=arrived_s,
+            at_s=self.loop.now_s(),
             request_id=request.handling_id,
             host=caller_fields.host,
             path=request.path,
@@ -84,8 +89,17 @@
             timeout_s=caller_fields.timeout_s,
             body_bytes=request.head.length or 0,
         )
-        if request.body is not None:
-            request.body.read_ahead(MAX_BUFFERED_BODY_BYTES)
+        with self.body_budget.reserve() as read_ahead:
+            if request.body is not None:
+                request.body.read_ahead(MAX_BUFFERED_BODY_BYTES, read_ahead)
+            self._serve(request, caller_fields, event)
+
+    def _serve(
+        self,
+        request: requests.Request,
+        caller_fields: headers.CallerFields,
+        event: events.RequestArrived,
+    ) -> None:
         progress = progresses.Progress()
         try:
             with self.response_budget.reserve() as buffered:
@@ -96,7 +110,7 @@
             self.loop.submit(
                 events.RequestClosed(self.loop.now_s(), event.request_id)
             )
-            elapsed_s = self.loop.now_s() - arrived_s
+            elapsed_s = self.loop.now_s() - event.at_s
             self.reports.request_ended(request, progress, elapsed_s)
 
     def _run_attempts(
