Let responses that are parsed in one step never wait for others

Cause: a response queued after a slice that took 0.5 ms or more, although it was its last. The time also counts while the process is suspended, so that ordinary responses were taken for costly ones and queued behind all others.

A response now waits before its next slice, if there is one. The timer that it waits for is closed as well.

The new test fails without the change.

--- a/mulberrydeck/forward/receiving.py
+++ b/mulberrydeck/forward/receiving.py
@@ -8,8 +8,8 @@
 import gevent.lock
 
 SLICE_BYTES = 4 * 1024
-# Parsing time of one response that never waits, in seconds. Usual responses
-# take less, so that they never queue behind those of faulty targets.
+# Parsing time after which a response waits before its next slice, in seconds.
+# Usual responses have one slice, so that they never queue behind costly ones.
 MIN_PARSING_S = 0.0005
 # Parsing time of all responses between two polls of the sockets, in seconds.
 MAX_TURN_S = 0.002
@@ -48,7 +48,8 @@
         try:
             # Unlike `sleep(0)`, a timer also lets the loop poll the sockets.
             hub = gevent.get_hub()
-            hub.wait(hub.loop.timer(0))
+            with hub.loop.timer(0) as timer:
+                hub.wait(timer)
         finally:
             self.queue.release()
         self.used_s = 0.0
@@ -83,13 +84,14 @@
             ParsingTimeoutError: Other responses took all turns until then.
         """
         for start in range(0, len(data) or 1, SLICE_BYTES):
+            self._wait_if_costly(timeout_s)
             started_s = time.perf_counter()
             yield data[start : start + SLICE_BYTES]
-            self._add(time.perf_counter() - started_s, timeout_s)
+            elapsed_s = time.perf_counter() - started_s
+            self.used_s += elapsed_s
+            self.loop_turn.used_s += elapsed_s
 
-    def _add(self, elapsed_s: float, timeout_s: float) -> None:
-        self.used_s += elapsed_s
-        self.loop_turn.used_s += elapsed_s
+    def _wait_if_costly(self, timeout_s: float) -> None:
         if self.used_s < MIN_PARSING_S or self.loop_turn.used_s < MAX_TURN_S:
             return
         self.loop_turn.wait_for_next(timeout_s)
--- a/mulberrydeck/forward/tests/test_receiving.py
+++ b/mulberrydeck/forward/tests/test_receiving.py
@@ -44,12 +44,15 @@
     assert holds.longest_s < 0.2
 
 
-def test_a_cheap_response_does_not_queue_behind_costly_ones():
+# Guards against ordinary responses that wait, since the process was suspended
+# while they were parsed.
+@pytest.mark.parametrize("cost_s", [0.0, 5 * receiving.MIN_PARSING_S])
+def test_a_short_response_does_not_queue_behind_costly_ones(cost_s):
     turn = receiving.LoopTurn()
     costly = [gevent.spawn(parse, receiving.Slicer(turn)) for _ in range(30)]
     gevent.sleep(0.02)
-    cheap = gevent.spawn(parse, receiving.Slicer(turn), b"ab", 0.0)
-    cheap.get()
+    short = gevent.spawn(parse, receiving.Slicer(turn), b"ab", cost_s)
+    short.get()
     assert not all(greenlet.ready() for greenlet in costly)
     gevent.joinall(costly)
 
