--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,8 @@
     assert not played.broken_promises, played.series
 
 
+# Found calls that ran although they had been refused, with the status of the
+# target that ran them, or twice after a rejection that contradicted itself.
 @pytest.mark.parametrize("mesh", [True, False])
 def test_promises_hold_while_targets_fail_as_operators_reported(mesh, tmp_path):
     played = runs.run_seed(
