--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 import math
 
-import attrs
 import gevent
 from geventhttpclient import response
 
@@ -20,6 +19,7 @@
 from mulberrydeck.forward import sending
 from mulberrydeck.forward import uploads
 from mulberrydeck.platform import headers
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import events
 from mulberrydeck.steering import response_filter
 
@@ -49,83 +49,6 @@
 }
 
 
-@attrs.frozen
-class Hop:
-    """Destination and encoded head of a request.
-
-    Attributes:
-        address: `ip:port` of the target.
-        head: Encoded request head.
-        method: HTTP method.
-        attempt_id: Identifier that the response must carry; empty for any.
-        deadline_s: Deadline of the final response, in seconds.
-        repeatable: Whether the request may run more than once.
-        send_by_s: Latest time of the first byte, in seconds.
-    """
-
-    address: str
-    head: bytes
-    method: str
-    attempt_id: str
-    deadline_s: float
-    repeatable: bool = True
-    send_by_s: float = math.inf
-
-
-@attrs.frozen
-class Response:
-    """A complete buffered response.
-
-    Attributes:
-        status: HTTP status.
-        fields: Header fields in order: lower-case name and value.
-        length: Declared length of the body, in bytes; None if unknown.
-        body: The body.
-    """
-
-    status: int
-    fields: list[tuple[str, str]]
-    length: int | None
-    body: bytes
-
-
-@attrs.frozen
-class Attempt:
-    """Result of an attempt.
-
-    Attributes:
-        outcome: Outcome of the attempt.
-        status: HTTP status of the response; 0 without a response.
-        response: The response if it was buffered, else None.
-        response_started: Whether a part of the response was passed to the
-            caller.
-        reported_load: Number of running and queued requests that the target
-            reported; None if it did not report them.
-        leaving: Whether the target said that it is about to stop.
-        pause_s: For how long the target wants no further requests, in seconds.
-        reason: Reason of a failure, for logs.
-        sent_after_s: Time from the start of the attempt to the first byte of
-            the request, in seconds; None if nothing was sent.
-        kept_connection: Whether the connection carried an earlier request.
-        identified: Whether the response carries the request's identifier.
-        not_executed: Values of the fields by which the target states that it
-            did not run the request, for logs.
-    """
-
-    outcome: Outcome
-    status: int = 0
-    response: Response | None = None
-    response_started: bool = False
-    reported_load: int | None = None
-    leaving: bool = False
-    pause_s: float = 0.0
-    reason: str = ""
-    sent_after_s: float | None = None
-    kept_connection: bool = False
-    identified: bool = False
-    not_executed: tuple[str, ...] = ()
-
-
 class InvalidResponseError(Exception):
     """The target sent no valid response to the request."""
 
@@ -140,7 +63,7 @@
     def __init__(
         self,
         pool: pools.ConnectionPool,
-        hop: Hop,
+        hop: attempts.Hop,
         body: uploads.Body | None,
         now_s: Callable[[], float],
         buffered: budgets.Reservation | None = None,
@@ -174,7 +97,7 @@
             headers.ATTEMPT_ID, hop.attempt_id
         )
 
-    def run(self, sink: exchanges.Sink) -> Attempt:
+    def run(self, sink: exchanges.Sink) -> attempts.Attempt:
         """Runs the attempt.
 
         Args:
@@ -187,7 +110,7 @@
         try:
             connection = self._acquire()
         except pools.ConnectError as error:
-            return Attempt(Outcome.NOT_SENT, reason=str(error))
+            return attempts.Attempt(Outcome.NOT_SENT, reason=str(error))
         self.kept_connection = connection.reused
         reusable = False
         try:
@@ -229,7 +152,7 @@
 
     def _exchange(
         self, connection: pools.Connection, sink: exchanges.Sink
-    ) -> Attempt:
+    ) -> attempts.Attempt:
         connection.sock.settimeout(self._remaining_s())
         try:
             self.sent_after_s = self.now_s() - self.started_s
@@ -243,7 +166,7 @@
                 return self._completed(outcome)
             buffered = self._read_body(connection, sink)
         except errors.AdmissionExpiredError as error:
-            return Attempt(Outcome.DELAYED, reason=str(error))
+            return attempts.Attempt(Outcome.DELAYED, reason=str(error))
         except (DeadlineExceededError, receiving.ParsingTimeoutError) as error:
             return self._failed(Outcome.EXPIRED, error)
         except (
@@ -314,13 +237,13 @@
 
     def _read_body(
         self, connection: pools.Connection, sink: exchanges.Sink
-    ) -> Response | None:
+    ) -> attempts.Response | None:
         """Returns the response, or None if it was passed to the sink."""
         parser = self.parser
         self._fill_buffer(connection)
         fields = headers.response_fields(parser.fields)
         if parser.complete:
-            return Response(
+            return attempts.Response(
                 parser.get_code(),
                 fields,
                 parser.declared_length,
@@ -394,7 +317,7 @@
         return max(exchanges.MIN_TIMEOUT_S, self.hop.deadline_s - self.now_s())
 
     def _may_reuse(
-        self, connection: pools.Connection, attempt: Attempt
+        self, connection: pools.Connection, attempt: attempts.Attempt
     ) -> bool:
         if attempt.outcome is Outcome.DELAYED:
             # The idle time of a kept connection goes on.
@@ -412,10 +335,10 @@
         self.pool.release(connection)
 
     def _completed(
-        self, outcome: Outcome, buffered: Response | None = None
-    ) -> Attempt:
+        self, outcome: Outcome, buffered: attempts.Response | None = None
+    ) -> attempts.Attempt:
         load = headers.parse_load(self.parser.first(headers.LOAD))
-        return Attempt(
+        return attempts.Attempt(
             outcome,
             self.parser.get_code(),
             buffered,
@@ -439,13 +362,13 @@
             return 0.0
         return headers.parse_pause_s(self.parser.first(headers.RETRY_AFTER))
 
-    def _failed(self, outcome: Outcome, error: Exception) -> Attempt:
+    def _failed(self, outcome: Outcome, error: Exception) -> attempts.Attempt:
         if not self.upload.sent_any:
             outcome = Outcome.NOT_SENT
         if isinstance(error, TimeoutError):
             self.pool.discard_idle(self.hop.address)
         reason = str(error) or type(error).__name__
-        return Attempt(
+        return attempts.Attempt(
             outcome,
             response_started=self.response_started,
             leaving=self._says_leaving(),
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -8,9 +8,9 @@
 from mulberrydeck.frontend import requests
 from mulberrydeck.observability import logs
 from mulberrydeck.platform import headers
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
-from mulberrydeck.steering import exchange
 from mulberrydeck.steering import progress as progresses
 
 # For requests that succeeded; failed ones have the limit below.
@@ -148,7 +148,7 @@
         self,
         request: requests.Request,
         decision: effects.Forward,
-        attempt: exchange.Attempt,
+        attempt: attempts.Attempt,
     ) -> None:
         """Counts an attempt, and logs it if it failed."""
         self.attempts.labels(attempt.outcome.value).inc()
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -12,6 +12,7 @@
 from mulberrydeck.frontend import requests
 from mulberrydeck.platform import headers
 from mulberrydeck.shell import event_loop
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import exchange
@@ -177,7 +178,7 @@
     ) -> None:
         forwarded_fields = headers.encode_forwarded_fields(request.head)
         decision = self.loop.decide(event)
-        attempt: exchange.Attempt | None = None
+        attempt: attempts.Attempt | None = None
         while isinstance(decision, effects.Forward):
             progress.last_forward = decision
             hop = self._hop(request, caller_fields, forwarded_fields, decision)
@@ -208,7 +209,7 @@
         caller_fields: headers.CallerFields,
         forwarded_fields: str,
         decision: effects.Forward,
-    ) -> exchange.Hop:
+    ) -> attempts.Hop:
         head = request.head
         fields = headers.encode_target_fields(
             forwarded_fields,
@@ -223,7 +224,7 @@
         elif head.length is not None:
             framing = f"content-length: {head.length}\r\n"
         text = f"{head.method} {head.target} HTTP/1.1\r\n{fields}{framing}\r\n"
-        return exchange.Hop(
+        return attempts.Hop(
             address=decision.address,
             head=text.encode("latin-1"),
             method=head.method,
@@ -237,7 +238,7 @@
         self,
         request: requests.Request,
         decision: effects.Forward,
-        attempt: exchange.Attempt,
+        attempt: attempts.Attempt,
     ) -> events.AttemptEnded:
         body = request.body
         return events.AttemptEnded(
@@ -296,7 +297,7 @@
 
 
 def send_buffered_response(
-    request: requests.Request, response: exchange.Response
+    request: requests.Request, response: attempts.Response
 ) -> None:
     """Sends a target's response that was buffered until it was complete."""
     writer = request.response
--- a/mulberrydeck/steering/tests/test_endless_responses.py
+++ b/mulberrydeck/steering/tests/test_endless_responses.py
@@ -9,6 +9,7 @@
 from mulberrydeck.forward import pool as pools
 from mulberrydeck.forward.tests import endless
 from mulberrydeck.forward.tests import loop_holds
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import exchange
 
 OWN = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
@@ -45,7 +46,7 @@
 
 
 def run_attempt(address, pool, sink=None, **options):
-    hop = exchange.Hop(
+    hop = attempts.Hop(
         address, REQUEST, "GET", "a1", time.monotonic() + DEADLINE_S
     )
     target_exchange = exchange.TargetExchange(
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import exchange
 
 SEND_WITHIN_S = 0.15
@@ -59,7 +60,7 @@
 
 
 def run_attempt(target, clock, pool, delay_s=0.0, attempt_id="a1"):
-    hop = exchange.Hop(
+    hop = attempts.Hop(
         address=f"127.0.0.1:{target.server.server_port}",
         head=b"GET / HTTP/1.1\r\nhost: t\r\n\r\n",
         method="GET",
--- a/mulberrydeck/steering/tests/test_reporting.py
+++ b/mulberrydeck/steering/tests/test_reporting.py
@@ -5,9 +5,9 @@
 import pytest
 
 from mulberrydeck.observability import logs
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
-from mulberrydeck.steering import exchange
 from mulberrydeck.steering import progress as progresses
 from mulberrydeck.steering import reporting
 
@@ -54,7 +54,7 @@
     forward = effects.Forward(
         "r1", 1, "t1", "10.0.0.1:80", "", 101.0, True, cold=True
     )
-    attempt = exchange.Attempt(
+    attempt = attempts.Attempt(
         events.Outcome.ANSWERED, status=200, sent_after_s=0.125
     )
     reports.attempt_ended(request, forward, attempt)
@@ -103,7 +103,7 @@
 ):
     reports = reporting.Reports(lambda: 100.0)
     forward = effects.Forward("r1", 1, "t1", "10.0.0.1:80", "", 101.0, False)
-    attempt = exchange.Attempt(
+    attempt = attempts.Attempt(
         Outcome.ANSWERED, status, kept_connection=True, not_executed=("",)
     )
     reports.attempt_ended(make_request(), forward, attempt)
