--- a/mulberrydeck/steering/tests/samples.py
+++ b/mulberrydeck/steering/tests/samples.py
@@ -65,6 +65,10 @@
     return registry.TargetEntry(**{**values, **changes})
 
 
+def make_entries(count=3, **changes):
+    return [make_entry(f"t{number}", **changes) for number in range(count)]
+
+
 def make_record(name, zone="coast-a", port=7):
     return registry.VmRecord(
         name,
