Give costly responses turns of the event loop in the order of waiting

Cause: the greenlet that releases a semaphore of gevent takes it again before a waiting one has run, so that one response kept all turns until its deadline. The wait was also bounded for each slice and not for all of them together.

Now the responses wait in order, and for all slices of a read until the same time.

--- a/mulberrydeck/forward/receiving.py
+++ b/mulberrydeck/forward/receiving.py
@@ -1,11 +1,12 @@
 """Parsing of received bytes without holding the event loop."""
 
+import collections
 from collections.abc import Iterator
 import time
 
 import attrs
 import gevent
-import gevent.lock
+import gevent.event
 
 SLICE_BYTES = 4 * 1024
 # Parsing time after which a response waits before its next slice, in seconds.
@@ -21,37 +22,49 @@
 
 @attrs.define(eq=False)
 class LoopTurn:
-    """Time that responses have taken in the current turn of the event loop.
+    """Turns of the event loop that costly responses take one after another.
 
     If each of a few hundred responses only yielded after each slice, they would
     still hold the loop for a large part of a second in every turn.
 
     Attributes:
-        used_s: Parsing time of all responses in this turn, in seconds.
-        queue: Held by the response that continues in the next turn.
+        used_s: Parsing time of all responses since the last turn that one of
+            them waited for, in seconds.
+        waiting: Responses that wait, in order; the first one takes the next
+            turn.
     """
 
     used_s: float = 0.0
-    queue: gevent.lock.Semaphore = attrs.field(factory=gevent.lock.Semaphore)
+    waiting: collections.deque[gevent.event.Event] = attrs.field(
+        factory=collections.deque
+    )
 
     def wait_for_next(self, timeout_s: float) -> None:
-        """Blocks until the next turn that no other response has taken.
+        """Blocks until the next turn that no earlier response takes.
 
         Args:
-            timeout_s: Longest time to wait, in seconds.
+            timeout_s: Longest time to wait for earlier ones, in seconds.
 
         Raises:
             ParsingTimeoutError: Other responses took all turns until then.
         """
-        if not self.queue.acquire(timeout=timeout_s):
-            raise ParsingTimeoutError("received bytes were not parsed in time")
+        is_first = gevent.event.Event()
+        self.waiting.append(is_first)
+        if len(self.waiting) == 1:
+            is_first.set()
         try:
+            if not is_first.wait(timeout_s):
+                raise ParsingTimeoutError(
+                    "received bytes were not parsed in time"
+                )
             # Unlike `sleep(0)`, a timer also lets the loop poll the sockets.
             hub = gevent.get_hub()
             with hub.loop.timer(0) as timer:
                 hub.wait(timer)
         finally:
-            self.queue.release()
+            self.waiting.remove(is_first)
+            if self.waiting:
+                self.waiting[0].set()
         self.used_s = 0.0
 
 
@@ -78,21 +91,22 @@
 
         Args:
             data: Received bytes; empty yields one empty slice.
-            timeout_s: Longest time to wait between two slices, in seconds.
+            timeout_s: Longest time to wait for all slices, in seconds.
 
         Raises:
             ParsingTimeoutError: Other responses took all turns until then.
         """
+        end_s = time.monotonic() + timeout_s
         for start in range(0, len(data) or 1, SLICE_BYTES):
-            self._wait_if_costly(timeout_s)
+            self._wait_if_costly(end_s)
             started_s = time.perf_counter()
             yield data[start : start + SLICE_BYTES]
             elapsed_s = time.perf_counter() - started_s
             self.used_s += elapsed_s
             self.loop_turn.used_s += elapsed_s
 
-    def _wait_if_costly(self, timeout_s: float) -> None:
+    def _wait_if_costly(self, end_s: float) -> None:
         if self.used_s < MIN_PARSING_S or self.loop_turn.used_s < MAX_TURN_S:
             return
-        self.loop_turn.wait_for_next(timeout_s)
+        self.loop_turn.wait_for_next(max(0.0, end_s - time.monotonic()))
         self.used_s = 0.0
--- a/mulberrydeck/forward/tests/test_receiving.py
+++ b/mulberrydeck/forward/tests/test_receiving.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+import gevent.event
 import pytest
 
 from mulberrydeck.forward import receiving
@@ -59,7 +60,28 @@
 
 def test_waiting_for_a_turn_ends_with_the_timeout():
     turn = receiving.LoopTurn()
-    with turn.queue, pytest.raises(receiving.ParsingTimeoutError):
-        parse(receiving.Slicer(turn), timeout_s=0.01)
-    # A response that gave up leaves the queue to others.
+    other = gevent.event.Event()
+    turn.waiting.append(other)
+    start_s = time.monotonic()
+    with pytest.raises(receiving.ParsingTimeoutError):
+        parse(receiving.Slicer(turn), timeout_s=0.05)
+    assert time.monotonic() - start_s < 0.5
+    assert list(turn.waiting) == [other]
+    # A response that gave up leaves the turns to others.
+    turn.waiting.clear()
     assert b"".join(parse(receiving.Slicer(turn))) == DATA
+
+
+# Guards against a response that keeps all turns, so that others expire.
+def test_turns_are_taken_in_the_order_of_waiting():
+    turn = receiving.LoopTurn()
+    taken = []
+
+    def take(name):
+        for _ in range(10):
+            turn.wait_for_next(TIMEOUT_S)
+            taken.append(name)
+
+    takers = [gevent.spawn(take, name) for name in "abc"]
+    gevent.joinall(takers, raise_error=True)
+    assert "".join(taken) == "abc" * 10
