Run no repeatable request again after an unclear 408 or 429, and pass on the pause

Since a target's status is no longer delivered without a statement, a repeatable request with a 408 or 429 of its target ran at a second one, from the retry budget, and callers lost the Retry-After of a 503. Only 5xx are tried again, as before; the 502 of a repeatable request carries the pause that the target asked for. Both tests failed before.

--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -284,7 +284,14 @@
                     state, request, event, effects.Deliver(request.request_id)
                 )
             return effects.Deliver(request.request_id)
-        case Outcome.BROKEN | Outcome.EXPIRED | Outcome.UNCLEAR:
+        case Outcome.UNCLEAR:
+            request.may_have_run = True
+            if (
+                not request.repeatable
+                or event.status < observations.MIN_SERVER_ERROR_STATUS
+            ):
+                return _refusal_after_attempt(request, event)
+        case Outcome.BROKEN | Outcome.EXPIRED:
             request.may_have_run = True
             if not request.repeatable:
                 return _refusal_after_attempt(request, event)
@@ -365,7 +372,11 @@
         case Outcome.EXPIRED:
             return refusals.refusal(request, 504, "deadline-exceeded", None)
         case Outcome.BROKEN | Outcome.UNCLEAR:
-            return refusals.refusal(request, 502, "outcome-unknown", None)
+            # A request that must run at most once is not to be sent again.
+            pause_s = event.pause_s if request.repeatable else 0.0
+            return refusals.refusal(
+                request, 502, "outcome-unknown", pause_s or None
+            )
     return refusals.refusal(request, 503, "no-capacity", NO_CAPACITY_RETRY_S)
 
 
--- a/mulberrydeck/steering/tests/test_requests.py
+++ b/mulberrydeck/steering/tests/test_requests.py
@@ -164,6 +164,22 @@
     assert (refusal.status, refusal.kind) == (502, "outcome-unknown")
 
 
+@pytest.mark.parametrize("status", [408, 429])
+def test_a_safe_request_is_not_run_again_after_an_unclear_4xx(status):
+    vm = samples.Vm(entries=samples.make_entries(2))
+    vm.arrive()
+    refusal = vm.end("r1", Outcome.UNCLEAR, status=status)
+    assert (refusal.status, refusal.kind) == (502, "outcome-unknown")
+
+
+def test_a_pause_of_the_last_target_reaches_callers_that_may_return():
+    route = samples.make_route(max_attempts=1)
+    vm = samples.Vm(samples.make_table(route), samples.make_entries())
+    vm.arrive()
+    refusal = vm.end("r1", Outcome.UNCLEAR, status=503, pause_s=2.0)
+    assert (refusal.status, refusal.retry_after_s) == (502, 2.0)
+
+
 def test_a_safe_request_is_retried_after_an_unclear_response():
     vm = samples.Vm(entries=samples.make_entries(2))
     vm.arrive()
