--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -186,9 +186,9 @@
         status: HTTP status.
         not_executed: Members of the not-executed fields.
     """
-    if status == WRONG_TARGET_STATUS:
-        return Execution.WRONG_TARGET
     denied = not _DENIALS.isdisjoint(map(str.lower, not_executed))
+    if status == WRONG_TARGET_STATUS and not denied:
+        return Execution.WRONG_TARGET
     stated = bool(not_executed) and not denied
     rejected = 400 <= status < 500 or status == UNAVAILABLE_STATUS
     if stated and rejected:
--- a/mulberrydeck/platform/tests/test_headers.py
+++ b/mulberrydeck/platform/tests/test_headers.py
@@ -141,6 +141,7 @@
         (429, ("1",), Execution.NOT_RUN),
         (400, ("1",), Execution.NOT_RUN),
         (421, (), Execution.WRONG_TARGET),
+        (421, ("0",), Execution.UNCLEAR),
         (503, (), Execution.UNCLEAR),
         (429, (), Execution.UNCLEAR),
         (408, (), Execution.UNCLEAR),
