--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -175,7 +175,7 @@
     return TargetLoad(running, waiting, slots)
 
 
-def parse_execution(status: int, not_executed: tuple[str, ...]) -> "Execution":
+def parse_execution(status: int, not_executed: tuple[str, ...]) -> Execution:
     """Returns what a response states about whether its request ran.
 
     Only the not-executed field and status 421 state that it did not. A target
@@ -202,7 +202,7 @@
 def response_fields(
     fields: list[header_fields.Field],
 ) -> list[header_fields.Field]:
-    """Returns the fields of a response that a caller may get.
+    """Returns the fields of a response without what it states to this VM.
 
     Args:
         fields: Fields as received, names in lower case.
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -85,7 +85,7 @@
         self.started_s = now_s()
         self.sent_after_s: float | None = None
         self.response_started = False
-        self.identified = False
+        self.from_target = False
         self.kept_connection = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
         if buffered is None:
@@ -182,7 +182,7 @@
         status = self.parser.get_code()
         if 200 <= status < 300:
             self._check_success()
-        self.identified = status != headers.WRONG_TARGET_STATUS
+        self.from_target = status != headers.WRONG_TARGET_STATUS
 
     def _check_identifier(self, connection: pools.Connection) -> None:
         """Checks that the final response is the one to this request.
@@ -346,11 +346,11 @@
 
     def _says_leaving(self) -> bool:
         text = self.parser.first(headers.LEAVING)
-        return self.identified and headers.parse_leaving(text)
+        return self.from_target and headers.parse_leaving(text)
 
     def _pause_s(self) -> float:
         status = self.parser.get_code()
-        if not self.identified or status != headers.UNAVAILABLE_STATUS:
+        if not self.from_target or status != headers.UNAVAILABLE_STATUS:
             return 0.0
         return headers.parse_pause_s(self.parser.first(headers.RETRY_AFTER))
 
--- a/mulberrydeck/steering/progress.py
+++ b/mulberrydeck/steering/progress.py
@@ -53,7 +53,12 @@
     def attempt_ended(
         self, forward: effects.Forward, attempt: attempts.Attempt
     ) -> None:
-        """Records the result of an attempt."""
+        """Records the result of an attempt.
+
+        Args:
+            forward: The decision to send it.
+            attempt: Its result.
+        """
         self.sent_after_s = attempt.sent_after_s
         self.outcomes.append(attempt.outcome)
         if attempt.outcome not in _NOT_SENT:
