Search a response's fields for its identifier and statement once

Each response's fields were searched again for both when the result of its attempt was made, only for the log lines of failures. The exchange keeps what it found. No behaviour changes but a flag on the log line of a request without identifier whose response has an empty one.

--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -86,6 +86,8 @@
         self.sent_after_s: float | None = None
         self.response_started = False
         self.from_target = False
+        self.identifiers: frozenset[str] = frozenset()
+        self.not_executed: tuple[str, ...] = ()
         self.kept_connection = False
         self.upload = uploads.Upload(None, now_s, hop.send_by_s)
         if buffered is None:
@@ -191,10 +193,10 @@
         of an earlier one.
         """
         expected_id = self.hop.attempt_id
-        identifiers = set(self.parser.values(headers.ATTEMPT_ID))
-        if expected_id and identifiers - {expected_id}:
+        self.identifiers = frozenset(self.parser.values(headers.ATTEMPT_ID))
+        if expected_id and self.identifiers - {expected_id}:
             raise InvalidResponseError("response to another request")
-        if connection.reused and not identifiers:
+        if connection.reused and not self.identifiers:
             raise InvalidResponseError(
                 "response without identifier on a kept connection"
             )
@@ -202,12 +204,13 @@
     def _check_success(self) -> None:
         if not self.parser.first(headers.SIGNATURE):
             raise InvalidResponseError("successful response without signature")
-        if self.hop.attempt_id and not self.parser.first(headers.ATTEMPT_ID):
+        if self.hop.attempt_id and not self.identifiers:
             raise InvalidResponseError("successful response without identifier")
 
     def _execution(self) -> headers.Execution:
+        self.not_executed = self.parser.members(headers.NOT_EXECUTED)
         return headers.parse_execution(
-            self.parser.get_code(), self.parser.members(headers.NOT_EXECUTED)
+            self.parser.get_code(), self.not_executed
         )
 
     def _read_rejection(self, connection: pools.Connection) -> None:
@@ -340,8 +343,8 @@
             pause_s=self._pause_s(),
             sent_after_s=self.sent_after_s,
             kept_connection=self.kept_connection,
-            identified=bool(self.parser.first(headers.ATTEMPT_ID)),
-            not_executed=self.parser.members(headers.NOT_EXECUTED),
+            identified=bool(self.identifiers),
+            not_executed=self.not_executed,
         )
 
     def _says_leaving(self) -> bool:
--- a/mulberrydeck/steering/progress.py
+++ b/mulberrydeck/steering/progress.py
@@ -1,4 +1,4 @@
-"""Progress of a caller's request, for log lines and metrics."""
+"""Progress of a caller's request: its attempts, and what they show."""
 
 import enum
 
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -83,14 +83,12 @@
     assert runs == 1 if path == "/once/1" else runs >= 1
     assert "x-not-executed" not in response.headers
     if "x-response-signature" in response.headers:
-        sent = [target.statuses.get(attempt_id) for target in _targets(fleet)]
+        sent = [
+            target.statuses.get(attempt_id) for target in fleet.targets.values()
+        ]
         assert {response.status} in sent
 
 
-def _targets(fleet):
-    return fleet.targets.values()
-
-
 # Copies carry the identifier of an earlier request, or none if bare.
 @pytest.mark.parametrize(
     "fault",
