--- a/mulberrydeck/platform/headers.py
+++ b/mulberrydeck/platform/headers.py
@@ -24,7 +24,8 @@
 EXPECTED_TARGET = "x-target-instance"
 SIGNATURE = "x-response-signature"
 NOT_EXECUTED = "x-not-executed"
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests and slots, separated by commas; on new
+# deployments also the current duration of work in percent of the usual one.
 LOAD = "x-instance-load"
 COLD = "x-cold-ms"
 # In all responses of the store: rises when it comes back from an older copy.
@@ -43,6 +44,10 @@
 
 # Values of the not-executed field that do not state what its name says.
 _DENIALS = frozenset(("", "0", "false", "no"))
+_USUAL_SPEED = 100
+# Slower reports are taken for malformed ones.
+_MAX_SPEED = 10_000
+_LOAD_PATTERN = re.compile(r"\s*[0-9]{1,15}\s*", re.ASCII)
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?")
 
 _NOT_FORWARDED = frozenset(
@@ -103,11 +108,14 @@
         running: Requests that the target is processing.
         waiting: Requests in its queue.
         slots: Requests that it processes concurrently.
+        speed: Current duration of work there, as a multiple of the usual one;
+            None if it did not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    speed: float | None = None
 
 
 def parse_caller_fields(head: heads.RequestHead) -> CallerFields:
@@ -167,12 +175,15 @@
 def parse_load(text: str) -> TargetLoad | None:
     """Returns the load that a response reports, or None if malformed."""
     numbers = text.split(",")
-    if len(numbers) != 3 or not all(
-        number.strip().isdigit() for number in numbers
+    if len(numbers) not in (3, 4) or not all(
+        map(_LOAD_PATTERN.fullmatch, numbers)
     ):
         return None
-    running, waiting, slots = (int(number) for number in numbers)
-    return TargetLoad(running, waiting, slots)
+    running, waiting, slots, *rest = map(int, numbers)
+    speed = None
+    if rest and 0 < rest[0] <= _MAX_SPEED:
+        speed = rest[0] / _USUAL_SPEED
+    return TargetLoad(running, waiting, slots, speed)
 
 
 def parse_execution(status: int, not_executed: tuple[str, ...]) -> Execution:
--- a/mulberrydeck/steering/attempts.py
+++ b/mulberrydeck/steering/attempts.py
@@ -73,6 +73,8 @@
         identified: Whether the response carries the request's identifier.
         not_executed: Values of the fields by which the target states that it
             did not run the request, for logs.
+        reported_speed: Current duration of work at the target, as a multiple of
+            the usual one; None if it did not report it.
     """
 
     outcome: Outcome
@@ -87,3 +89,4 @@
     kept_connection: bool = False
     identified: bool = False
     not_executed: tuple[str, ...] = ()
+    reported_speed: float | None = None
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -256,6 +256,8 @@
         leaving: Whether the target said that it is about to stop.
         pause_s: For how long the target wants no further requests, in seconds.
         reason: Why the attempt failed, for logs.
+        reported_speed: Current duration of work at the target, as a multiple of
+            the usual one; None if it did not report it.
     """
 
     at_s: float
@@ -267,6 +269,7 @@
     leaving: bool = False
     pause_s: float = 0.0
     reason: str = ""
+    reported_speed: float | None = None
 
 
 @attrs.frozen
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -345,6 +345,7 @@
             kept_connection=self.kept_connection,
             identified=bool(self.identifiers),
             not_executed=self.not_executed,
+            reported_speed=load.speed if load else None,
         )
 
     def _says_leaving(self) -> bool:
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -254,6 +254,7 @@
             leaving=attempt.leaving,
             pause_s=attempt.pause_s,
             reason=attempt.reason,
+            reported_speed=attempt.reported_speed,
         )
 
 
--- a/mulberrydeck/steering/tests/test_exchange.py
+++ b/mulberrydeck/steering/tests/test_exchange.py
@@ -259,3 +259,17 @@
     attempt = run_attempt(target, clock, pool)
     assert attempt.outcome is exchange.Outcome.BROKEN
     assert attempt.reason == "rejection too large"
+
+
+def test_the_load_and_speed_of_a_target_reach_the_result_of_the_attempt(
+    target,
+):
+    """A report with a fourth number left VMs without any load of the target."""
+    clock = Clock()
+    pool = pools.ConnectionPool("", 1.0, 30.0, clock.now_s)
+    load = b"X-Instance-Load: 2,1,3,250\r\n\r\nok"
+    target.responses.append(RESPONSE.replace(b"\r\nok", load))
+    attempt = run_attempt(target, clock, pool)
+    assert attempt.reported_load == 3
+    assert attempt.reported_speed == 2.5
+    assert run_attempt(target, clock, pool).reported_speed is None
--- a/mulberrydeck/steering/tests/test_serving.py
+++ b/mulberrydeck/steering/tests/test_serving.py
@@ -3,6 +3,7 @@
 import types
 
 from mulberrydeck.frontend import heads
+from mulberrydeck.steering import attempts
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import serving
@@ -57,3 +58,32 @@
     assert isinstance(arrived, events.RequestArrived)
     assert arrived.at_s == 100.0 + BODY_S
     assert arrived.arrived_s == 100.0
+
+
+# Guards against VMs that never learn how fast a target works.
+def test_the_speed_that_a_target_reports_reaches_the_reducer(monkeypatch):
+    attempt = attempts.Attempt(
+        events.Outcome.ANSWERED, 200, response_started=True, reported_speed=2.5
+    )
+    monkeypatch.setattr(
+        serving.exchange,
+        "TargetExchange",
+        lambda *_: types.SimpleNamespace(run=lambda _: attempt),
+    )
+    loop = Loop()
+    loop.decide = lambda event: effects.Forward(
+        event.request_id, 1, "t1", "10.0.0.1:80", "acme", 102.0, True
+    )
+    request = types.SimpleNamespace(
+        head=heads.parse(HEAD),
+        body=None,
+        handling_id="r1",
+        path="/read/1",
+        response=None,
+    )
+    reports = types.SimpleNamespace(
+        request_ended=lambda *_: None, attempt_ended=lambda *_: None
+    )
+    serving.CallerRequestHandler(loop, None, reports).serve(request)
+    ended = [e for e in loop.events if isinstance(e, events.AttemptEnded)]
+    assert [event.reported_speed for event in ended] == [2.5]
