Measure in the emulator how evenly targets are used

Targets report load and speed of a given age, machines have noise, some requests take far longer, and kinds have priorities and values. Results count waits beside free slots, the spread of slots in use, late responses and value. Three baselines are added. Decisions may follow messages of other VMs, and requests without a response are counted instead of left out.

--- a/mulberrydeck/emulator/baselines.py
+++ b/mulberrydeck/emulator/baselines.py
@@ -13,6 +13,11 @@
 _rng = random.Random(1)
 
 
+def seed(value: int) -> None:
+    """Seeds the choices of all baselines, so that a run can be repeated."""
+    _rng.seed(value)
+
+
 Pick = Callable[
     [list[targets.Target], float, placement.Requirements], targets.Target
 ]
@@ -63,6 +68,29 @@
     return min(usable, key=lambda t: hashing.combine(digest, t.digest))
 
 
+def _pick_less_loaded_of_two(
+    usable: list[targets.Target], now_s: float, required: placement.Requirements
+) -> targets.Target:
+    pair = _rng.sample(usable, min(2, len(usable)))
+    return _pick_least_loaded(pair, now_s, required)
+
+
+def _pick_least_in_flight(
+    usable: list[targets.Target], now_s: float, required: placement.Requirements
+) -> targets.Target:
+    del now_s, required
+    # In a random order, as a VM has no request in flight to most targets.
+    return min(usable, key=lambda target: (target.in_flight, _rng.random()))
+
+
+def _pick_by_free_slots(
+    usable: list[targets.Target], now_s: float, required: placement.Requirements
+) -> targets.Target:
+    del required
+    free = [max(0.0, t.entry.slots - t.load(now_s)) for t in usable]
+    return _rng.choices(usable, free if sum(free) > 0 else None)[0]
+
+
 def _choose_in_all_regions(
     directory: targets.TargetDirectory,
     pacer: pacing.ColdPacer,
@@ -78,5 +106,8 @@
     "one-owner": _choose_in_all_regions,
     "uniform": _policy("uniform", _pick_random),
     "least-loaded": _policy("least loaded", _pick_least_loaded),
+    "two-choices": _policy("less loaded of two", _pick_less_loaded_of_two),
+    "least-in-flight": _policy("least in flight", _pick_least_in_flight),
+    "free-slots": _policy("free slots", _pick_by_free_slots),
     "plain-hash": _policy("hash", _pick_by_hash),
 }
--- a/mulberrydeck/emulator/callers.py
+++ b/mulberrydeck/emulator/callers.py
@@ -9,6 +9,7 @@
 from mulberrydeck.emulator import results
 from mulberrydeck.emulator import scenario as scenarios
 from mulberrydeck.emulator import targets as emulated_targets
+from mulberrydeck.platform import headers
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 
@@ -20,6 +21,8 @@
 MAX_RETRIES = 1
 MAX_RETRY_DELAY_FRACTION = 1 / 3
 NOT_RUN_STATUSES = (429, 503)
+# The load changes within seconds, so that a rate holds no longer than this.
+MAX_RATE_AGE_S = 0.5
 
 _request_numbers = itertools.count(1)
 
@@ -34,6 +37,9 @@
         account: Client account of the caller.
         object_key: Key of the requested object.
         sent_s: Time at which it was first sent, in seconds.
+        work_factor: Its processing time as a multiple of that of others of its
+            kind.
+        wait: Records whether it waits at a target.
         attempts: Number of times that it was sent.
     """
 
@@ -42,16 +48,45 @@
     account: str
     object_key: str
     sent_s: float
+    work_factor: float = 1.0
+    wait: results.Wait = attrs.field(factory=results.Wait)
     attempts: int = 1
 
+    def completed(
+        self, elapsed_s: float, status: int
+    ) -> results.CompletedRequest:
+        """Returns the result of the request.
+
+        Args:
+            elapsed_s: Time until the final response, in seconds.
+            status: HTTP status of that response; 0 if there is none.
+        """
+        succeeded = status == 200
+        on_time = succeeded and elapsed_s <= self.kind.goal_s
+        value = self.kind.value if on_time else self.kind.late_value
+        return results.CompletedRequest(
+            kind=self.kind.name,
+            region=self.region,
+            account=self.account,
+            arrived_s=self.sent_s,
+            latency_s=elapsed_s,
+            status=status,
+            on_time=on_time,
+            value=value if succeeded else 0.0,
+            max_value=self.kind.value,
+            waited=self.wait.waited,
+            waited_beside_free=self.wait.beside_free_slot,
+        )
+
 
 def start_arrivals(emulation: "emulations.Emulation") -> None:
     """Starts a stream of arrivals for each kind, region and account."""
-    regions = sorted(set(emulation.scenario.region_by_zone.values()))
-    total = sum(account.weight for account in emulation.scenario.accounts)
+    regions = emulation.scenario.regions
+    accounts = emulation.scenario.single_accounts
+    total = sum(account.weight for account in accounts)
     for kind in emulation.scenario.classes:
         for region in regions:
-            for account in emulation.scenario.accounts:
+            for account in accounts:
                 rate = kind.rate_per_s / len(regions) * account.weight / total
                 ArrivalStream(
                     emulation, kind, region, account.name, rate
@@ -78,11 +113,21 @@
 
     def schedule(self) -> None:
         """Schedules the next arrival."""
-        factor = self.emulation.load_factor(self.region, self.account)
+        factor = self.emulation.load_factor(
+            self.region, self.account, self.kind.name
+        )
         interval_s = self.emulation.arrival_rng.expovariate(
             max(1e-6, self.rate_per_s * factor)
         )
-        self.emulation.clock.after(interval_s, self._arrive)
+        if interval_s > MAX_RATE_AGE_S:
+            # Draws again at the rate of that time, as arrivals have no memory.
+            self.emulation.clock.after(MAX_RATE_AGE_S, self._continue)
+        else:
+            self.emulation.clock.after(interval_s, self._arrive)
+
+    def _continue(self) -> None:
+        if self.emulation.clock.now_s <= self.emulation.arrivals_end_s:
+            self.schedule()
 
     def _arrive(self) -> None:
         now_s = self.emulation.clock.now_s
@@ -93,8 +138,14 @@
             f"{self.emulation.arrival_rng.randrange(self.kind.objects)}"
         )
         request = CallerRequest(
-            self.kind, self.region, self.account, key, now_s
+            self.kind,
+            self.region,
+            self.account,
+            key,
+            now_s,
+            self.emulation.draw_tail_factor(),
         )
+        self.emulation.results.started += 1
         Exchange(self.emulation, request).start()
         self.schedule()
 
@@ -109,6 +160,7 @@
         self.request = request
         self.request_id = f"r{next(_request_numbers)}"
         self.job: emulated_targets.Job | None = None
+        self.finished = False
         regional_vms = [
             vm for vm in emulation.vms.values() if vm.region == request.region
         ]
@@ -157,17 +209,23 @@
         self.emulation.results.remote_attempts += region != self.vm.region
 
         def on_done() -> None:
-            load = target.load
+            load = target.reported_load()
             self._report_later(delay_s, events.Outcome.ANSWERED, 200, load, job)
 
         def arrive() -> None:
             if not target.try_accept(job):
+                self.emulation.results.target_rejections += 1
+                load = target.reported_load()
                 self._report_later(
-                    delay_s, events.Outcome.REJECTED, 503, target.load, job
+                    delay_s, events.Outcome.REJECTED, 503, load, job
                 )
 
         job = emulated_targets.Job(
-            self.request.kind, self.request.object_key, on_done
+            self.request.kind,
+            self.request.object_key,
+            on_done,
+            self.request.wait,
+            self.request.work_factor,
         )
         self.job = job
         self.emulation.clock.after(delay_s, arrive)
@@ -187,7 +245,7 @@
         delay_s: float,
         outcome: events.Outcome,
         status: int,
-        load: int,
+        load: headers.TargetLoad,
         job: emulated_targets.Job,
     ) -> None:
         def report() -> None:
@@ -197,18 +255,27 @@
         self.emulation.clock.after(delay_s, report)
 
     def _report(
-        self, outcome: events.Outcome, status: int, load: int | None
+        self,
+        outcome: events.Outcome,
+        status: int,
+        load: headers.TargetLoad | None,
     ) -> None:
         self.job = None
         now_s = self.emulation.clock.now_s
         event = events.AttemptEnded(
-            now_s, self.request_id, outcome, status, load
+            now_s,
+            self.request_id,
+            outcome,
+            status,
+            reported_load=load.running + load.waiting if load else None,
+            reported_speed=load.speed if load else None,
         )
         self.emulation.submit(self.vm, event)
 
     def _handle_final_response(
         self, status: int, retry_after_s: float | None
     ) -> None:
+        self.finished = True
         now_s = self.emulation.clock.now_s
         closed = events.RequestClosed(now_s, self.request_id)
         self.emulation.clock.after(0.0, lambda: self._close(closed))
@@ -229,17 +296,9 @@
                 lambda: Exchange(self.emulation, request).start(),
             )
             return
-        on_time = status == 200 and elapsed_s <= self.request.kind.goal_s
-        completed = results.CompletedRequest(
-            self.request.kind.name,
-            self.request.region,
-            self.request.account,
-            self.request.sent_s,
-            elapsed_s,
-            status,
-            on_time,
+        self.emulation.results.completed.append(
+            self.request.completed(elapsed_s, status)
         )
-        self.emulation.results.completed.append(completed)
 
     def _close(self, closed: events.RequestClosed) -> None:
         self.emulation.submit(self.vm, closed)
--- a/mulberrydeck/emulator/emulation.py
+++ b/mulberrydeck/emulator/emulation.py
@@ -1,10 +1,13 @@
 """Runs a scenario: VMs with the real reducer, callers and targets."""
 
+from collections.abc import Mapping
 import math
 import random
+import types
 
 import attrs
 
+from mulberrydeck.emulator import balance
 from mulberrydeck.emulator import callers
 from mulberrydeck.emulator import clock as clocks
 from mulberrydeck.emulator import results as results_module
@@ -22,6 +25,8 @@
 
 HOST = "emulated.example"
 TICK_S = 0.1
+# Interval between checks whether all requests have ended.
+END_CHECK_S = 0.5
 WARMUP_S = 6.0  # Loans and heartbeats settle before requests arrive.
 
 
@@ -51,6 +56,8 @@
         results: Results of the callers' requests.
         vms: All VMs by name.
         targets: All targets by name.
+        pools: The targets of each service and region.
+        exchanges: Requests in flight by identifier.
     """
 
     def __init__(
@@ -58,6 +65,8 @@
         scenario: scenarios.Scenario,
         seed: int,
         choose: placement.SelectionPolicy = placement.choose,
+        report_age_s: float = 0.0,
+        settings: Mapping[str, object] = types.MappingProxyType({}),
     ) -> None:
         """Prepares an emulation.
 
@@ -65,6 +74,8 @@
             scenario: The scenario to run.
             seed: Seed of all random choices.
             choose: Policy that selects the target of a request.
+            report_age_s: Age of the loads that targets report, in seconds.
+            settings: Settings of all VMs that differ from the defaults.
         """
         self.scenario = scenario
         self.arrivals_end_s = WARMUP_S + scenario.duration_s
@@ -73,7 +84,13 @@
         self.rng = random.Random(seed)
         # A separate generator, so that the load is the same for all policies.
         self.arrival_rng = random.Random(seed + 1)
+        # Separate ones as well, so that requests and machines are equally slow.
+        self.tail_rng = random.Random(seed + 2)
+        self.noise_rng = random.Random(seed + 3)
         self.results = results_module.Results()
+        self.settings = settings
+        self.report_age_s = report_age_s
+        self.pools: dict[tuple[str, str], balance.TargetPool] = {}
         self.targets = self._make_targets()
         self.vms = {vm.name: vm for vm in self._make_vms(choose)}
         self.exchanges: dict[str, callers.Exchange] = {}
@@ -84,10 +101,13 @@
             self._tick(vm)
         for slowdown in self.scenario.slowdowns:
             self._schedule_slowdown(slowdown)
+        if self.scenario.noise_share > 0:
+            self._draw_noise()
         self.clock.run(WARMUP_S)
         callers.start_arrivals(self)
-        max_deadline_s = max(kind.deadline_s for kind in self.scenario.classes)
-        self.clock.run(self.arrivals_end_s + 2 * max_deadline_s)
+        self.clock.after(balance.WINDOW_S, self._measure_balance)
+        self.clock.run(self.arrivals_end_s)
+        self._finish_requests()
         runs = sum(target.runs for target in self.targets.values())
         cache_misses = sum(
             target.cache_misses for target in self.targets.values()
@@ -95,8 +115,31 @@
         self.results.cache_miss_fraction = cache_misses / max(1, runs)
         return self.results
 
+    def _finish_requests(self) -> None:
+        """Runs until all requests have ended or should have."""
+        max_deadline_s = max(kind.deadline_s for kind in self.scenario.classes)
+        end_s = self.arrivals_end_s + 2 * max_deadline_s
+        while (
+            len(self.results.completed) < self.results.started
+            and self.clock.now_s < end_s
+        ):
+            self.clock.run(self.clock.now_s + END_CHECK_S)
+        for exchange in self.exchanges.values():
+            if not exchange.finished:
+                elapsed_s = self.clock.now_s - exchange.request.sent_s
+                self.results.completed.append(
+                    exchange.request.completed(elapsed_s, 0)
+                )
+
+    def draw_tail_factor(self) -> float:
+        """Returns the work of a request relative to others of its kind."""
+        tail = self.scenario.tail
+        return tail.factor if self.tail_rng.random() < tail.share else 1.0
+
     def submit(self, vm: Vm, event: object) -> None:
         """Submits an event to a VM and carries out its effects."""
+        # A decision may belong to any request of the VM, such as one that waits
+        # for a message.
         for effect in reducer.reduce(vm.state, event):
             match effect:
                 case quota_effects.SendMessage(name, message):
@@ -128,7 +171,7 @@
 
         def set_work_factor(work_factor: float) -> None:
             for target in slowed:
-                target.work_factor = work_factor
+                target.set_work_factor(work_factor)
 
         # Evenly spaced, so that every service and zone has its share.
         slowed = [
@@ -141,9 +184,31 @@
         end_s = start_s + slowdown.for_s
         self.clock.after(end_s, lambda: set_work_factor(1.0))
 
+    def _draw_noise(self) -> None:
+        """Draws the targets that are slow in the next period."""
+        targets = list(self.targets.values())
+        count = round(self.scenario.noise_share * len(targets))
+        slowed = set(self.noise_rng.sample(range(len(targets)), count))
+        for number, target in enumerate(targets):
+            noise = self.scenario.noise_factor if number in slowed else 1.0
+            target.set_noise_factor(noise)
+        self.clock.after(self.scenario.noise_period_s, self._draw_noise)
+
+    def _measure_balance(self) -> None:
+        """Records the balance of a window, up to the end of arrivals."""
+        for key, pool in self.pools.items():
+            self.results.unevenness[key].append(pool.take_unevenness())
+        if self.clock.now_s + balance.WINDOW_S <= self.arrivals_end_s:
+            self.clock.after(balance.WINDOW_S, self._measure_balance)
+
     def _make_targets(self) -> dict[str, emulated_targets.EmulatedTarget]:
         targets = {}
         for group in self.scenario.targets:
+            region = self.scenario.region_by_zone[group.zone]
+            pool = self.pools.setdefault(
+                (group.service, region),
+                balance.TargetPool(group.service, region),
+            )
             for number in range(group.count):
                 name = f"{group.service}-{group.zone}-{number}"
                 address = f"10.0.{len(targets) // 250}.{len(targets) % 250}:80"
@@ -151,7 +216,12 @@
                     name, group.service, address, group.zone, group.slots
                 )
                 targets[name] = emulated_targets.EmulatedTarget(
-                    entry, group, self.clock, self.rng
+                    entry,
+                    group,
+                    self.clock,
+                    self.rng,
+                    pool,
+                    self.report_age_s,
                 )
         return targets
 
@@ -203,6 +273,7 @@
             metrics_address="",
             platform_address="",
             first_start=True,
+            **self.settings,
         )
 
     def _table(self) -> tables.RoutingTable:
@@ -218,6 +289,7 @@
                 timeout_s=kind.timeout_s,
                 target_latency_s=kind.goal_s,
                 max_attempts=2,
+                priority=kind.priority,
             )
             for kind in self.scenario.classes
         )
@@ -228,7 +300,7 @@
                 ),
                 (account.name,),
             )
-            for account in self.scenario.accounts
+            for account in self.scenario.single_accounts
         )
         services = tuple(
             tables.Service(name)
@@ -240,16 +312,18 @@
             1, routes, services, accounts, tables.CallerLimits()
         )
 
-    def load_factor(self, region: str, account: str) -> float:
+    def load_factor(self, region: str, account: str, kind: str) -> float:
         """Returns the current load as a multiple of its mean."""
         at_s = self.clock.now_s - WARMUP_S
-        regions = sorted(set(self.scenario.region_by_zone.values()))
+        regions = self.scenario.regions
         phase = regions.index(region) / len(regions)
         cycles = at_s / self.scenario.wave_period_s + phase
         factor = 1.0 + self.scenario.wave * math.sin(2 * math.pi * cycles)
         for surge in self.scenario.surges:
-            if surge.at_s <= at_s < surge.at_s + surge.for_s and (
-                surge.account in ("", account)
+            if (
+                surge.at_s <= at_s < surge.at_s + surge.for_s
+                and surge.account in ("", account)
+                and surge.kind in ("", kind)
             ):
                 factor *= surge.factor
         return factor
--- a/mulberrydeck/steering/tests/test_settings.py
+++ b/mulberrydeck/steering/tests/test_settings.py
@@ -82,6 +82,8 @@
     )
 
 
-@pytest.mark.parametrize("name", ["waves", "heavy"])
+@pytest.mark.parametrize(
+    "name", ["waves", "heavy", "uneven-regions", "shared-machines"]
+)
 def test_emulator_examples_can_be_loaded(name):
     assert scenario.load(ROOT / "examples" / f"{name}.toml").classes
