Handle pipelined safe requests at the same time

Cause: the requests of a connection were handled one after another, so that a pipelined read waited for all before it.

Change: on listeners with max_pipelined_requests above 1 (callers of steer), a reader greenlet queues requests. Safe ones without body, on routes that allow to repeat them, are handled at once; their writers wait for their turn. All others wait until the earlier ones are answered. The end of a connection cancels the safe requests behind it, and the others never run.

With the default of 1, connections are served by the same code as before.

--- a/mulberrydeck/frontend/buffered_connection.py
+++ b/mulberrydeck/frontend/buffered_connection.py
@@ -19,6 +19,10 @@
     """The peer closed or reset the connection, or a call timed out."""
 
 
+class IdleTimeoutError(ConnectionLostError):
+    """No first byte of a request arrived in time."""
+
+
 class BufferedConnection:
     """An accepted connection with a receive buffer.
 
@@ -121,16 +125,15 @@
             requests.
 
         Raises:
+            IdleTimeoutError: No first byte arrived in time.
             ConnectionLostError: The connection failed or timed out.
             heads.BadRequestError: The head is too large or malformed.
         """
         if not self.has_unread:
             self.set_timeout(start_timeout_s)
-            self.idle = True
             self.buffer = b""  # Frees the memory while idle.
-            self.buffer = self._receive()
             self.position = 0
-            self.idle = False
+            self.buffer = self._receive_first()
             if not self.buffer:
                 return b""
         self.set_timeout(timeout_s)
@@ -169,6 +172,17 @@
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
+    def _receive_first(self) -> bytes:
+        self.idle = True
+        try:
+            return self._receive()
+        except ConnectionLostError as error:
+            if isinstance(error.__cause__, TimeoutError):
+                raise IdleTimeoutError(str(error)) from error
+            raise
+        finally:
+            self.idle = False
+
     def _linger(self) -> None:
         remaining_bytes = MAX_LINGER_BYTES
         with contextlib.suppress(OSError), gevent.Timeout(MAX_LINGER_S, False):
--- a/mulberrydeck/frontend/connections.py
+++ b/mulberrydeck/frontend/connections.py
@@ -1,5 +1,7 @@
 """Handling of accepted connections."""
 
+from collections.abc import Iterator
+import contextlib
 import traceback
 from typing import Protocol
 
@@ -99,15 +101,24 @@
             self.connection, heads.parse(data), self.server.stopping
         )
         self.server.in_flight += 1
+        try:
+            with self._watched():
+                self._respond(request)
+                self._abort_if_unfinished(request)
+        finally:
+            self.server.in_flight -= 1
+        return not request.response.closing and request.fully_read
+
+    @contextlib.contextmanager
+    def _watched(self) -> Iterator[None]:
+        """Raises in this greenlet if the caller disconnects meanwhile."""
         descriptor = self.connection.sock.fileno()
         if not self.connection.reading_stopped:
             self.server.watcher.add(descriptor)
         try:
-            self._respond(request)
+            yield
         finally:
             self.server.watcher.remove(descriptor)
-            self.server.in_flight -= 1
-        return not request.response.closing and request.fully_read
 
     def _respond(self, request: requests.Request) -> None:
         try:
@@ -128,6 +139,8 @@
             )
             request.response.closing = True
             request.refuse(problems.INTERNAL)
+
+    def _abort_if_unfinished(self, request: requests.Request) -> None:
         if not request.response.finished:
             request.response.closing = True
             self.connection.abort()
--- a/mulberrydeck/frontend/listeners.py
+++ b/mulberrydeck/frontend/listeners.py
@@ -6,6 +6,8 @@
 from mulberrydeck import binding
 from mulberrydeck.frontend import connections
 from mulberrydeck.frontend import disconnects
+from mulberrydeck.frontend import heads
+from mulberrydeck.frontend import pipelining
 from mulberrydeck.frontend import requests
 
 DEFAULT_IDLE_TIMEOUT_S = 15.0
@@ -22,6 +24,8 @@
         in_flight: Number of requests in progress.
         watcher: Detects callers that disconnect.
         open_connections: Handlers of the open connections.
+        max_pipelined_requests: Largest number of requests in progress on each
+            further connection; 1 to handle them one after another.
     """
 
     def __init__(self, address: str, backlog: int | None = None) -> None:
@@ -38,6 +42,7 @@
         self.stopping = False
         self.in_flight = 0
         self.watcher = disconnects.DisconnectWatcher()
+        self.max_pipelined_requests = 1
         self.open_connections: set[connections.ConnectionHandler] = set()
         # Without SERVER_NAME, pywsgi resolves the address in a thread.
         self.listener = gevent.pywsgi.WSGIServer(
@@ -74,6 +79,15 @@
         """
         raise NotImplementedError
 
+    def may_pipeline(self, head: heads.RequestHead) -> bool:
+        """Returns whether a safe request without body may be pipelined.
+
+        It is handled while earlier requests of its connection are in progress,
+        and cancelled if one of them closes the connection.
+        """
+        del head
+        return False
+
     def stop_accepting(self) -> None:
         """Accepts the connections in the backlog and closes the socket."""
         self.listener.stop_accepting()
@@ -92,4 +106,6 @@
         address: tuple[str, int],
         _listener: gevent.pywsgi.WSGIServer,
     ) -> connections.ConnectionHandler:
+        if self.max_pipelined_requests > 1:
+            return pipelining.PipeliningHandler(sock, address, self)
         return connections.ConnectionHandler(sock, address, self)
--- a/mulberrydeck/frontend/requests.py
+++ b/mulberrydeck/frontend/requests.py
@@ -53,6 +53,8 @@
         request_id: Identifier that is reported to the caller.
         path: Path without query.
         query: Query string without `?`.
+        superseded: Whether it was cancelled because an earlier response closed
+            the connection.
     """
 
     connection: buffered.BufferedConnection
@@ -63,6 +65,7 @@
     request_id: str
     path: str
     query: str
+    superseded: bool = False
 
     @property
     def fully_read(self) -> bool:
--- a/mulberrydeck/frontend/responses.py
+++ b/mulberrydeck/frontend/responses.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import gevent.event
+
 from mulberrydeck import errors
 from mulberrydeck.forward import fields as header_fields
 from mulberrydeck.forward import responses as upstream_responses
@@ -26,6 +28,8 @@
         finished: Whether the response was sent completely.
         status: HTTP status code; 0 before the response is started.
         closing: Whether the connection closes after this response.
+        turn: Set when all earlier responses of the connection are written;
+            None if there are none.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         self.minor = 1 if head is None else head.minor
         self.closing = closing
         self.pace = pace
+        self.turn: gevent.event.Event | None = None
         self.pending: list[bytes] = []
         self.chunked = False
         self.omits_body = False
@@ -99,7 +104,7 @@
             self.pending.append(data)
 
     def flush(self) -> None:
-        """Sends the pieces that were added.
+        """Sends the pieces that were added; waits for the turn of the response.
 
         Raises:
             buffered.ConnectionLostError: The connection failed, or the link to
@@ -107,6 +112,8 @@
         """
         if not self.pending:
             return
+        if self.turn is not None:
+            self.turn.wait()
         data = b"".join(self.pending)
         self.pending.clear()
         if self.pace is None:
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -128,7 +128,12 @@
         lookup_handler = serving.LookupHandler(self.loop)
         new_listener = serving.Listener
         self.caller_listener = new_listener(
-            settings.caller_address, self.request_handler.serve
+            settings.caller_address,
+            self.request_handler.serve,
+            self.request_handler.may_pipeline,
+        )
+        self.caller_listener.max_pipelined_requests = (
+            settings.max_pipelined_requests
         )
         self.lookup_listeners = (
             new_listener(settings.ready_address, lookup_handler.serve),
@@ -316,6 +321,9 @@
             )
             return
         self.settings = loaded
+        self.caller_listener.max_pipelined_requests = (
+            loaded.max_pipelined_requests
+        )
         self.loop.submit(events.SettingsReloaded(now_s(), loaded))
 
     def stop(self) -> None:
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -217,6 +217,13 @@
                 self.write(
                     "request", "Refused.", kind=kind, **(fields | inputs)
                 )
+            case None if request.superseded:
+                self.latency.labels("superseded").observe(elapsed_s)
+                self.write(
+                    "request",
+                    "Cancelled; an earlier response closed the connection.",
+                    **fields,
+                )
             case None:
                 self.latency.labels("abandoned").observe(elapsed_s)
                 self.write("request", "The caller disconnected.", **fields)
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -8,6 +8,7 @@
 
 from mulberrydeck.forward import budgets
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.frontend import heads
 from mulberrydeck.frontend import listeners
 from mulberrydeck.frontend import requests
 from mulberrydeck.platform import headers
@@ -19,6 +20,7 @@
 from mulberrydeck.steering import lookup
 from mulberrydeck.steering import progress as progresses
 from mulberrydeck.steering import reporting
+from mulberrydeck.steering import tables
 
 # Bodies up to this size are read completely before a target is chosen, so that
 # they can be sent again and a slow caller occupies no slot of a target.
@@ -38,21 +40,29 @@
 
     Attributes:
         handle_request: Responds to one request.
+        may_pipeline: Returns whether a safe request without body may be
+            handled while earlier ones of its connection are in progress.
     """
 
     def __init__(
         self,
         address: str,
         handle_request: Callable[[requests.Request], None],
+        may_pipeline: Callable[[heads.RequestHead], bool] | None = None,
     ) -> None:
         """Initializes a listener.
 
         Args:
             address: `ip:port` to listen on.
             handle_request: Responds to one request.
+            may_pipeline: Returns whether a safe request without body may be
+                handled while earlier ones of its connection are in progress;
+                None for no request.
         """
         super().__init__(address, LISTEN_BACKLOG)
         self.handle_request = handle_request
+        if may_pipeline is not None:
+            self.may_pipeline = may_pipeline
 
     def finish(self, until_s: float, now_s: Callable[[], float]) -> None:
         """Waits for requests in progress and closes idle connections.
@@ -117,6 +127,17 @@
         finally:
             del self.in_progress[request.handling_id]
 
+    def may_pipeline(self, head: heads.RequestHead) -> bool:
+        """Returns whether the route of a request allows to repeat it."""
+        table = self.loop.state.table
+        if table is None:
+            return False
+        path = head.target.partition("?")[0]
+        route = table.route_of(head.index.get("host", ""), path)
+        if route is None:
+            return False
+        return route.repeatability is tables.Repeatability.SAFE
+
     def report_unfinished(self) -> None:
         """Logs each request that the end of the process cuts off."""
         now_s = self.loop.now_s()
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -111,6 +111,14 @@
         "s",
         default=3.5,
     )
+    max_pipelined_requests: int = setting(
+        "Largest number of requests in progress on a connection of a caller; "
+        "only safe requests of routes that allow to repeat them are handled "
+        "while earlier ones are in progress. 1 handles all requests of a "
+        "connection one after another. A change applies to new connections.",
+        "requests",
+        default=1,
+    )
 
 
 def load(path: pathlib.Path) -> SteeringSettings:
@@ -130,6 +138,10 @@
             f"{path}: zone {loaded.zone!r} is missing in region_by_zone; add "
             "it with its region."
         )
+    if loaded.max_pipelined_requests < 1:
+        raise errors.SettingsError(
+            f"{path}: max_pipelined_requests must be at least 1."
+        )
     return loaded
 
 
--- a/mulberrydeck/steering/tests/test_reporting.py
+++ b/mulberrydeck/steering/tests/test_reporting.py
@@ -48,6 +48,21 @@
     assert 'outcome="answered"' not in metrics
 
 
+# Guards against counting requests that this VM cancels as callers that left.
+@pytest.mark.parametrize(
+    ("superseded", "outcome"), [(True, "superseded"), (False, "abandoned")]
+)
+def test_a_request_behind_a_closed_connection_is_counted_as_such(
+    written_lines, superseded, outcome
+):
+    reports = reporting.Reports(lambda: 100.0)
+    request = make_request(finished=False)
+    request.superseded = superseded
+    reports.request_ended(request, progresses.Progress(), 1.0)
+    metrics = reports.render().decode()
+    assert f'request_seconds_count{{outcome="{outcome}"}} 1.0' in metrics
+
+
 def test_requests_to_cold_targets_are_counted_with_send_delay(written_lines):
     reports = reporting.Reports(lambda: 100.0)
     request = make_request()
--- a/mulberrydeck/steering/tests/test_serving.py
+++ b/mulberrydeck/steering/tests/test_serving.py
@@ -2,10 +2,14 @@
 
 import types
 
+import pytest
+
 from mulberrydeck.frontend import heads
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import serving
+from mulberrydeck.steering import tables
+from mulberrydeck.steering.tests import samples
 
 HEAD = b"POST /read/1 HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 2000"
 BODY_S = 1.5
@@ -57,3 +61,28 @@
     assert isinstance(arrived, events.RequestArrived)
     assert arrived.at_s == 100.0 + BODY_S
     assert arrived.arrived_s == 100.0
+
+
+# Guards against requests that run at most once and are cancelled behind others.
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [("/read/1?a=/", True), ("/once/1?/read/", False), ("/other", False)],
+)
+def test_only_requests_of_routes_that_allow_repeats_are_pipelined(
+    path, expected
+):
+    once = samples.make_route(
+        name="once",
+        prefix="/once/",
+        repeatability=tables.Repeatability.AT_MOST_ONCE,
+    )
+    table = samples.make_table(samples.make_route(), once)
+    state = types.SimpleNamespace(table=table)
+    handler = serving.CallerRequestHandler(
+        types.SimpleNamespace(state=state), None, None
+    )
+    text = f"GET {path} HTTP/1.1\r\nHost: permits.example:80"
+    head = heads.parse(text.encode())
+    assert handler.may_pipeline(head) is expected
+    state.table = None
+    assert not handler.may_pipeline(head)
--- a/mulberrydeck/steering/tests/test_settings.py
+++ b/mulberrydeck/steering/tests/test_settings.py
@@ -47,6 +47,7 @@
         ("retry_ratio = 'much'\n" + VALID_SETTINGS, "retry_ratio"),
         ("retries = 3\n" + VALID_SETTINGS, "retries"),
         ("quota_wait_s = 0.0\n" + VALID_SETTINGS, "quota_wait_s"),
+        ("max_pipelined_requests = 0\n" + VALID_SETTINGS, "at least 1"),
         (VALID_SETTINGS.replace("coast-a = ", "coast-b = "), "region_by_zone"),
         ("name = ", "TOML"),
         ("", "missing"),
