Do not take a part of a response for complete during an upload

Cause: the kernel reports the error of a connection once. While a request was being sent, the upload's send received the reset, and the receive then returned what was left and the end of the connection. A response without a length thus seemed complete. The same happened when the upload itself shut the connection down, because the caller's body was malformed.

Change: the upload keeps such an error, and a receive of no data asks for it. EPIPE is not kept: the kernel reports it for a reset behind an orderly end. This holds for `steer` and `serve`.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -265,6 +265,8 @@
 
     def _receive(self, connection: pools.Connection) -> None:
         data = self._receive_bytes(connection)
+        if not data:
+            self.upload.check_orderly_end()
         for piece in self.slicer.slices(data, self._timeout_s()):
             self.parser.accept(piece)
 
--- a/mulberrydeck/forward/uploads.py
+++ b/mulberrydeck/forward/uploads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import errno
 import socket
 from typing import Protocol
 
@@ -42,6 +43,8 @@
         sent_any: Whether any byte may have been sent.
         finished: Whether the request was sent to its end.
         caller_error: Error while the body was read from the caller, or None.
+        connection_error: Error by which the connection broke, or None. The
+            kernel reports it once; a later receive sees an orderly end.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self.sent_any = False
         self.finished = False
         self.caller_error: Exception | None = None
+        self.connection_error: OSError | None = None
         self.last_progress_s = 0.0
         self.sender: gevent.Greenlet | None = None
         self.sock: gevent.socket.socket | None = None
@@ -110,6 +114,18 @@
         if self.caller_error is not None:
             raise self.caller_error
 
+    def check_orderly_end(self) -> None:
+        """Checks that the connection did not break, after a receive of no data.
+
+        Raises:
+            OSError: The connection broke, and the upload received the error.
+            Exception: Reading the body from the caller failed, for which the
+                upload ended the connection.
+        """
+        self.raise_caller_error()
+        if self.connection_error is not None:
+            raise self.connection_error
+
     def _encode_body(self, body: Body) -> bytes:
         pieces = list(body.pieces())
         if body.length is not None:
@@ -166,11 +182,24 @@
 
     def _send_allowed(self, view: memoryview) -> None:
         while len(view):
-            sent = self.sock.send(view)
+            try:
+                sent = self.sock.send(view)
+            except OSError as error:
+                self._record_error(error)
+                raise
             self.sent_any = True
             self.last_progress_s = self.now_s()
             view = view[sent:]
 
+    def _record_error(self, error: OSError) -> None:
+        """Keeps an error of the connection for the receiving greenlet.
+
+        A timeout of gevent has no number. A reset behind an orderly end is
+        reported as EPIPE; such an end still completes the response.
+        """
+        if error.errno not in (None, errno.EPIPE):
+            self.connection_error = error
+
 
 def _chunk(piece: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(piece), piece)
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -302,6 +302,8 @@
             raise DeadlineExceededError(
                 "response not complete by the deadline"
             ) from error
+        if not data:
+            self.upload.check_orderly_end()
         for piece in self.slicer.slices(data, self._remaining_s()):
             matching = self.filter.accept(piece)
             if matching or not piece:
