Take no response whose status is outside 100 to 599

Cause: the range was checked nowhere. Numbers below 100 counted as interim responses, so that 000 held its request until the deadline, and those from 600 reached callers. The filter of steer took each status that begins with 1 for interim, also 1000, and waited for the end of a head behind any bytes.

Change: the parser rejects such heads, and bodies of interim responses; the filter skips only valid status lines and passes on what starts no response. The attempt is broken at once and its connection closed, in steer and serve.

--- a/mulberrydeck/forward/responses.py
+++ b/mulberrydeck/forward/responses.py
@@ -15,12 +15,18 @@
 
 NO_CONTENT_STATUSES = frozenset((204, 304))
 SWITCHING_PROTOCOLS = 101
+# Other numbers are no statuses (RFC 9110, section 15).
+STATUSES = range(100, 600)
 
 
 class SurplusBytesError(response.HTTPParseError):
     """Bytes follow the end of the response."""
 
 
+class InvalidStatusError(response.HTTPParseError):
+    """The status of the response is not one of the protocol."""
+
+
 class ResponseParser(response.HTTPResponse):
     """Parses one final response; drops interim (1xx) responses and trailers.
 
@@ -109,8 +115,8 @@
         """Parses received bytes; empty if the peer closed the connection.
 
         Raises:
-            response.HTTPParseError: The response is malformed or truncated, or
-                its head or framing is too large.
+            response.HTTPParseError: The response is malformed or truncated, its
+                status is invalid, or its head or framing is too large.
         """
         head_was_complete = self.head_complete
         previous_body_bytes = self.body_bytes
@@ -153,6 +159,10 @@
         return data
 
     def _on_headers_complete(self) -> bool:
+        if self.get_code() not in STATUSES:
+            raise InvalidStatusError(
+                f"the response has the invalid status {self.get_code():03}"
+            )
         skips_body = super()._on_headers_complete()
         if self.get_code() < 200:
             # Only the final response to HEAD ends with its head; otherwise, a
@@ -189,6 +199,8 @@
             super()._on_header_value(string)
 
     def _on_body(self, buf: bytearray) -> None:
+        if self.get_code() < 200:
+            raise response.HTTPParseError("an interim response has a body")
         self.body_bytes += len(buf)
         # Not a list, since each of many tiny chunks would take 50 bytes more.
         self.decoded += buf
--- a/mulberrydeck/forward/tests/test_responses.py
+++ b/mulberrydeck/forward/tests/test_responses.py
@@ -133,3 +133,47 @@
     tracemalloc.stop()
     assert len(parser.take()) == 1_000_000
     assert peak_bytes < 3_000_000
+
+
+# Guards against numbers that are no statuses: below 100 they counted as interim
+# responses, from 600 as final ones.
+@pytest.mark.parametrize(
+    "status", [b"000", b"0", b"099", b"99", b"600", b"999", b"1000", b"-1"]
+)
+@pytest.mark.parametrize("preceding", [b"", INTERIM])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_an_invalid_status_is_rejected(method, preceding, status):
+    parser = responses.ResponseParser(method)
+    with pytest.raises(response.HTTPParseError):
+        parser.accept(preceding + b"HTTP/1.1 %s X\r\n\r\n" % status)
+
+
+def test_all_other_statuses_are_accepted():
+    for status in range(200, 600):
+        parser = parse(b"HTTP/1.1 %d\r\nContent-Length: 0\r\n\r\n" % status)
+        assert parser.complete
+        assert parser.get_code() == status
+
+
+# Guards against a final response that is discarded as the body of an interim
+# one.
+@pytest.mark.parametrize("status", [102, 103, 104, 199])
+def test_a_body_of_an_interim_response_is_rejected(status):
+    head = b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\n" % status
+    with pytest.raises(response.HTTPParseError):
+        parse(head, b"ok")
+
+
+# A final response whose status is invalid behind a complete one is no part of
+# it.
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_an_invalid_status_behind_a_response_does_not_change_it(method):
+    complete = HEAD + b"Content-Length: 0\r\n\r\n"
+    data = complete + b"HTTP/1.1 000 X\r\n\r\n"
+    for cut in range(len(complete), len(data)):
+        parser = responses.ResponseParser(method)
+        for piece in (data[:cut], data[cut:]):
+            parser.accept(piece)
+        assert parser.complete
+        assert parser.get_code() == 200
+        assert not parser.keeps_connection
--- a/mulberrydeck/frontend/responses.py
+++ b/mulberrydeck/frontend/responses.py
@@ -64,7 +64,7 @@
         """Starts the response; the head is sent with the first piece.
 
         Args:
-            status: HTTP status code.
+            status: HTTP status code, from 200 to 599.
             fields: Header fields as received from the next hop.
             length: Body length in bytes; None if unknown.
         """
@@ -156,7 +156,7 @@
             self.closing = True
         head = "".join(
             (
-                _STATUS_LINES.get(status) or f"HTTP/1.1 {status} \r\n",
+                _STATUS_LINES[status],
                 lines,
                 framing,
                 self._connection_line(),
--- a/mulberrydeck/steering/response_filter.py
+++ b/mulberrydeck/steering/response_filter.py
@@ -9,10 +9,12 @@
 
 END_OF_HEAD = b"\r\n\r\n"
 EMPTY_LINES = b"\r\n"
-INTERIM_START = b"HTTP/1.1 1"
-UPGRADE_START = b"HTTP/1.1 101"  # The parser rejects it.
+START = b"HTTP/"
+UPGRADE_START = b"HTTP/1.1 101 "  # The parser rejects it.
 MAX_HEAD_BYTES = 64 * 1024
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}[ \r]")
+_INTERIM_LINE = re.compile(rb"HTTP/1\.1 1[0-9]{2}[ \r]")
 _LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n", re.I)
 
 
@@ -24,7 +26,8 @@
     """Passes on bytes from the head of the matching response onwards.
 
     Empty lines and interim responses before it are discarded as well, since
-    responses to other requests may follow them.
+    responses to other requests may follow them. Bytes that start no response
+    are passed on at once, so that the parser rejects them without a wait.
 
     Attributes:
         skipped: Number of responses that were discarded.
@@ -69,8 +72,9 @@
                 self.skip_bytes -= count
             if not self.skip_bytes:
                 self.pending = self.pending.lstrip(EMPTY_LINES)
+                self.matched = not _may_start_response(self.pending)
             end = self.pending.find(END_OF_HEAD)
-            if self.skip_bytes or end < 0:
+            if self.matched or self.skip_bytes or end < 0:
                 break
             self._check_head(self.pending[: end + len(END_OF_HEAD)])
         if not self.matched and data and len(self.pending) <= MAX_HEAD_BYTES:
@@ -81,9 +85,11 @@
         return passed
 
     def _check_head(self, head: bytes) -> None:
-        if head.startswith(INTERIM_START) and not head.startswith(
-            UPGRADE_START
-        ):
+        if _STATUS_LINE.match(head) is None:
+            # An invalid status is left to the parser, which rejects it.
+            self.matched = True
+            return
+        if _INTERIM_LINE.match(head) and not head.startswith(UPGRADE_START):
             self.skip_bytes = len(head)
             return
         id_match = self.id_field.search(head)
@@ -98,3 +104,7 @@
             )
         self.skip_bytes = len(head) + int(length_match.group(1))
         self.skipped += 1
+
+
+def _may_start_response(data: bytes) -> bool:
+    return data[: len(START)] == START[: len(data)]
--- a/mulberrydeck/steering/tests/test_response_filter.py
+++ b/mulberrydeck/steering/tests/test_response_filter.py
@@ -47,6 +47,24 @@
     assert passed(b"garbage", b"") == b"garbage"
 
 
+# Guards against a wait for the end of a head that never comes.
+@pytest.mark.parametrize("preceding", [b"", INTERIM, MISMATCHED, EMPTY_LINES])
+def test_bytes_that_start_no_response_reach_the_parser_at_once(preceding):
+    assert passed(preceding + b"HT", b"ok") == b"HTok"
+
+
+# Guards against an invalid status that counts as an interim response, or as one
+# to another request.
+@pytest.mark.parametrize("status", [b"000", b"1", b"1000", b"099", b"600"])
+@pytest.mark.parametrize("identifier", [b"own", b"old"])
+def test_an_invalid_status_reaches_the_parser(identifier, status):
+    response = b"HTTP/1.1 %s X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n" % (
+        status,
+        identifier,
+    )
+    assert passed(INTERIM + response + MATCHING) == response + MATCHING
+
+
 def test_request_without_identifier_accepts_any_response():
     assert passed(MISMATCHED, expected_id="") == MISMATCHED
 
