--- a/mulberrydeck/emulator/baselines.py
+++ b/mulberrydeck/emulator/baselines.py
@@ -1,10 +1,12 @@
 """Baseline policies for target selection, simpler than the product's."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import random
 
 import attrs
 
+from mulberrydeck.emulator import targets as emulated_targets
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import pacing
 from mulberrydeck.steering import placement
@@ -102,6 +104,32 @@
     return placement.choose(directory, pacer, now_s, required)
 
 
+def with_exact_loads(
+    emulated: Mapping[str, emulated_targets.EmulatedTarget],
+) -> placement.SelectionPolicy:
+    """Returns the product's policy with the exact current load of each target.
+
+    It shows which part of the results is due to what VMs do not know. Requests
+    that are on their way to a target do not count.
+
+    Args:
+        emulated: All targets by name.
+    """
+
+    def choose(
+        directory: targets.TargetDirectory,
+        pacer: pacing.ColdPacer,
+        now_s: float,
+        required: placement.Requirements,
+    ) -> placement.Chosen | placement.NoCapacity:
+        for target in directory.by_service.get(required.service, ()):
+            load = emulated[target.entry.name].load
+            targets.observe_load(target, now_s, load)
+        return placement.choose(directory, pacer, now_s, required)
+
+    return choose
+
+
 BY_NAME = {
     "one-owner": _choose_in_all_regions,
     "uniform": _policy("uniform", _pick_random),
--- a/mulberrydeck/emulator/scenario.py
+++ b/mulberrydeck/emulator/scenario.py
@@ -206,6 +206,15 @@
     return loading.load_as(path, Scenario, "docs/emulator.md")
 
 
+def with_load(scenario: Scenario, factor: float) -> Scenario:
+    """Returns a scenario with a multiple of the rate of each kind."""
+    classes = tuple(
+        attrs.evolve(kind, rate_per_s=kind.rate_per_s * factor)
+        for kind in scenario.classes
+    )
+    return attrs.evolve(scenario, classes=classes)
+
+
 def with_vms(scenario: Scenario, count: int) -> Scenario:
     """Returns a scenario with another number of VMs.
 
--- a/mulberrydeck/emulator/tests/test_emulation.py
+++ b/mulberrydeck/emulator/tests/test_emulation.py
@@ -203,3 +203,24 @@
         assert vm.state.settings.retry_ratio == 0.3
         route = vm.state.table.route_of(emulation.HOST, "/check/1")
         assert route.priority == 2
+
+
+def test_exact_loads_leave_fewer_waits_beside_free_slots():
+    """The reference must know more than VMs that learn from responses."""
+    load = {"vms_by_zone": {"coast-a": 12, "lake-a": 12}}
+    run = emulation.Emulation(samples.make_scenario(**load), 3)
+    for vm in run.vms.values():
+        vm.state.choose = baselines.with_exact_loads(run.targets)
+    exact = run.run().overall()
+    own = emulate(**load).overall()
+    assert exact.asked == own.asked
+    assert exact.waited_beside_free < 0.7 * own.waited_beside_free
+
+
+def test_a_multiple_of_the_load_keeps_the_shares_of_kinds():
+    classes = (
+        scenario.RequestClass("a", "status", 40.0, 0.3),
+        scenario.RequestClass("b", "status", 10.0, 0.3),
+    )
+    heavier = scenario.with_load(samples.make_scenario(classes=classes), 1.5)
+    assert [kind.rate_per_s for kind in heavier.classes] == [60.0, 15.0]
