Name VMs in lookups in proportion to what their machines bear

Cause: lookups named all live VMs of a region, so that callers loaded a VM with 0.43 cores and a link of 5 Mbit/s like one with 2.15 cores and 200 Mbit/s.

Change: a VM's settings and its record in the store state its cores, memory, descriptors and link. If the VMs of a region differ, each lookup draws a list of fixed length by systematic sampling, weighted by the scarcest resource relative to the region's mean. Equal VMs are listed as before. Each VM measures its memory, descriptors and the bytes of its callers before a heartbeat and reports a headroom below 1 from 70% use; its weight is multiplied by it. A change of capacity alone no longer makes others wait for the next heartbeat of a VM.

--- a/mulberrydeck/frontend/buffered_connection.py
+++ b/mulberrydeck/frontend/buffered_connection.py
@@ -29,6 +29,7 @@
         position: Number of bytes of `buffer` that were consumed.
         idle: Whether it waits for the first byte of a request.
         reading_stopped: Whether reading ends after the bytes received so far.
+        transferred_bytes: Number of bytes received and sent so far.
     """
 
     def __init__(self, sock: gevent.socket.socket, peer_ip: str) -> None:
@@ -39,6 +40,7 @@
         self.position = 0
         self.idle = False
         self.reading_stopped = False
+        self.transferred_bytes = 0
 
     def set_timeout(self, seconds: float) -> None:
         """Sets the timeout of each further receive and send, in seconds."""
@@ -108,6 +110,7 @@
             sending.send_all(self.sock, data)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
+        self.transferred_bytes += len(data)
 
     def read_head(self, start_timeout_s: float, timeout_s: float) -> bytes:
         """Reads the next request head and returns it without its empty line.
@@ -165,9 +168,11 @@
 
     def _receive(self) -> bytes:
         try:
-            return self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(RECEIVE_BYTES)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
+        self.transferred_bytes += len(data)
+        return data
 
     def _linger(self) -> None:
         remaining_bytes = MAX_LINGER_BYTES
--- a/mulberrydeck/frontend/connections.py
+++ b/mulberrydeck/frontend/connections.py
@@ -27,6 +27,7 @@
         stopping: Whether connections close after the current response.
         watcher: Detects callers that disconnect.
         in_flight: Number of requests in progress.
+        transferred_bytes: Bytes received and sent on closed connections.
     """
 
     idle_timeout_s: float
@@ -34,6 +35,7 @@
     stopping: bool
     watcher: disconnects.DisconnectWatcher
     in_flight: int
+    transferred_bytes: int
     open_connections: "set[ConnectionHandler]"
 
     def handle_request(self, request: requests.Request) -> None:
@@ -83,6 +85,7 @@
         finally:
             self.connection.close(linger)
             self.server.open_connections.discard(self)
+            self.server.transferred_bytes += self.connection.transferred_bytes
 
     def end_if_idle(self) -> None:
         """Ends the connection unless a request is in progress on it."""
--- a/mulberrydeck/frontend/listeners.py
+++ b/mulberrydeck/frontend/listeners.py
@@ -20,6 +20,7 @@
         keep_alive_s: Timeout for the first byte of a request, in seconds.
         stopping: Whether connections close after the current response.
         in_flight: Number of requests in progress.
+        transferred_bytes: Bytes received and sent on closed connections.
         watcher: Detects callers that disconnect.
         open_connections: Handlers of the open connections.
     """
@@ -37,6 +38,7 @@
         self.keep_alive_s = connections.KEEP_ALIVE_S
         self.stopping = False
         self.in_flight = 0
+        self.transferred_bytes = 0
         self.watcher = disconnects.DisconnectWatcher()
         self.open_connections: set[connections.ConnectionHandler] = set()
         # Without SERVER_NAME, pywsgi resolves the address in a thread.
@@ -86,6 +88,13 @@
         for handler in list(self.open_connections):
             handler.end_if_idle()
 
+    def total_transferred_bytes(self) -> int:
+        """Returns the bytes received and sent on all connections so far."""
+        return self.transferred_bytes + sum(
+            handler.connection.transferred_bytes
+            for handler in self.open_connections
+        )
+
     def _handler(
         self,
         sock: gevent.socket.socket,
--- a/mulberrydeck/frontend/tests/test_listeners.py
+++ b/mulberrydeck/frontend/tests/test_listeners.py
@@ -7,6 +7,7 @@
 from mulberrydeck import binding
 from mulberrydeck import errors
 from mulberrydeck.frontend import listeners
+from standins import waiting
 
 USED_S = 0.3
 SHORT_TIMEOUT_S = 0.2
@@ -43,3 +44,30 @@
     with pytest.raises(errors.AddressError, match="free the port") as raised:
         listener.start()
     assert f":{user.getsockname()[1]}" in str(raised.value)
+
+
+# Guards against a link whose use is not seen while connections stay open, or
+# is forgotten when they close.
+def test_bytes_are_counted_on_open_and_closed_connections():
+    listener = listeners.HttpListener("127.0.0.1:0")
+    listener.handle_request = lambda request: request.response.send_complete(
+        200, [], b"x" * 1000
+    )
+    listener.start()
+    host, _, port = listener.address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)))
+    head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    received = 0
+    for _ in range(2):
+        sock.sendall(head)
+        response = b""
+        while not response.endswith(b"x" * 1000):
+            response += sock.recv(65536)
+        received += len(response)
+    expected = 2 * len(head) + received
+    assert listener.total_transferred_bytes() == expected
+    sock.close()
+    waiting.until(lambda: not listener.open_connections, "the end")
+    assert listener.total_transferred_bytes() == expected
+    listener.listener.stop(timeout=0)
+    listener.watcher.stop()
--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -287,6 +287,8 @@
             watch it for other VMs.
         overlent: Whether the sender has lent more units of a limit than it
             owns, since its share has shrunk.
+        headroom: Factor from 0 to 1 on the sender's share of callers, below 1
+            if it is short of memory, descriptors or link.
     """
 
     incarnation: str
@@ -296,6 +298,7 @@
     joining: bool = False
     reaches_store: bool = False
     overlent: bool = False
+    headroom: float = 1.0
 
 
 @attrs.frozen
--- a/mulberrydeck/platform/documents.py
+++ b/mulberrydeck/platform/documents.py
@@ -14,6 +14,7 @@
 
 from mulberrydeck import errors
 from mulberrydeck.platform import json_parts
+from mulberrydeck.platform import vm_capacities
 from mulberrydeck.steering import registry
 from mulberrydeck.steering import tables
 
@@ -434,12 +435,13 @@
         document.caller_address,
         document.peer_address,
         document.incarnation,
+        vm_capacities.decode(stored.spec),
     )
 
 
 def encode_vm_record(record: registry.VmRecord) -> dict[str, object]:
     """Returns the record of an entry VM in its stored form."""
-    return msgspec.to_builtins(
+    spec = msgspec.to_builtins(
         _VmRecord(
             record.zone,
             record.region,
@@ -448,6 +450,7 @@
             record.incarnation,
         )
     )
+    return spec | vm_capacities.encode(record.capacity)
 
 
 def decode_fleet_secret(stored: StoredObject) -> str:
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -21,6 +21,7 @@
 from mulberrydeck.shell import event_loop
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import own_use
 from mulberrydeck.steering import reducer
 from mulberrydeck.steering import registration
 from mulberrydeck.steering import registry
@@ -222,7 +223,7 @@
         self._spawn(self._write_again)
 
     def _write_again(self) -> None:
-        """Writes again what this VM had stored, as it may be lost."""
+        """Writes again what this VM stores, as it may be lost or changed."""
         if self.peers is not None:
             vm_registration = self._registration()
             vm_registration.restore_secret(self.peers.secret.decode())
@@ -245,15 +246,7 @@
         )
 
     def _record(self) -> registry.VmRecord:
-        settings = self.settings
-        return registry.VmRecord(
-            settings.name,
-            settings.zone,
-            settings.region,
-            settings.caller_address,
-            settings.peer_address,
-            self.incarnation,
-        )
+        return registry.own_record(self.settings, self.incarnation)
 
     def _deliver(self, sender: str, message: object) -> None:
         try:
@@ -270,11 +263,17 @@
             self._report_failure("peer messages")
 
     def _tick(self) -> None:
+        meter = own_use.UseMeter(
+            self.caller_listener.total_transferred_bytes, now_s()
+        )
         while True:
             due_s = now_s() + self.settings.tick_interval_s
             gevent.sleep(self.settings.tick_interval_s)
             late_s = now_s() - due_s
             self.reports.ticked(late_s, self.loop.state.staleness_s())
+            if now_s() >= meter.measured_s + self.settings.beat_interval_s:
+                self.loop.submit(meter.measure(now_s()))
+                self.reports.headroom.set(self.loop.state.headroom)
             self.loop.submit(events.Ticked(now_s()))
             self.store_sync.feed_server.expire()
             table = self.loop.state.table
@@ -315,8 +314,11 @@
                 names=changed_names,
             )
             return
+        registered = self._record()
         self.settings = loaded
         self.loop.submit(events.SettingsReloaded(now_s(), loaded))
+        if self._record() != registered:
+            self._spawn(self._write_again)
 
     def stop(self) -> None:
         """Stops gracefully.
--- a/mulberrydeck/steering/events.py
+++ b/mulberrydeck/steering/events.py
@@ -296,6 +296,22 @@
     at_s: float
 
 
+@attrs.frozen
+class UseMeasured:
+    """The process has measured what it uses of its machine.
+
+    Attributes:
+        memory_mb: Resident memory, in MB.
+        descriptors: Number of open file descriptors.
+        link_mbps: Rate of the bytes that callers sent and received, in Mbit/s.
+    """
+
+    at_s: float
+    memory_mb: float
+    descriptors: int
+    link_mbps: float
+
+
 @attrs.frozen
 class StopRequested:
     """The process must stop gracefully."""
--- a/mulberrydeck/steering/heartbeats.py
+++ b/mulberrydeck/steering/heartbeats.py
@@ -165,6 +165,7 @@
                 peer.ready,
                 peer.leaving,
                 reaches_store=peer.reaches_store,
+                headroom=peer.headroom,
             )
             age_s = round(now_s - peer.last_heartbeat_s, 3)
             relayed.append(messages.RelayedHeartbeat(name, age_s, heartbeat))
--- a/mulberrydeck/steering/members.py
+++ b/mulberrydeck/steering/members.py
@@ -31,6 +31,7 @@
         leaving: Whether it is stopping.
         ready: Whether it can serve callers.
         reaches_store: Whether it can follow the store for other VMs.
+        headroom: Factor on its share of callers, which it reports itself.
     """
 
     record: registry.VmRecord
@@ -39,6 +40,7 @@
     leaving: bool = False
     ready: bool = False
     reaches_store: bool = False
+    headroom: float = 1.0
 
 
 @attrs.define
@@ -120,7 +122,10 @@
             produced.append(effects.ConnectPeer(record))
         if peer is None:
             fleet.peers[name] = Peer(record)
-        elif peer.record != record:
+        elif peer.record == attrs.evolve(record, capacity=peer.record.capacity):
+            # A changed capacity alone does not make the VM a new process.
+            peer.record = record
+        else:
             # The record names a new process, which has yet to send a heartbeat.
             fleet.peers[name] = Peer(record)
     fleet.names = tuple(sorted({r.name for r in records}))
@@ -197,6 +202,7 @@
     peer.leaving = heartbeat.leaving
     peer.ready = heartbeat.ready
     peer.reaches_store = heartbeat.reaches_store
+    peer.headroom = heartbeat.headroom
     return produced
 
 
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -10,6 +10,7 @@
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import headroom
 from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import lookup
 from mulberrydeck.steering import members
@@ -63,6 +64,13 @@
             return _ticked(state)
         case events.PeerReceived():
             return _peer_received(state, event)
+    return _process_event(state, event)
+
+
+def _process_event(state: states.State, event: object) -> Effects:
+    match event:
+        case events.UseMeasured():
+            return headroom.apply(state, event)
         case events.VmAdded():
             state.fleet.added = not state.settings.first_start
             return []
@@ -351,6 +359,7 @@
         and state.target_directory.listed
         and not state.lost_kinds,
         overlent=quota.is_overlent(state.quota),
+        headroom=state.headroom,
     )
 
 
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -111,6 +111,13 @@
             "For how long changes in the store may be unknown here.",
             registry=self.registry,
         )
+        self.headroom = prometheus_client.Gauge(
+            "mulberrydeck_headroom",
+            "Factor on this VM's share of callers; 1 unless it is short of "
+            "memory, descriptors or link.",
+            registry=self.registry,
+        )
+        self.headroom.set(1.0)
         self.dropped_lines = self._counter(
             "log_lines_left_out", "Lines left out."
         )
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import json
+import random
 
 import attrs
 import gevent
@@ -263,9 +264,12 @@
 
     Attributes:
         loop: Event loop of this VM.
+        rng: Random number generator of the lists. That of the state belongs to
+            the reducer, whose results must not depend on lookups.
     """
 
     loop: event_loop.EventLoop
+    rng: random.Random = attrs.field(factory=random.Random)
 
     def serve(self, request: requests.Request) -> None:
         """Responds to a lookup or a readiness check."""
@@ -283,7 +287,7 @@
         _, region, zone = headers.parse_lookup_query(request.query)
         state = self.loop.state
         now_s = self.loop.now_s()
-        addresses = lookup.addresses(state, now_s, region, zone)
+        addresses = lookup.addresses(state, now_s, region, zone, self.rng)
         if not addresses:
             send_json(request, 503, {"detail": "No VM is ready; ask another."})
             return
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -111,6 +111,29 @@
         "s",
         default=3.5,
     )
+    cpu_share: float = setting(
+        "Share of each of its cores that this VM may use; 0 if unknown.",
+        "-",
+        default=0.0,
+    )
+    cpu_count: float = setting(
+        "Number of cores of which this VM may use `cpu_share`; 0 if unknown.",
+        "cores",
+        default=0.0,
+    )
+    memory_mb: float = setting(
+        "Memory of this VM; 0 if unknown.", "MB", default=0.0
+    )
+    max_descriptors: int = setting(
+        "File descriptors that this VM may open; 0 if unknown.",
+        "descriptors",
+        default=0,
+    )
+    link_mbps: float = setting(
+        "Rate of this VM's network link in each direction; 0 if unknown.",
+        "Mbit/s",
+        default=0.0,
+    )
 
 
 def load(path: pathlib.Path) -> SteeringSettings:
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -91,6 +91,8 @@
         stopping: Whether a planned stop has begun.
         finish_by_s: When the last request must have ended, in seconds; infinite
             unless a planned stop has begun.
+        headroom: Factor on this VM's share of callers, below 1 if it is short
+            of memory, descriptors or link.
         choose: Function that chooses a target for a request.
     """
 
@@ -111,6 +113,7 @@
     held_evacuations: events.ZonesEvacuated | None = None
     stopping: bool = False
     finish_by_s: float = math.inf
+    headroom: float = 1.0
     heartbeat_schedule: heartbeats.Schedule = attrs.field(
         factory=heartbeats.Schedule
     )
--- a/mulberrydeck/steering/tests/test_fleet.py
+++ b/mulberrydeck/steering/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Entry VMs: lookups, heartbeats and ownership of account limits."""
 
+import random
+
 from mulberrydeck.peers import messages
 from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.quota import reducer as quota
@@ -35,7 +37,8 @@
 
 
 def addresses(vm, region="coast", zone=""):
-    return lookup.addresses(vm.state, vm.now_s, region, zone)
+    rng = random.Random(1)
+    return lookup.addresses(vm.state, vm.now_s, region, zone, rng)
 
 
 def test_registered_vms_are_connected_and_sent_heartbeats():
--- a/mulberrydeck/steering/tests/test_heartbeats.py
+++ b/mulberrydeck/steering/tests/test_heartbeats.py
@@ -3,6 +3,7 @@
 import collections
 import heapq
 import itertools
+import random
 
 import pytest
 
@@ -100,7 +101,9 @@
                 )
 
     def lookup_result(self, name, region):
-        return lookup.addresses(self.vms[name].state, self.now_s, region, "")
+        state = self.vms[name].state
+        rng = random.Random(1)
+        return lookup.addresses(state, self.now_s, region, "", rng)
 
 
 def test_all_vms_know_each_other_with_few_messages():
--- a/mulberrydeck/steering/tests/test_settings.py
+++ b/mulberrydeck/steering/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Settings of a steering VM, and the settings template of the platform."""
 
+import json
 import pathlib
 import re
 
@@ -8,6 +9,7 @@
 
 from mulberrydeck import errors
 from mulberrydeck.emulator import scenario
+from mulberrydeck.steering import registry
 from mulberrydeck.steering import settings
 from mulberrydeck.steering.tests import samples
 
@@ -72,6 +74,96 @@
     assert required <= template_names
 
 
+TEMPLATE_VALUES = {
+    "NodeName": "coast-a-1",
+    "Zone": "coast-a",
+    "Region": "coast",
+    "Ip": "127.0.0.1",
+    "InternalPorts.0": 4,
+    "InternalPorts.1": 5,
+    "Listen.Frontend": "127.0.0.1:1",
+    "Listen.Readiness": "127.0.0.1:2",
+    "Listen.Directory": "127.0.0.1:3",
+    "Platform.Address": "127.0.0.1:6",
+    "Bootstrap": False,
+    "Bounds.ttl_max_s": 5,
+    "Bounds.GraceS": 6,
+    "Bounds.RetryBudgetRatio": 0.2,
+    "Bounds.RetryBudgetExtra": 60,
+    "Bounds.BudgetWindowS": 10,
+    "Bounds.ColdOverage": 1.5,
+    "Bounds.ColdSlack": 5,
+}
+LIMITS = {
+    "Limits.CpuShare": 0.43,
+    "Limits.Cores": 2,
+    "Limits.MemoryMb": 552,
+    "Limits.MaxFds": 8192,
+    "Limits.LinkMbps": 50,
+}
+
+
+def render_template(values):
+    """Renders the settings template as the platform does."""
+    text = (ROOT / "deploy" / "settings.toml").read_text()
+    text = re.sub(
+        r"\{\{#Zones\}\}.*\{\{/Zones\}\}",
+        '"coast-a" = "coast"',
+        text,
+        flags=re.S,
+    )
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
+        lambda section: section[2] if section[1] in values else "",
+        text,
+        flags=re.S,
+    )
+    text = re.sub(
+        r"\{\{([\w.]+)\|json\}\}",
+        lambda field: json.dumps(values.get(field[1])),
+        text,
+    )
+    return re.sub(
+        r"\{\{([\w.]+)\}\}", lambda field: str(values[field[1]]), text
+    )
+
+
+def test_the_template_fills_in_the_limits_of_the_machine(tmp_path):
+    loaded = load(tmp_path, render_template(TEMPLATE_VALUES | LIMITS))
+    assert (loaded.cpu_share, loaded.cpu_count) == (0.43, 2.0)
+    assert loaded.memory_mb == 552.0
+    assert loaded.max_descriptors == 8192
+    assert loaded.link_mbps == 50.0
+
+
+# Guards against VMs that do not start where the platform states no limits, or
+# not all of them.
+@pytest.mark.parametrize("missing", [*LIMITS, "all"])
+def test_missing_limits_in_the_template_are_unknown(tmp_path, missing):
+    limits = {} if missing == "all" else dict(LIMITS)
+    limits.pop(missing, None)
+    loaded = load(tmp_path, render_template(TEMPLATE_VALUES | limits))
+    record = registry.own_record(loaded, "process")
+    assert (record.capacity is None) == (missing == "all")
+
+
+# Guards against a machine that takes all callers because of one odd setting.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"cpu_share": -1.0, "cpu_count": 2.0},
+        {"memory_mb": float("nan")},
+        {"memory_mb": 552e6},
+        {"max_descriptors": -1},
+        {"link_mbps": float("inf")},
+    ],
+)
+def test_an_implausible_capacity_in_the_settings_is_unknown(changes):
+    values = {"cpu_share": 1.0, "cpu_count": 1.0, **changes}
+    settings_of_vm = samples.make_settings(**values)
+    assert registry.own_record(settings_of_vm, "process").capacity is None
+
+
 def test_changes_that_require_a_restart_are_returned():
     running = samples.make_settings()
     reloaded = samples.make_settings(
