Believe no rejection that has further bytes behind it

Cause: a target may reject a request, run it all the same and send a second response. The rejection was believed as soon as it was complete, also if the second response had come with it. The caller was told "not run", or the request ran at a second target too.

Change: bytes behind a rejection, parsed or not yet read, make its attempt broken, in steer and serve.

A second response that comes later is still not seen.

--- a/mulberrydeck/forward/exchange.py
+++ b/mulberrydeck/forward/exchange.py
@@ -226,13 +226,19 @@
             )
 
     def _read_refusal(self, connection: pools.Connection) -> bytes:
-        """Returns the body of a refusal, which is believed only if complete."""
+        """Returns the body of a refusal.
+
+        It is believed only if it is complete and no bytes follow it, which may
+        be a second response.
+        """
         body = self.parser.take()
         while not self.parser.complete:
             if len(body) > refusals.MAX_BODY_BYTES:
                 raise response.HTTPParseError("the refusal is too large")
             self._receive(connection)
             body += self.parser.take()
+        if self.parser.surplus or connection.has_unread():
+            raise response.HTTPParseError("bytes behind a refusal")
         return body
 
     def _decode_problem(
--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -48,14 +48,24 @@
     def is_reusable(self) -> bool:
         """Returns whether the connection is open and has no bytes to read."""
         try:
-            # The underlying socket; recv of gevent's socket would block.
-            self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            self._peek()
         except BlockingIOError:
             return True
         except OSError:
             return False
         return False
 
+    def has_unread(self) -> bool:
+        """Returns whether bytes were received that nobody has read."""
+        try:
+            return bool(self._peek())
+        except OSError:
+            return False
+
+    def _peek(self) -> bytes:
+        # The underlying socket; recv of gevent's socket would block.
+        return self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+
 
 class ConnectionPool:
     """Opens, keeps and reuses connections.
--- a/mulberrydeck/frontend/tests/test_refusals.py
+++ b/mulberrydeck/frontend/tests/test_refusals.py
@@ -288,3 +288,18 @@
     )
     assert b"mulberrydeck-ran: unknown\r\n" in response
     assert [e.outcome for e in first.ended()] == [UNKNOWN]
+
+
+# Guards against a target that refuses a request, runs it all the same and then
+# sends a second response.
+def test_a_refusal_with_bytes_behind_it_states_nothing(serve, targets):
+    target = targets(encode(503, "Mulberrydeck-Ran: no") + PAID)
+    gateway = fakes.FakeGateway(
+        fakes.to_target(target.address, repeatable=False), fakes.refuse()
+    )
+    response = fakes.exchange(
+        serve(gateway).address,
+        fakes.get_request("/v1/services/s/x", "Connection: close"),
+    )
+    assert b'"ran": "unknown"' in response
+    assert gateway.ended()[0].outcome is UNKNOWN
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -214,7 +214,11 @@
         )
 
     def _read_rejection(self, connection: pools.Connection) -> None:
-        """Reads a rejection to its end; one that breaks off states nothing."""
+        """Reads a rejection to its end.
+
+        One that breaks off states nothing, nor does one with bytes behind it:
+        they may be a second response, which shows that the request ran.
+        """
         end_s = min(self.hop.deadline_s, self.now_s() + REJECTION_TIMEOUT_S)
         size = len(self.parser.take())
         while not self.parser.complete:
@@ -229,6 +233,8 @@
                     "rejection not complete in time"
                 ) from error
             size += len(self.parser.take())
+        if self.parser.surplus or connection.has_unread():
+            raise InvalidResponseError("bytes behind a rejection")
 
     def _read_body(
         self, connection: pools.Connection, sink: exchanges.Sink
