Use no connection that carried a request's identifier before

Cause: a kept connection is told from others by the identifiers of its responses alone. A caller that uses an identifier again, for another try, could get the copy of the response to its first one; if that was a rejection, the second try was refused although its target ran it.

Change: a connection keeps hashes of the identifiers that it carried, and is not used for one of them again. It is closed after 100 exchanges, which bounds their memory.

--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -9,6 +9,8 @@
 
 MAX_IDLE_PER_ADDRESS = 64
 MS_PER_S = 1000
+# Bounds the memory of the identifiers that a connection carried.
+MAX_IDENTIFIED_EXCHANGES = 100
 
 # An idle connection is probed after 1 s and then every second, the shortest
 # times that the kernel offers. It is closed after two unacknowledged probes.
@@ -33,6 +35,7 @@
         reused: Whether it carried an earlier exchange.
         idle_since_s: Monotonic time of the last use, in seconds.
         idle_limit_s: Idle time after which it is closed, in seconds.
+        carried: Hashes of the identifiers of the exchanges that it carried.
     """
 
     address: str
@@ -40,6 +43,15 @@
     reused: bool = False
     idle_since_s: float = 0.0
     idle_limit_s: float = math.inf
+    carried: set[int] = attrs.field(factory=set)
+
+    def record_exchange(self, identifier: str) -> None:
+        """Records an exchange, of which the peer may send a second response."""
+        self.carried.add(hash(identifier))
+
+    def may_carry(self, identifier: str) -> bool:
+        """Returns whether no earlier exchange had an identifier."""
+        return hash(identifier) not in self.carried
 
     def is_expired(self, now_s: float) -> bool:
         """Returns whether the idle limit has passed."""
@@ -114,6 +126,7 @@
         timeout_s: float,
         fresh: bool = False,
         max_idle_s: float = math.inf,
+        identifier: str = "",
     ) -> Connection:
         """Returns an idle connection, or opens one.
 
@@ -122,6 +135,8 @@
             timeout_s: Longest time to connect, in seconds.
             fresh: Whether to always open a new connection.
             max_idle_s: Longest idle time of a reused connection, in seconds.
+            identifier: Identifier of the exchange. A connection that carried
+                an exchange with the same one is not reused for it.
 
         Raises:
             ConnectError: The peer is unreachable.
@@ -129,6 +144,8 @@
         idle = None if fresh else self.idle.get(address)
         now_s = self.now_s()
         while idle and now_s - idle[-1].idle_since_s <= max_idle_s:
+            if not idle[-1].may_carry(identifier):
+                break
             connection = idle.pop()
             if not connection.is_expired(now_s) and connection.is_reusable():
                 connection.reused = True
@@ -139,7 +156,10 @@
     def release(self, connection: Connection) -> None:
         """Returns a connection to the pool after a complete response."""
         idle = self.idle.setdefault(connection.address, [])
-        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+        if (
+            len(idle) >= MAX_IDLE_PER_ADDRESS
+            or len(connection.carried) >= MAX_IDENTIFIED_EXCHANGES
+        ):
             connection.sock.close()
             return
         connection.idle_since_s = self.now_s()
--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -141,6 +141,8 @@
             max_idle_s=math.inf
             if self.hop.repeatable
             else MAX_IDLE_AT_MOST_ONCE_S,
+            # Callers may use an identifier again, for another try.
+            identifier=self.hop.attempt_id,
         )
 
     def _exchange(
@@ -335,6 +337,8 @@
         timeout_s = keep_alive_s(self.parser.first("keep-alive"))
         if timeout_s is not None:
             connection.idle_limit_s = timeout_s * KEEP_ALIVE_FRACTION
+        if self.upload.sent_any:
+            connection.record_exchange(self.hop.attempt_id)
         self.pool.release(connection)
 
     def _completed(
--- a/mulberrydeck/steering/tests/test_false_rejections.py
+++ b/mulberrydeck/steering/tests/test_false_rejections.py
@@ -69,6 +69,26 @@
     assert sum(len(target.heads) for target in targets) == 1
 
 
+# Guards against the copy of a rejection that is taken for the response to a
+# later request, since its caller used the identifier again.
+@pytest.mark.parametrize("first", [BUSY, OK])
+def test_a_copy_with_the_same_identifier_refuses_no_later_request(start, first):
+    ran = []
+
+    def serve(sock):
+        sock.sendall(first if not ran else OK)
+        while raw_sockets.read_head(sock):
+            ran.append(sock)
+            sock.sendall(BUSY + OK)
+
+    vm, targets = start(serve)
+    raw_sockets.exchange(vm.address, post(b"fee"))
+    ran.append(None)
+    response, _ = raw_sockets.exchange(vm.address, post(b"fee"))
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert len(targets[0].heads) == 2
+
+
 # Guards against a rejection without a length whose connection was reset, while
 # the upload received the error of the reset.
 def test_a_rejection_before_a_reset_states_nothing(start):
