Say that a malformed upload may have run once a part was sent

Cause: steer left errors of the body to the code of connections, which answers 400 with `"ran": "no"`, also when the body proved malformed while it was sent to a target.

Change: the handler of callers' requests refuses such a request itself, with `unknown`. The log line of the request now has the refusal, instead of "The caller disconnected."

--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -8,7 +8,9 @@
 
 from mulberrydeck.forward import budgets
 from mulberrydeck.forward import pool as pools
+from mulberrydeck.frontend import heads
 from mulberrydeck.frontend import listeners
+from mulberrydeck.frontend import problems
 from mulberrydeck.frontend import requests
 from mulberrydeck.platform import headers
 from mulberrydeck.shell import event_loop
@@ -161,6 +163,9 @@
                 self._run_attempts(
                     request, caller_fields, event, progress, buffered
                 )
+        except heads.BadRequestError:
+            # The body proved malformed while it was sent.
+            progress.decision = refuse_malformed(request, event.request_id)
         finally:
             self.loop.submit(
                 events.RequestClosed(self.loop.now_s(), event.request_id)
@@ -325,3 +330,20 @@
         "request_id": request.request_id,
     }
     writer.send_complete(refusal.status, fields, json.dumps(content).encode())
+
+
+def refuse_malformed(
+    request: requests.Request, request_id: str
+) -> effects.Refuse:
+    """Refuses a malformed request of which a part was sent to a target.
+
+    Args:
+        request: The request.
+        request_id: Identifier of its handling.
+    """
+    problem = attrs.evolve(problems.BAD_REQUEST, ran="unknown")
+    request.response.closing = True
+    request.refuse(problem)
+    return effects.Refuse(
+        request_id, problem.status, problem.kind, problem.detail
+    )
--- a/mulberrydeck/steering/tests/test_false_rejections.py
+++ b/mulberrydeck/steering/tests/test_false_rejections.py
@@ -107,3 +107,25 @@
         response, was_reset = raw_sockets.exchange(vm.address, request)
         assert was_reset or response.startswith(b"HTTP/1.1 502 ")
     assert vm.outcomes == [Outcome.BROKEN] * 3
+
+
+# Guards against "ran": "no" for a request of which a part reached a target.
+def test_a_body_that_proves_malformed_is_not_reported_as_not_run(start):
+    received = []
+
+    def serve(sock):
+        while data := sock.recv(65536):
+            received.append(data)
+
+    vm, _ = start(serve)
+    sock = raw_sockets.connect(vm.address)
+    body = b"200000\r\n%b\r\n" % (b"u" * 0x200000)
+    sock.sendall(post(body, b"Transfer-Encoding: chunked\r\n"))
+    with gevent.Timeout(5.0):
+        while not received:
+            gevent.sleep(0.01)
+    sock.sendall(b"no chunk size\r\n")
+    response, _ = raw_sockets.read_to_end(sock)
+    assert response.startswith(b"HTTP/1.1 400 ")
+    assert b"mulberrydeck-ran: unknown\r\n" in response
+    assert b'"ran": "unknown"' in response
