--- a/mulberrydeck/steering/exchange.py
+++ b/mulberrydeck/steering/exchange.py
@@ -141,6 +141,8 @@
             max_idle_s=math.inf
             if self.hop.repeatable
             else MAX_IDLE_AT_MOST_ONCE_S,
+            # Callers may use an identifier again, for another try.
+            identifier=self.hop.attempt_id,
         )
 
     def _exchange(
@@ -214,7 +216,11 @@
         )
 
     def _read_rejection(self, connection: pools.Connection) -> None:
-        """Reads a rejection to its end; one that breaks off states nothing."""
+        """Reads a rejection to its end.
+
+        One that breaks off states nothing, nor does one with bytes behind it:
+        they may be a second response, which shows that the request ran.
+        """
         end_s = min(self.hop.deadline_s, self.now_s() + REJECTION_TIMEOUT_S)
         size = len(self.parser.take())
         while not self.parser.complete:
@@ -229,6 +235,8 @@
                     "rejection not complete in time"
                 ) from error
             size += len(self.parser.take())
+        if self.parser.surplus or connection.has_unread():
+            raise InvalidResponseError("bytes behind a rejection")
 
     def _read_body(
         self, connection: pools.Connection, sink: exchanges.Sink
@@ -329,6 +337,8 @@
         timeout_s = keep_alive_s(self.parser.first("keep-alive"))
         if timeout_s is not None:
             connection.idle_limit_s = timeout_s * KEEP_ALIVE_FRACTION
+        if self.upload.sent_any:
+            connection.record_exchange(self.hop.attempt_id)
         self.pool.release(connection)
 
     def _completed(
