--- a/mulberrydeck/model/checks.py
+++ b/mulberrydeck/model/checks.py
@@ -154,8 +154,13 @@
             route.path_prefix,
             "must start with `/` and contain no `.` or `..` segment.",
         )
-    if route.deadline_s <= 0:
-        yield _not_positive(f"{key}.deadline_s", route.deadline_s)
+    # JSON, in which the configuration is stored, has no infinity and no NaN.
+    if not 0 < route.deadline_s < float("inf"):
+        yield findings.Finding(
+            f"{key}.deadline_s",
+            route.deadline_s,
+            "must be above 0 and finite; correct it.",
+        )
     for method in route.methods:
         if not (method.isalpha() and method.isupper()):
             yield findings.Finding(
--- a/mulberrydeck/model/compiled.py
+++ b/mulberrydeck/model/compiled.py
@@ -139,6 +139,22 @@
         self.spill_orders[key] = steps
         return steps
 
+    def zone_labels(
+        self, service: str, from_zone: places.Zone
+    ) -> dict[str, dict[str, str]]:
+        """Returns the labels of each zone with targets of a service.
+
+        Args:
+            service: Name of the service.
+            from_zone: Zone whose VM decides.
+        """
+        return {
+            name: implied_labels.of_zone(
+                self.zones[name], self.regions_by_zone[name], from_zone
+            )
+            for name in sorted(self.zones_by_service[service])
+        }
+
     def targets_in(self, zone: str) -> tuple[configuration.Target, ...]:
         """Returns all targets of a zone."""
         return self.targets_by_zone.get(zone, ())
@@ -199,12 +215,7 @@
         return zones
 
     def _steps(self, service: str, from_zone: places.Zone) -> tuple[Step, ...]:
-        labels_by_zone = {
-            name: implied_labels.of_zone(
-                self.zones[name], self.regions_by_zone[name], from_zone
-            )
-            for name in sorted(self.zones_by_service[service])
-        }
+        labels_by_zone = self.zone_labels(service, from_zone)
         rule = self.steering_rule(service)
         if rule is None:
             return _default_steps(labels_by_zone)
@@ -241,6 +252,30 @@
         ) from error
 
 
+def zones_by_preference(
+    rule: configuration.SteeringRule, labels_by_zone: dict[str, dict[str, str]]
+) -> list[list[str]]:
+    """Returns the zones that each preference of a spill order adds.
+
+    Args:
+        rule: The steering rule.
+        labels_by_zone: Labels of the zones with targets, seen from the zone of
+            the deciding VM.
+    """
+    remaining = dict(labels_by_zone)
+    chosen_zones = []
+    for preference in rule.spill_order:
+        chosen = [
+            name
+            for name, labels in remaining.items()
+            if preference.zones.matches(labels)
+        ]
+        for name in chosen:
+            del remaining[name]
+        chosen_zones.append(chosen)
+    return chosen_zones
+
+
 def _blocks(
     source: configuration.Configuration,
 ) -> list[tuple[str, tuple[str, ...]]]:
@@ -266,15 +301,8 @@
     rule: configuration.SteeringRule, labels_by_zone: dict[str, dict[str, str]]
 ) -> tuple[Step, ...]:
     steps: list[list[tuple[str, int]]] = []
-    remaining = dict(labels_by_zone)
-    for preference in rule.spill_order:
-        chosen = [
-            name
-            for name, labels in remaining.items()
-            if preference.zones.matches(labels)
-        ]
-        for name in chosen:
-            del remaining[name]
+    chosen_zones = zones_by_preference(rule, labels_by_zone)
+    for preference, chosen in zip(rule.spill_order, chosen_zones, strict=True):
         weighted = [(name, preference.weight) for name in chosen]
         if preference.same_step and steps:
             steps[-1].extend(weighted)
--- a/mulberrydeck/model/findings.py
+++ b/mulberrydeck/model/findings.py
@@ -20,19 +20,38 @@
     remedy: str
 
 
-def error_of(source: str, findings: list[Finding]) -> errors.ConfigurationError:
+class InvalidConfigurationError(errors.ConfigurationError):
+    """A configuration was read, but its content is invalid.
+
+    Attributes:
+        findings: All problems, at least one.
+
+    Args:
+        message: All problems as text.
+        findings: All problems, at least one.
+    """
+
+    def __init__(self, message: str, findings: list[Finding]) -> None:
+        super().__init__(message)
+        self.findings = tuple(findings)
+
+
+def error_of(source: str, findings: list[Finding]) -> InvalidConfigurationError:
     """Returns the error that reports all findings, one per line.
 
     Args:
         source: Name of the file, for the error message.
         findings: At least one problem.
     """
-    lines = [_line(source, finding) for finding in findings]
-    return errors.ConfigurationError("\n".join(lines))
-
-
-def _line(source: str, finding: Finding) -> str:
-    location = f"{source}: {finding.key}"
-    if finding.value is not None:
-        location = f"{location} = {finding.value!r}"
-    return f"{location}: {finding.remedy}"
+    lines = [
+        f"{source}: {location(finding)}: {finding.remedy}"
+        for finding in findings
+    ]
+    return InvalidConfigurationError("\n".join(lines), findings)
+
+
+def location(finding: Finding) -> str:
+    """Returns the key of a finding, with its value if there is one."""
+    if finding.value is None:
+        return finding.key
+    return f"{finding.key} = {finding.value!r}"
--- a/mulberrydeck/model/loading.py
+++ b/mulberrydeck/model/loading.py
@@ -64,7 +64,8 @@
         errors.ConfigurationError: The file is missing or malformed, a key is
             unknown or missing, or a value has the wrong type, is out of range
             or inconsistent with another. The message lists all problems, one
-            per line.
+            per line. If the file could be read as TOML, it is a
+            `findings.InvalidConfigurationError`.
     """
     try:
         text = path.read_text(encoding="utf-8")
--- a/mulberrydeck/model/tests/test_loading.py
+++ b/mulberrydeck/model/tests/test_loading.py
@@ -35,6 +35,8 @@
     ("weight = 3", "weight = 0", "use at least 1"),
     ('host = "127.0.0.1"', 'host = "localhost"', "write an IP address"),
     ("deadline_s = 5", "deadline_s = 0", "must be above 0"),
+    ("deadline_s = 5", "deadline_s = inf", "must be above 0 and finite"),
+    ("deadline_s = 5", "deadline_s = nan", "must be above 0 and finite"),
     ('tier = "gold" }', 'tier = "a b" }', "is not a valid label value"),
 ]
 
