Report ineffective entries, contradictions and changes in check

`mulberrydeck check` reported only what `apply` rejects. A valid file may still contain routes, rules, steps, accounts, services or zones without effect, and bursts that their rate uses up.

The package `checking` finds these on the compiled configuration of the VMs. `--against current|FILE` lists what differs by name; `current` also reports accounts without a valid key and zones without a VM. Findings are sorted lines or JSON, without secrets of keys.

--- /dev/null
+++ b/mulberrydeck/checking/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is applied."""
--- a/mulberrydeck/cli/configuration_commands.py
+++ b/mulberrydeck/cli/configuration_commands.py
@@ -18,20 +18,6 @@
 )
 
 
-@click.command(epilog=options.examples("mulberrydeck check fleet.toml"))
-@file_argument
-def check(file: pathlib.Path) -> None:
-    """Check a configuration FILE without applying it.
-
-    All problems are printed, each with file, key, value and remedy.
-    """
-    loaded = loading.load_file(file).configuration
-    counts = ", ".join(
-        f"{len(items)} {table}" for table, items in _tables(loaded)
-    )
-    click.echo(f"{file}: valid ({counts}).")
-
-
 @click.command(
     epilog=options.examples(
         "mulberrydeck get > fleet.toml; edit fleet.toml",
@@ -147,11 +133,4 @@
         click.echo(line)
 
 
-def _tables(loaded: object) -> list[tuple[str, tuple]]:
-    return [
-        (name, getattr(loaded, name))
-        for name in ("zones", "services", "targets", "accounts")
-    ]
-
-
-commands = (check, apply, get, diff)
+commands = (apply, get, diff)
--- a/mulberrydeck/cli/main.py
+++ b/mulberrydeck/cli/main.py
@@ -8,7 +8,7 @@
 MODULE_BY_COMMAND = {
     "serve": "serve_command",
     "steer": "steer_command",
-    "check": "configuration_commands",
+    "check": "check_command",
     "apply": "configuration_commands",
     "get": "configuration_commands",
     "diff": "configuration_commands",
--- a/mulberrydeck/keys/secrets.py
+++ b/mulberrydeck/keys/secrets.py
@@ -25,6 +25,8 @@
     rf"_([0-9a-f]{{{2 * SECRET_BYTES}}})"
 )
 
+_secret_pattern = re.compile(rf"({PREFIX}_[0-9a-f]+)_[0-9a-f]+")
+
 
 @attrs.frozen
 class PresentedKey:
@@ -88,3 +90,12 @@
 def equal(first: bytes, second: bytes) -> bool:
     """Compares two digests in constant time."""
     return hmac.compare_digest(first, second)
+
+
+def redact(text: str) -> str:
+    """Returns a text with the secret part of each key in it replaced.
+
+    Args:
+        text: Any text.
+    """
+    return _secret_pattern.sub(r"\1_(secret)", text)
