--- a/mulberrydeck/peers/messages.py
+++ b/mulberrydeck/peers/messages.py
@@ -8,6 +8,7 @@
 import attrs
 
 from mulberrydeck.peers import feed_messages
+from mulberrydeck.peers import slot_messages
 
 PROTOCOL_VERSION = 1
 
@@ -341,4 +342,10 @@
     11: SteeringDigest,
     12: feed_messages.FeedRequest,
     13: feed_messages.FeedResponse,
+    14: slot_messages.SlotRequest,
+    15: slot_messages.SlotGrant,
+    16: slot_messages.SlotQueued,
+    17: slot_messages.SlotRefusal,
+    18: slot_messages.SlotReturn,
+    19: slot_messages.SlotsHeld,
 }
--- /dev/null
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -0,0 +1,611 @@
+"""Grants slots of the targets of a region, as the scheduler of their services.
+
+Requests of all VMs of the region, and those of other regions that this one
+serves, meet here, so that the choice knows the load of each target without its
+reports. A request goes where it is expected to end first. Since work on an
+object that a target has not cached takes several times as long and keeps others
+from a slot, such work counts more the busier the service is.
+"""
+
+import bisect
+from collections.abc import Iterator
+
+import attrs
+
+from mulberrydeck.peers import slot_messages
+from mulberrydeck.scheduling import estimates
+from mulberrydeck.scheduling import order
+from mulberrydeck.scheduling import state as states
+from mulberrydeck.steering import outliers
+from mulberrydeck.steering import state as steering_states
+from mulberrydeck.steering import targets as targets_module
+
+# Usable targets are read from the directory this often; the VM that sends a
+# request checks its target once more.
+REFRESH_INTERVAL_S = 0.1
+# Targets that are compared for an object besides those that have it cached.
+# Fewer follow the load less closely; more cost processor time.
+CANDIDATES = 16
+# Work keeps others from a slot. At full use, a second of it counts twice.
+BUSY_WEIGHT = 1.0
+# Spreads objects that no target has cached: at full use of a target, the wait
+# counts this fraction of the work longer.
+SPREAD_WEIGHT = 0.5
+# Requests that are late anyway wait for at most this fraction of their time.
+LATE_WAIT_FRACTION = 0.25
+# Time for the response after the end of the work.
+RESPONSE_MARGIN_S = 0.05
+# Clients that are told to return come back spread over this fraction of the
+# time in which the backlog clears.
+RETURN_SPREAD = 1.0
+MIN_RETRY_S = 0.25
+# Time for which a VM's zone is not granted a target that it cannot use.
+AVOIDED_S = 1.0
+# A VM that died no longer uses its slots.
+DEAD_VM_CHECK_INTERVAL_S = 0.5
+# A grant that was never returned, since its message was lost, ends this long
+# after the deadline of its request.
+LOST_RETURN_S = 0.5
+# Waiting requests that are compared when a target has a free slot.
+MAX_COMPARED_WAITS = 24
+
+
+@attrs.frozen
+class Outgoing:
+    """A message to a VM, which may be this one.
+
+    Attributes:
+        to: Name of the VM.
+        message: The message.
+    """
+
+    to: str
+    message: object
+
+
+@attrs.frozen
+class _Option:
+    score_s: float
+    wait_s: float
+    work_s: float
+    cached: bool
+    target: states.ScheduledTarget
+
+
+def requested(
+    state: steering_states.State,
+    sender: str,
+    request: slot_messages.SlotRequest,
+) -> list[Outgoing]:
+    """Grants, queues or refuses a request for a slot.
+
+    Args:
+        state: State of this VM, changed in place.
+        sender: Name of the VM that asks.
+        request: The request.
+    """
+    if state.stopping or not state.target_directory.listed:
+        return [_refuse(sender, request.request_id, slot_messages.STOPPING)]
+    schedule = _refreshed(state, request.service)
+    key = (sender, request.request_id)
+    _drop(state, key)
+    options = list(_options(state, schedule, sender, request))
+    if not options:
+        return [_refuse(sender, request.request_id, slot_messages.NO_TARGET)]
+    best = min(options, key=lambda option: option.score_s)
+    if best.wait_s <= 0:
+        return [_grant(state, schedule, key, request, best.target, 0.0)]
+    if not request.may_wait or not _may_wait(request, best):
+        backlog_s = min(option.wait_s for option in options)
+        return [_refuse_overload(state, sender, request, backlog_s)]
+    _enqueue(state, schedule, key, request, best)
+    return [
+        Outgoing(
+            sender,
+            slot_messages.SlotQueued(request.request_id, round(best.wait_s, 3)),
+        )
+    ]
+
+
+def _refuse(sender: str, request_id: str, reason: str) -> Outgoing:
+    return Outgoing(sender, slot_messages.SlotRefusal(request_id, reason))
+
+
+def _refuse_overload(
+    state: steering_states.State,
+    sender: str,
+    request: slot_messages.SlotRequest,
+    backlog_s: float,
+) -> Outgoing:
+    base_s = max(MIN_RETRY_S, backlog_s)
+    retry_s = base_s * (1.0 + RETURN_SPREAD * state.rng.random())
+    refusal = slot_messages.SlotRefusal(
+        request.request_id, slot_messages.OVERLOAD, round(retry_s, 3)
+    )
+    return Outgoing(sender, refusal)
+
+
+def _may_wait(request: slot_messages.SlotRequest, option: _Option) -> bool:
+    end_s = option.wait_s + option.work_s
+    if end_s <= request.goal_remaining_s:
+        return True
+    if end_s + RESPONSE_MARGIN_S > request.deadline_remaining_s:
+        return False
+    return option.wait_s <= LATE_WAIT_FRACTION * request.deadline_remaining_s
+
+
+def _options(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    sender: str,
+    request: slot_messages.SlotRequest,
+) -> Iterator[_Option]:
+    """Yields the targets among which a request's target is chosen."""
+    now_s = state.now_s
+    use = _use(state, schedule)
+    zone = _zone_of(state, sender)
+    times = state.scheduler.expected
+    for target in _candidates(schedule, request.object_digest):
+        if target.name in request.excluded or (
+            now_s < target.avoided_until_s.get(zone, now_s)
+        ):
+            continue
+        cached = request.object_digest in target.cached
+        factor = target.work_factor(now_s)
+        work_s = times.expected_s(request.route, cached) * factor
+        wait_s = estimates.start_delay_s(
+            target, now_s, request.priority, factor
+        )
+        score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use)
+        if not cached:
+            usage = target.usage.current(now_s) / (
+                states.USAGE_PERIOD_S * target.slots
+            )
+            score_s += SPREAD_WEIGHT * usage * work_s
+        yield _Option(score_s, wait_s, work_s, cached, target)
+
+
+def _candidates(
+    schedule: states.ServiceSchedule, object_digest: int | None
+) -> Iterator[states.ScheduledTarget]:
+    """Yields targets that have an object cached, then its neighbours."""
+    usable = schedule.usable
+    if not usable:
+        return
+    if object_digest is not None:
+        for target in usable:
+            if object_digest in target.cached:
+                yield target
+    first = bisect.bisect_left(schedule.digests, object_digest or 0)
+    for offset in range(min(CANDIDATES, len(usable))):
+        target = usable[(first + offset) % len(usable)]
+        if object_digest is None or object_digest not in target.cached:
+            yield target
+
+
+def _use(
+    state: steering_states.State, schedule: states.ServiceSchedule
+) -> float:
+    """Returns the fraction of the slots in use; more than 1 with a queue."""
+    granted = sum(len(target.grants) for target in schedule.usable)
+    return (granted + schedule.waits) / max(1, schedule.slots)
+
+
+def _zone_of(state: steering_states.State, name: str) -> str:
+    peer = state.fleet.peers.get(name)
+    return state.settings.zone if peer is None else peer.record.zone
+
+
+def _incarnation_of(state: steering_states.State, name: str) -> str:
+    peer = state.fleet.peers.get(name)
+    return state.fleet.incarnation if peer is None else peer.incarnation
+
+
+def _grant(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    key: states.Key,
+    request: slot_messages.SlotRequest,
+    target: states.ScheduledTarget,
+    waited_s: float,
+) -> Outgoing:
+    now_s = state.now_s
+    cached = request.object_digest in target.cached
+    expected_s = state.scheduler.expected.expected_s(request.route, cached)
+    grant = states.Grant(
+        key=key,
+        incarnation=_incarnation_of(state, key[0]),
+        target=target,
+        granted_s=now_s,
+        deadline_s=now_s + request.deadline_remaining_s - waited_s,
+        route=request.route,
+        object_digest=request.object_digest,
+        cached=cached,
+        expected_s=expected_s,
+    )
+    state.scheduler.grants[key] = grant
+    target.grants[key] = grant
+    target.usage.add(now_s, expected_s)
+    target.remember(request.object_digest)
+    schedule.usage[request.account].add(now_s, 1.0)
+    reason = "cached" if cached else "not cached"
+    return Outgoing(
+        key[0],
+        slot_messages.SlotGrant(
+            request.request_id,
+            request.service,
+            target.name,
+            round(waited_s, 3),
+            reason,
+        ),
+    )
+
+
+def _enqueue(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    key: states.Key,
+    request: slot_messages.SlotRequest,
+    option: _Option,
+) -> None:
+    now_s = state.now_s
+    goal_s = now_s + request.goal_remaining_s
+    deadline_s = now_s + request.deadline_remaining_s
+    late_wait_s = LATE_WAIT_FRACTION * request.deadline_remaining_s
+    give_up_s = max(goal_s - option.work_s, now_s + late_wait_s)
+    queued = states.QueuedRequest(
+        key=key,
+        incarnation=_incarnation_of(state, key[0]),
+        request=request,
+        target=option.target,
+        queued_s=now_s,
+        goal_s=goal_s,
+        deadline_s=deadline_s,
+        give_up_s=min(
+            give_up_s, deadline_s - option.work_s - RESPONSE_MARGIN_S
+        ),
+        expected_s=option.work_s,
+    )
+    option.target.queue.append(queued)
+    state.scheduler.queued[key] = queued
+    schedule.waits += 1
+
+
+def returned(
+    state: steering_states.State,
+    sender: str,
+    message: slot_messages.SlotReturn,
+) -> list[Outgoing]:
+    """Frees a slot, and grants it to a request that waits.
+
+    Args:
+        state: State of this VM, changed in place.
+        sender: Name of the VM that used the slot.
+        message: The message.
+    """
+    grant = _drop(state, (sender, message.request_id))
+    if grant is None:
+        return []
+    target = grant.target
+    _observe(state, grant, message)
+    _observe_result(state, sender, target, message)
+    schedule = state.scheduler.services.get(message.service)
+    return [] if schedule is None else _fill(state, schedule, target)
+
+
+def _observe(
+    state: steering_states.State,
+    grant: states.Grant,
+    message: slot_messages.SlotReturn,
+) -> None:
+    """Learns from what the target reported, and from the duration."""
+    now_s = state.now_s
+    target = grant.target
+    if message.load is not None:
+        target.others_load = max(0.0, message.load - len(target.grants))
+        target.load_reported_s = now_s
+    if message.speed is not None:
+        target.reported_speed = message.speed
+        target.speed_reported_s = now_s
+    if message.duration_s is None or not grant.route:
+        return
+    speed = 1.0 if message.speed is None else max(0.5, message.speed)
+    ratio = state.scheduler.expected.record(
+        grant.route, grant.cached, message.duration_s
+    )
+    pace = min(outliers.MAX_RATIO, ratio / speed)
+    outliers.observe(target.pace, now_s, pace)
+
+
+def _observe_result(
+    state: steering_states.State,
+    sender: str,
+    target: states.ScheduledTarget,
+    message: slot_messages.SlotReturn,
+) -> None:
+    """Learns from what became of an attempt of a VM."""
+    now_s = state.now_s
+    match message.result:
+        case slot_messages.UNUSABLE:
+            zone = _zone_of(state, sender)
+            target.avoided_until_s[zone] = now_s + AVOIDED_S
+        case slot_messages.REJECTED:
+            target.others_load = max(target.others_load, float(target.slots))
+            target.load_reported_s = now_s
+        case slot_messages.SUCCEEDED | slot_messages.FAILED:
+            known = state.target_directory.by_name.get(target.name)
+            # The VM itself has recorded its own outcomes.
+            if known is not None and sender != state.settings.name:
+                was_failure = message.result == slot_messages.FAILED
+                targets_module.record_outcome(known, now_s, was_failure)
+
+
+def _drop(state: steering_states.State, key: states.Key) -> states.Grant | None:
+    """Drops a request from the grants or the queue; returns its grant."""
+    queued = state.scheduler.queued.pop(key, None)
+    if queued is not None:
+        _dequeue(state, queued)
+    grant = state.scheduler.grants.pop(key, None)
+    if grant is not None:
+        grant.target.grants.pop(key, None)
+    return grant
+
+
+def _dequeue(
+    state: steering_states.State, queued: states.QueuedRequest
+) -> None:
+    queued.target.queue.remove(queued)
+    state.scheduler.services[queued.request.service].waits -= 1
+
+
+def _fill(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    target: states.ScheduledTarget,
+) -> list[Outgoing]:
+    """Grants the free slots of a target to requests that wait."""
+    produced: list[Outgoing] = []
+    now_s = state.now_s
+    while target.free_slots(now_s) > 0:
+        queued = _next_of(state, schedule, target)
+        if queued is None:
+            break
+        del state.scheduler.queued[queued.key]
+        _dequeue(state, queued)
+        waited_s = now_s - queued.queued_s
+        produced.append(
+            _grant(
+                state, schedule, queued.key, queued.request, target, waited_s
+            )
+        )
+    return produced
+
+
+def _next_of(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    target: states.ScheduledTarget,
+) -> states.QueuedRequest | None:
+    """Returns the request that a free slot of a target goes to."""
+    if target.queue:
+        return min(
+            target.queue,
+            key=lambda queued: order.rank(
+                queued, schedule, state.table, state.now_s
+            ),
+        )
+    if schedule.waits and target in schedule.usable:
+        return _stolen(state, schedule, target)
+    return None
+
+
+def _stolen(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    target: states.ScheduledTarget,
+) -> states.QueuedRequest | None:
+    """Returns a request that would end earlier here than where it waits."""
+    now_s = state.now_s
+    use = _use(state, schedule)
+    factor = target.work_factor(now_s)
+    best: states.QueuedRequest | None = None
+    best_gain_s = 0.0
+    waiting = (
+        queued
+        for other in schedule.usable
+        for queued in other.queue
+        if target.name not in queued.request.excluded
+    )
+    for compared, queued in enumerate(waiting):
+        if compared >= MAX_COMPARED_WAITS:
+            break
+        if now_s < target.avoided_until_s.get(
+            _zone_of(state, queued.key[0]), now_s
+        ):
+            continue
+        there = queued.target
+        wait_s = estimates.start_delay_s(
+            there,
+            now_s,
+            queued.request.priority - 1,
+            there.work_factor(now_s),
+        )
+        cached = queued.request.object_digest in target.cached
+        work_s = factor * state.scheduler.expected.expected_s(
+            queued.request.route, cached
+        )
+        gain_s = wait_s + (queued.expected_s - work_s) * (
+            1.0 + BUSY_WEIGHT * use
+        )
+        if gain_s > best_gain_s:
+            best, best_gain_s = queued, gain_s
+    return best
+
+
+def held(
+    state: steering_states.State, sender: str, message: slot_messages.SlotsHeld
+) -> list[Outgoing]:
+    """Learns which slots a VM uses that an earlier scheduler granted.
+
+    Args:
+        state: State of this VM, changed in place.
+        sender: Name of the VM.
+        message: The slots.
+    """
+    schedule = _refreshed(state, message.service)
+    for slot in message.slots:
+        target = schedule.targets.get(slot.target)
+        key = (sender, slot.request_id)
+        if target is None or key in state.scheduler.grants:
+            continue
+        grant = states.Grant(
+            key=key,
+            incarnation=_incarnation_of(state, sender),
+            target=target,
+            granted_s=state.now_s,
+            deadline_s=state.now_s + slot.deadline_remaining_s,
+        )
+        state.scheduler.grants[key] = grant
+        target.grants[key] = grant
+    return []
+
+
+def ticked(state: steering_states.State) -> list[Outgoing]:
+    """Drops what has lapsed, and grants slots that became free."""
+    scheduler = state.scheduler
+    if not scheduler.services:
+        return []
+    now_s = state.now_s
+    if now_s >= scheduler.checked_s + DEAD_VM_CHECK_INTERVAL_S:
+        scheduler.checked_s = now_s
+        _drop_lapsed(state)
+    produced = _refuse_hopeless(state)
+    for service, schedule in scheduler.services.items():
+        _refreshed(state, service)
+        if schedule.waits:
+            for target in schedule.usable:
+                produced += _fill(state, schedule, target)
+    return produced
+
+
+def _drop_lapsed(state: steering_states.State) -> None:
+    """Drops grants and requests of VMs that died, and grants never returned."""
+    scheduler = state.scheduler
+    lapsed = [
+        grant.key
+        for grant in scheduler.grants.values()
+        if state.now_s > grant.deadline_s + LOST_RETURN_S
+        or _is_dead(state, grant.key[0], grant.incarnation)
+    ]
+    lapsed += [
+        queued.key
+        for queued in scheduler.queued.values()
+        if _is_dead(state, queued.key[0], queued.incarnation)
+    ]
+    for key in lapsed:
+        _drop(state, key)
+
+
+def _is_dead(state: steering_states.State, name: str, incarnation: str) -> bool:
+    if name == state.settings.name:
+        return False
+    peer = state.fleet.peers.get(name)
+    return (
+        peer is None
+        or not state.fleet.is_alive(peer, state.now_s)
+        or (incarnation != "" and peer.incarnation != incarnation)
+    )
+
+
+def _refuse_hopeless(state: steering_states.State) -> list[Outgoing]:
+    """Refuses waiting requests whose slot would come too late.
+
+    Requests whose targets are no longer usable are placed again.
+    """
+    produced: list[Outgoing] = []
+    for queued in list(state.scheduler.queued.values()):
+        schedule = state.scheduler.services[queued.request.service]
+        if queued.target not in schedule.usable:
+            produced += _place_again(state, queued)
+        elif state.now_s > queued.give_up_s:
+            _drop(state, queued.key)
+            backlog_s = estimates.start_delay_s(
+                queued.target, state.now_s, queued.request.priority, 1.0
+            )
+            produced.append(
+                _refuse_overload(
+                    state, queued.key[0], queued.request, backlog_s
+                )
+            )
+    return produced
+
+
+def _place_again(
+    state: steering_states.State, queued: states.QueuedRequest
+) -> list[Outgoing]:
+    waited_s = state.now_s - queued.queued_s
+    request = attrs.evolve(
+        queued.request,
+        goal_remaining_s=queued.request.goal_remaining_s - waited_s,
+        deadline_remaining_s=queued.request.deadline_remaining_s - waited_s,
+    )
+    return requested(state, queued.key[0], request)
+
+
+def stopped(state: steering_states.State) -> list[Outgoing]:
+    """Refuses all waiting requests, so that their VMs ask another scheduler."""
+    produced = []
+    for queued in list(state.scheduler.queued.values()):
+        _drop(state, queued.key)
+        produced.append(
+            _refuse(
+                queued.key[0], queued.request.request_id, slot_messages.STOPPING
+            )
+        )
+    return produced
+
+
+def _refreshed(
+    state: steering_states.State, service: str
+) -> states.ServiceSchedule:
+    """Returns the schedule of a service with its usable targets."""
+    schedule = state.scheduler.services.setdefault(
+        service, states.ServiceSchedule()
+    )
+    if state.now_s < schedule.refreshed_s + REFRESH_INTERVAL_S:
+        return schedule
+    schedule.refreshed_s = state.now_s
+    directory = state.target_directory
+    region = state.settings.region
+    registered: dict[str, states.ScheduledTarget] = {}
+    usable = []
+    for target in directory.by_service.get(service, ()):
+        if target.region != region:
+            continue
+        scheduled = _scheduled(schedule, target)
+        registered[scheduled.name] = scheduled
+        if targets_module.is_usable(
+            directory, target, state.now_s
+        ) and not target.is_cold(state.now_s):
+            usable.append(scheduled)
+    usable.sort(key=lambda scheduled: scheduled.digest)
+    schedule.targets = registered
+    schedule.usable = usable
+    schedule.digests = [scheduled.digest for scheduled in usable]
+    schedule.slots = sum(scheduled.slots for scheduled in usable)
+    return schedule
+
+
+def _scheduled(
+    schedule: states.ServiceSchedule, target: targets_module.Target
+) -> states.ScheduledTarget:
+    """Returns the scheduled target of an entry; a new one for a new process."""
+    entry = target.entry
+    process = (entry.started_ms, entry.address)
+    scheduled = schedule.targets.get(entry.name)
+    if scheduled is None or scheduled.process != process:
+        return states.ScheduledTarget(
+            entry.name, process, target.digest, entry.slots
+        )
+    scheduled.slots = entry.slots
+    return scheduled
--- /dev/null
+++ b/mulberrydeck/scheduling/work_times.py
@@ -0,0 +1,54 @@
+"""Expected work times of requests, by route and by whether an object is cached."""
+
+import attrs
+
+# Weight of a new duration in the mean; a scheduler sees tens of requests of a
+# route per second.
+EWMA_WEIGHT = 0.05
+# Until durations of both kinds were observed, work on a cached object is
+# expected to take this fraction of the work on another.
+CACHED_FRACTION = 0.35
+# Expected before the first observation, in seconds.
+INITIAL_S = 0.5
+# Caps a duration relative to the mean, so that the few requests with a long
+# tail of work do not dominate it.
+MAX_RATIO = 3.0
+
+
+@attrs.define
+class WorkTimes:
+    """Mean durations of attempts.
+
+    Attributes:
+        mean_s: Mean duration, in seconds, by route and whether the object was
+            cached.
+    """
+
+    mean_s: dict[tuple[str, bool], float] = attrs.field(factory=dict)
+
+    def expected_s(self, route: str, cached: bool) -> float:
+        """Returns the expected duration at the usual speed, in seconds."""
+        known = self.mean_s.get((route, cached))
+        if known is not None:
+            return known
+        other = self.mean_s.get((route, not cached))
+        if other is None:
+            return INITIAL_S
+        return other * CACHED_FRACTION if cached else other / CACHED_FRACTION
+
+    def record(self, route: str, cached: bool, duration_s: float) -> float:
+        """Records a duration; returns its ratio to the expected one.
+
+        Args:
+            route: Name of the route.
+            cached: Whether the target was expected to have the object cached.
+            duration_s: Duration at the usual speed, in seconds.
+        """
+        mean_s = self.mean_s.get((route, cached))
+        if mean_s is None or mean_s <= 0:
+            self.mean_s[route, cached] = duration_s
+            return 1.0
+        ratio = duration_s / mean_s
+        capped_s = min(ratio, MAX_RATIO) * mean_s
+        self.mean_s[route, cached] = mean_s + EWMA_WEIGHT * (capped_s - mean_s)
+        return ratio
--- a/mulberrydeck/steering/placement.py
+++ b/mulberrydeck/steering/placement.py
@@ -106,7 +106,7 @@
     """
     ranked = _ranked(directory, now_s, required)
     allowed = [
-        target for target in ranked if _may_send(pacer, now_s, target, required)
+        target for target in ranked if may_send(pacer, now_s, target, required)
     ]
     regions = _owner_regions(directory, ranked, required)
     local = [target for target in allowed if target.region in regions]
@@ -191,10 +191,22 @@
     return [
         target
         for target in directory.by_service.get(required.service, ())
-        if targets_module.is_usable(directory, target, now_s)
+        if is_usable(directory, target, now_s, required)
+    ]
+
+
+def is_usable(
+    directory: targets_module.TargetDirectory,
+    target: targets_module.Target,
+    now_s: float,
+    required: Requirements,
+) -> bool:
+    """Returns whether a target meets the requirements, whatever its load."""
+    return (
+        targets_module.is_usable(directory, target, now_s)
         and target.entry.name not in required.excluded
         and _is_allowed(target, required)
-    ]
+    )
 
 
 def _is_allowed(target: targets_module.Target, required: Requirements) -> bool:
@@ -220,12 +232,20 @@
     return candidates
 
 
-def _may_send(
+def may_send(
     pacer: pacing.ColdPacer,
     now_s: float,
     target: targets_module.Target,
     required: Requirements,
 ) -> bool:
+    """Returns whether this VM may send a request to a target.
+
+    Args:
+        pacer: Spaces requests to targets that are or may be cold.
+        now_s: Current time, in seconds.
+        target: The target.
+        required: Requirements of the request.
+    """
     name = target.entry.name
     rate_per_s = required.cold_rate_per_s
     if target.is_cold(now_s):
--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -294,6 +294,7 @@
     if is_heartbeat_due:
         targets.drop_old_notices(state.target_directory, state.now_s)
     produced += quota.tick(state.quota, state.now_s)
+    produced += requests.slots_ticked(state)
     produced += _apply_held(state)
     for name in targets.drop_missing(state.target_directory, state.now_s):
         fields = {"target": name}
@@ -409,7 +410,7 @@
                     state.quota, state.now_s, event.sender, event.message
                 )
             )
-    return []
+    return requests.slot_message_received(state, event.sender, event.message)
 
 
 def _stop_requested(state: states.State) -> Effects:
@@ -419,7 +420,8 @@
     # Other VMs must omit this one from lookups at once.
     heartbeats.send_to_all_soon(state.heartbeat_schedule)
     fields = {"in_flight": len(state.requests)}
-    return [effects.Log("steer", "A planned stop began.", fields)]
+    log = effects.Log("steer", "A planned stop began.", fields)
+    return [log, *requests.scheduler_stopped(state)]
 
 
 def _settings_reloaded(
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -1,8 +1,11 @@
 """Handling of a request: routing, rate limit, placement, retries, refusal."""
 
+from mulberrydeck.peers import slot_messages
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import hashing
+from mulberrydeck.scheduling import client as slots
+from mulberrydeck.scheduling import scheduler
 from mulberrydeck.steering import admission
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
@@ -157,26 +160,190 @@
         return [_stopping(state, request)]
     if request.deadline_s - state.now_s < MIN_REMAINING_S:
         return [refusals.refusal(request, 504, "deadline-exceeded", None)]
-    service = state.table.services.get(request.service)
-    cold_rate_per_s = service.cold_rate_per_s if service else 0.0
+    if slots.is_scheduled(state, request.service):
+        produced = slots.ask(state, request)
+        if produced is not None:
+            return _apply_slot_decisions(state, produced)
+    return _place_locally(state, request, "")
+
+
+def _place_locally(
+    state: states.State, request: states.Request, why: str
+) -> Effects:
+    """Forwards the request to a target that this VM chooses, or refuses it.
+
+    Args:
+        state: State of this VM, changed in place.
+        request: The request.
+        why: Why no scheduler granted a slot, for logs; empty without scheduler.
+    """
+    required = _requirements(state, request)
     choice = state.choose(
-        state.target_directory,
-        state.pacer,
-        state.now_s,
-        placement.Requirements(
-            service=request.service,
-            object_digest=request.object_digest,
-            allowed_regions=request.allowed_regions,
-            excluded=frozenset(request.tried),
-            cold_rate_per_s=cold_rate_per_s,
-            region=state.settings.region,
-        ),
+        state.target_directory, state.pacer, state.now_s, required
     )
     match choice:
         case placement.NoCapacity():
-            return [_no_capacity(state, request, choice)]
+            return [_refuse_or_deliver(state, request, choice)]
         case placement.Chosen(target, reason):
-            return [_forward(state, request, target, cold_rate_per_s, reason)]
+            reason = f"{reason} ({why})" if why else reason
+            return [_forward(state, request, target, reason)]
+
+
+def _refuse_or_deliver(
+    state: states.State,
+    request: states.Request,
+    choice: placement.NoCapacity,
+) -> effects.Decision:
+    """Without another target, an error response received is delivered."""
+    if request.deliverable:
+        return effects.Deliver(request.request_id)
+    return _no_capacity(state, request, choice)
+
+
+def _requirements(
+    state: states.State, request: states.Request
+) -> placement.Requirements:
+    return placement.Requirements(
+        service=request.service,
+        object_digest=request.object_digest,
+        allowed_regions=request.allowed_regions,
+        excluded=frozenset(request.tried),
+        cold_rate_per_s=_cold_rate_per_s(state, request),
+        region=state.settings.region,
+    )
+
+
+def _cold_rate_per_s(state: states.State, request: states.Request) -> float:
+    service = state.table.services.get(request.service)
+    return service.cold_rate_per_s if service else 0.0
+
+
+def slot_message_received(
+    state: states.State, sender: str, message: object
+) -> Effects:
+    """Applies a message about slots of targets."""
+    return _apply_slot_decisions(state, slots.receive(state, sender, message))
+
+
+def slots_ticked(state: states.State) -> Effects:
+    """Does what is due for slots that VMs asked for."""
+    produced = slots.ticked(state)
+    produced += slots.deliver(state, scheduler.ticked(state))
+    return _apply_slot_decisions(state, produced)
+
+
+def scheduler_stopped(state: states.State) -> Effects:
+    """Sends the requests that wait here for a slot to other schedulers."""
+    produced = slots.deliver(state, scheduler.stopped(state))
+    return _apply_slot_decisions(state, produced)
+
+
+def _apply_slot_decisions(state: states.State, produced: Effects) -> Effects:
+    """Replaces decisions on slots by what follows for their requests."""
+    applied: Effects = []
+    for item in produced:
+        if isinstance(item, slots.SlotDecision):
+            request = state.requests.get(item.request_id)
+            if request is not None:
+                applied += _slot_decided(state, request, item)
+        else:
+            applied.append(item)
+    return applied
+
+
+def _slot_decided(
+    state: states.State, request: states.Request, decision: slots.SlotDecision
+) -> Effects:
+    match decision:
+        case slots.Granted():
+            return _slot_granted(state, request, decision)
+        case slots.Declined(retry_after_s=retry_after_s):
+            if request.deliverable:
+                return [effects.Deliver(request.request_id)]
+            _refund_token(state, request)
+            inputs = {"scheduler": decision.scheduler}
+            return [
+                refusals.refusal(
+                    request, 503, "no-capacity", retry_after_s, inputs
+                )
+            ]
+        case slots.ChooseLocally(reason=reason):
+            return _place_locally(state, request, reason)
+    return []
+
+
+def _slot_granted(
+    state: states.State, request: states.Request, granted: slots.Granted
+) -> Effects:
+    """Forwards a request to a target, if this VM may use it now."""
+    target = granted.target
+    if not request.may_have_run and stopping.may_cut_off(state, request):
+        _refund_token(state, request)
+        return [
+            *_give_back(state, request, slot_messages.NOT_SENT),
+            _stopping(state, request),
+        ]
+    if request.deadline_s - state.now_s < MIN_REMAINING_S:
+        refusal = refusals.refusal(request, 504, "deadline-exceeded", None)
+        return [
+            *_give_back(state, request, slot_messages.NOT_SENT),
+            refusal,
+        ]
+    required = _requirements(state, request)
+    if not placement.is_usable(
+        state.target_directory, target, state.now_s, required
+    ) or not placement.may_send(state.pacer, state.now_s, target, required):
+        return [
+            *_give_back(state, request, slot_messages.UNUSABLE),
+            *_place_locally(state, request, "granted target is unusable"),
+        ]
+    inputs = {
+        "scheduler": granted.scheduler,
+        "slot_wait_s": round(granted.waited_s, 3),
+    }
+    return [_forward(state, request, target, granted.reason, inputs)]
+
+
+def _give_back(
+    state: states.State,
+    request: states.Request,
+    result: str,
+    event: events.AttemptEnded | None = None,
+) -> Effects:
+    """Returns the slot that a request used, if a scheduler granted it."""
+    if not request.slot_holders:
+        return []
+    duration_s = None
+    if event is not None and event.outcome is Outcome.ANSWERED:
+        duration_s = round(state.now_s - request.attempt_s, 4)
+    message = slot_messages.SlotReturn(
+        request.request_id,
+        request.service,
+        result,
+        duration_s,
+        None if event is None else event.reported_load,
+        None if event is None else event.reported_speed,
+    )
+    return _apply_slot_decisions(
+        state, slots.give_back(state, request, message)
+    )
+
+
+def _slot_result(event: events.AttemptEnded) -> str:
+    match event.outcome:
+        case Outcome.ANSWERED:
+            if event.status >= observations.MIN_SERVER_ERROR_STATUS:
+                return slot_messages.FAILED
+            return slot_messages.SUCCEEDED
+        case Outcome.BROKEN | Outcome.UNCLEAR:
+            return slot_messages.FAILED
+        case Outcome.REJECTED:
+            return slot_messages.REJECTED
+        case Outcome.EXPIRED:
+            return slot_messages.EXPIRED
+        case Outcome.NOT_SENT | Outcome.WRONG_TARGET:
+            return slot_messages.UNUSABLE
+    return slot_messages.NOT_SENT
 
 
 def _no_capacity(
@@ -200,15 +367,17 @@
     state: states.State,
     request: states.Request,
     target: targets.Target,
-    cold_rate_per_s: float,
     reason: str,
+    slot_inputs: dict[str, object] | None = None,
 ) -> effects.Forward:
+    cold_rate_per_s = _cold_rate_per_s(state, request)
     if target.is_cold(state.now_s):
         state.pacer.record_sent(state.now_s, target.entry.name, cold_rate_per_s)
     else:
         state.pacer.stale.record_sent(state.now_s, target.entry.name)
     request.target = target
     request.attempt_s = state.now_s
+    request.deliverable = False
     inputs = {
         "why": reason,
         "service": request.service,
@@ -219,6 +388,7 @@
         "cold_s": round(target.cold_remaining_s(state.now_s), 2),
         "news_age_s": _logged_age(state.staleness_s()),
         "decided_s": round(state.now_s, 3),
+        **(slot_inputs or {}),
     }
     request.sent += 1
     request.tried.add(target.entry.name)
@@ -251,16 +421,19 @@
     request.target = None
     target.in_flight -= 1
     observations.observe_latency(state, request, target, event)
+    if event.reported_speed is not None:
+        state.slot_client.speed_reporting.add(request.service)
+    produced = _give_back(state, request, _slot_result(event), event)
     if event.outcome is Outcome.DELAYED:
-        return _decide_anew(state, request, target)
-    produced = observations.observe_notice(state, target, event)
+        return [*produced, *_decide_anew(state, request, target)]
+    produced += observations.observe_notice(state, target, event)
     produced += observations.observe_outcome(state, target, event)
     final = _final_decision(state, request, event)
     if final is not None:
         return [*produced, final]
+    request.deliverable = event.outcome is Outcome.ANSWERED
     placed = _place(state, request)
-    if event.outcome is Outcome.ANSWERED and _is_refused(placed):
-        # Without another target, the error response received is delivered.
+    if request.deliverable and _is_refused(placed):
         placed = [effects.Deliver(request.request_id)]
     return [*produced, *placed]
 
@@ -386,6 +559,8 @@
     if request is None:
         return []
     quota.cancel(state.quota, request.request_id)
+    produced = slots.cancel(state, request)
     if request.target is not None:
         request.target.in_flight -= 1
-    return []
+        produced += _give_back(state, request, slot_messages.NOT_SENT)
+    return _apply_slot_decisions(state, produced)
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -10,6 +10,10 @@
 
 setting = declarations.setting
 
+# Values of `slot_scheduling`.
+OFF = "off"
+REPORTED = "reported"
+
 
 @attrs.frozen
 class SteeringSettings:
@@ -105,6 +109,13 @@
         "VMs",
         default=16,
     )
+    slot_scheduling: str = setting(
+        "Which services have a scheduler, which grants the slots of their "
+        "targets to all VMs: `off` for none, `reported` for those whose "
+        "targets report how fast their machines work.",
+        "-",
+        default=OFF,
+    )
     peer_timeout_s: float = setting(
         "A VM is considered unreachable and omitted from lookups after this "
         "long without a heartbeat.",
@@ -130,6 +141,11 @@
             f"{path}: zone {loaded.zone!r} is missing in region_by_zone; add "
             "it with its region."
         )
+    if loaded.slot_scheduling not in (OFF, REPORTED):
+        raise errors.SettingsError(
+            f"{path}: slot_scheduling is {loaded.slot_scheduling!r}; use "
+            f"{OFF!r} or {REPORTED!r}."
+        )
     return loaded
 
 
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -7,6 +7,7 @@
 
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import hashing
+from mulberrydeck.scheduling import state as scheduling
 from mulberrydeck.steering import events
 from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import members
@@ -38,6 +39,12 @@
         tried: Names of the targets tried so far.
         may_have_run: Whether an attempt ended with an unknown outcome or a
             server error.
+        deliverable: Whether the response of the last attempt is delivered if no
+            other target can run the request.
+        slot_holders: Schedulers that know of the slot that it uses.
+        spilled: Whether a slot in a second region was asked for.
+        retry_after_s: Delay that the first region's scheduler advised, in
+            seconds.
     """
 
     request_id: str
@@ -53,6 +60,10 @@
     sent: int = 0
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
+    deliverable: bool = False
+    slot_holders: set[str] = attrs.field(factory=set)
+    spilled: bool = False
+    retry_after_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
@@ -92,6 +103,8 @@
         finish_by_s: When the last request must have ended, in seconds; infinite
             unless a planned stop has begun.
         choose: Function that chooses a target for a request.
+        scheduler: What this VM knows as the scheduler of services.
+        slot_client: This VM's requests for slots.
     """
 
     settings: settings_module.SteeringSettings
@@ -118,6 +131,10 @@
         factory=source_selection.SourceSelection
     )
     choose: placement.SelectionPolicy = placement.choose
+    scheduler: scheduling.Scheduler = attrs.field(factory=scheduling.Scheduler)
+    slot_client: scheduling.SlotClient = attrs.field(
+        factory=scheduling.SlotClient
+    )
 
     def staleness_s(self) -> float:
         """Returns how long changes in the store may be unknown, in seconds."""
