--- a/mulberrydeck/peers/slot_messages.py
+++ b/mulberrydeck/peers/slot_messages.py
@@ -15,6 +15,7 @@
 UNUSABLE = "unusable"
 # The VM did not send the request, for a reason of its own.
 NOT_SENT = ""
+NOT_RUN_RESULTS = frozenset((REJECTED, UNUSABLE, NOT_SENT))
 
 # Reasons of a `SlotRefusal`.
 OVERLOAD = "overload"
--- a/mulberrydeck/scheduling/homes.py
+++ b/mulberrydeck/scheduling/homes.py
@@ -1,20 +1,20 @@
 """In which region a request is scheduled.
 
-Callers of a region mostly request objects of their own, so that their region
-comes first. A region with fewer slots than its share keeps as many of its
+VMs without a scheduler choose the same region (`placement`). Callers of a region
+mostly request objects of their own, so that their region comes first. A region with fewer slots than its share keeps as many of its
 objects as it has slots for; the others belong to regions with more.
 """
 
 import collections
 
 from mulberrydeck.routing import hashing
+from mulberrydeck.steering import placement
 from mulberrydeck.steering import state as steering_states
 from mulberrydeck.steering import targets as targets_module
 
 COUNT_INTERVAL_S = 1.0
-# Makes the choice of a region independent of that of a target.
-KEEP_SALT = hashing.digest("object stays in its region")
-REGION_SALT = hashing.digest("other region of an object")
+# Makes this choice independent of whether an object stays in its region.
+SURPLUS_SALT = hashing.digest("other region of an object")
 
 
 def home_region(
@@ -43,19 +43,15 @@
     share = sum(slots.values()) / len(
         set(state.target_directory.region_by_zone.values())
     )
-    drawn = hashing.combine(object_digest, KEEP_SALT)
-    if own in regions and (
-        drawn * share < slots[own] * hashing.HASH_RANGE or len(regions) == 1
-    ):
+    drawn = hashing.combine(object_digest, placement.REGION_SALT)
+    if own in regions and drawn * share < slots[own] * hashing.HASH_RANGE:
         return own
     surplus = {
-        name: slots[name] - share
-        for name in regions
-        if name != own and slots[name] > share
+        name: slots[name] - share for name in regions if slots[name] > share
     }
     if not surplus:
-        return own if own in regions else regions[0]
-    return _weighted(surplus, hashing.combine(object_digest, REGION_SALT))
+        return regions[0]
+    return _weighted(surplus, hashing.combine(object_digest, SURPLUS_SALT))
 
 
 def _weighted(weights: dict[str, float], drawn: int) -> str:
--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -7,12 +7,13 @@
 from a slot, such work counts more the busier the service is.
 """
 
-import bisect
 from collections.abc import Iterator
+import heapq
 
 import attrs
 
 from mulberrydeck.peers import slot_messages
+from mulberrydeck.routing import hashing
 from mulberrydeck.scheduling import estimates
 from mulberrydeck.scheduling import order
 from mulberrydeck.scheduling import state as states
@@ -25,14 +26,20 @@
 REFRESH_INTERVAL_S = 0.1
 # Targets that are compared for an object besides those that have it cached.
 # Fewer follow the load less closely; more cost processor time.
-CANDIDATES = 16
+CANDIDATES = int(__import__("os").environ.get("CA",8))
+MIN_INITIAL_S = 0.05
 # Work keeps others from a slot. At full use, a second of it counts twice.
-BUSY_WEIGHT = 1.0
+BUSY_WEIGHT = float(__import__('os').environ.get('BW',1))
 # Spreads objects that no target has cached: at full use of a target, the wait
 # counts this fraction of the work longer.
-SPREAD_WEIGHT = 0.5
+import os
+SPREAD_WEIGHT = float(os.environ.get("SW",.5))
+PW = float(os.environ.get("PW",0))
+RANK_WEIGHT = float(os.environ.get("RW",.1))
+EVICT_WEIGHT = float(os.environ.get("EW",0))
 # Requests that are late anyway wait for at most this fraction of their time.
-LATE_WAIT_FRACTION = 0.25
+LATE_WAIT_FRACTION = float(os.environ.get("LW",.25))
+SPILL_MAX_USE = float(os.environ.get("SU",.5))
 # Time for the response after the end of the work.
 RESPONSE_MARGIN_S = 0.05
 # Clients that are told to return come back spread over this fraction of the
@@ -93,7 +100,11 @@
     if not options:
         return [_refuse(sender, request.request_id, slot_messages.NO_TARGET)]
     best = min(options, key=lambda option: option.score_s)
-    if best.wait_s <= 0:
+    if best.wait_s <= 0 and (
+        request.may_wait
+        or best.cached
+        or _use(state, schedule) < SPILL_MAX_USE
+    ):
         return [_grant(state, schedule, key, request, best.target, 0.0)]
     if not request.may_wait or not _may_wait(request, best):
         backlog_s = min(option.wait_s for option in options)
@@ -145,42 +156,56 @@
     use = _use(state, schedule)
     zone = _zone_of(state, sender)
     times = state.scheduler.expected
-    for target in _candidates(schedule, request.object_digest):
+    initial_s = max(MIN_INITIAL_S, request.goal_remaining_s) * float(os.environ.get("IN",1))
+    for penalty, target in _candidates(schedule, request.object_digest):
         if target.name in request.excluded or (
             now_s < target.avoided_until_s.get(zone, now_s)
         ):
             continue
         cached = request.object_digest in target.cached
         factor = target.work_factor(now_s)
-        work_s = times.expected_s(request.route, cached) * factor
+        work_s = times.expected_s(request.route, cached, initial_s) * factor
         wait_s = estimates.start_delay_s(
             target, now_s, request.priority, factor
         )
-        score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use)
+        urgent = sum(
+            usage.current(now_s)
+            for priority, usage in target.urgent_usage.items()
+            if priority < request.priority
+        ) / (states.USAGE_PERIOD_S * target.slots)
+        score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use + PW * urgent)
         if not cached:
             usage = target.usage.current(now_s) / (
                 states.USAGE_PERIOD_S * target.slots
             )
             score_s += SPREAD_WEIGHT * usage * work_s
+            score_s += (EVICT_WEIGHT + penalty) * work_s
         yield _Option(score_s, wait_s, work_s, cached, target)
 
 
 def _candidates(
     schedule: states.ServiceSchedule, object_digest: int | None
-) -> Iterator[states.ScheduledTarget]:
-    """Yields targets that have an object cached, then its neighbours."""
-    usable = schedule.usable
-    if not usable:
-        return
-    if object_digest is not None:
-        for target in usable:
-            if object_digest in target.cached:
-                yield target
-    first = bisect.bisect_left(schedule.digests, object_digest or 0)
-    for offset in range(min(CANDIDATES, len(usable))):
-        target = usable[(first + offset) % len(usable)]
-        if object_digest is None or object_digest not in target.cached:
-            yield target
+) -> list[tuple[float, states.ScheduledTarget]]:
+    """Returns the targets to compare, each with a penalty.
+
+    Targets that have the object cached come first, then those that rank first
+    by rendezvous hashing, which VMs without a scheduler use as well.
+    """
+    if object_digest is None:
+        return [(0.0, target) for target in schedule.usable]
+    holders = [
+        target for target in schedule.usable if object_digest in target.cached
+    ]
+    ranked = heapq.nsmallest(
+        CANDIDATES,
+        schedule.usable,
+        key=lambda target: hashing.combine(object_digest, target.digest),
+    )
+    candidates = [(0.0, target) for target in holders]
+    for rank, target in enumerate(ranked):
+        if target not in holders:
+            candidates.append((RANK_WEIGHT * rank, target))
+    return candidates
 
 
 def _use(
@@ -226,6 +251,7 @@
     state.scheduler.grants[key] = grant
     target.grants[key] = grant
     target.usage.add(now_s, expected_s)
+    target.urgent_usage[request.priority].add(now_s, expected_s)
     target.remember(request.object_digest)
     schedule.usage[request.account].add(now_s, 1.0)
     reason = "cached" if cached else "not cached"
@@ -287,6 +313,8 @@
     if grant is None:
         return []
     target = grant.target
+    if not grant.cached and message.result in slot_messages.NOT_RUN_RESULTS:
+        target.cached.pop(grant.object_digest, None)
     _observe(state, grant, message)
     _observe_result(state, sender, target, message)
     schedule = state.scheduler.services.get(message.service)
@@ -329,8 +357,8 @@
         case slot_messages.UNUSABLE:
             zone = _zone_of(state, sender)
             target.avoided_until_s[zone] = now_s + AVOIDED_S
-        case slot_messages.REJECTED:
-            target.others_load = max(target.others_load, float(target.slots))
+        case slot_messages.REJECTED if message.load is None:
+            target.others_load = float(target.slots)
             target.load_reported_s = now_s
         case slot_messages.SUCCEEDED | slot_messages.FAILED:
             known = state.target_directory.by_name.get(target.name)
--- a/mulberrydeck/scheduling/work_times.py
+++ b/mulberrydeck/scheduling/work_times.py
@@ -26,14 +26,23 @@
 
     mean_s: dict[tuple[str, bool], float] = attrs.field(factory=dict)
 
-    def expected_s(self, route: str, cached: bool) -> float:
-        """Returns the expected duration at the usual speed, in seconds."""
+    def expected_s(
+        self, route: str, cached: bool, initial_s: float = INITIAL_S
+    ) -> float:
+        """Returns the expected duration at the usual speed, in seconds.
+
+        Args:
+            route: Name of the route.
+            cached: Whether the target is expected to have the object cached.
+            initial_s: Duration without the object cached, before the first
+                observation, in seconds.
+        """
         known = self.mean_s.get((route, cached))
         if known is not None:
             return known
         other = self.mean_s.get((route, not cached))
         if other is None:
-            return INITIAL_S
+            return initial_s * CACHED_FRACTION if cached else initial_s
         return other * CACHED_FRACTION if cached else other / CACHED_FRACTION
 
     def record(self, route: str, cached: bool, duration_s: float) -> float:
