--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -26,20 +26,21 @@
 REFRESH_INTERVAL_S = 0.1
 # Targets that are compared for an object besides those that have it cached.
 # Fewer follow the load less closely; more cost processor time.
-CANDIDATES = int(__import__("os").environ.get("CA",8))
+CANDIDATES = int(__import__("os").environ.get("CA", 8))
 MIN_INITIAL_S = 0.05
 # Work keeps others from a slot. At full use, a second of it counts twice.
-BUSY_WEIGHT = float(__import__('os').environ.get('BW',1))
+BUSY_WEIGHT = float(__import__("os").environ.get("BW", 1))
 # Spreads objects that no target has cached: at full use of a target, the wait
 # counts this fraction of the work longer.
 import os
-SPREAD_WEIGHT = float(os.environ.get("SW",.5))
-PW = float(os.environ.get("PW",0))
-RANK_WEIGHT = float(os.environ.get("RW",.1))
-EVICT_WEIGHT = float(os.environ.get("EW",0))
+
+SPREAD_WEIGHT = float(os.environ.get("SW", 0.5))
+PW = float(os.environ.get("PW", 0))
+RANK_WEIGHT = float(os.environ.get("RW", 0.1))
+EVICT_WEIGHT = float(os.environ.get("EW", 0))
 # Requests that are late anyway wait for at most this fraction of their time.
-LATE_WAIT_FRACTION = float(os.environ.get("LW",.25))
-SPILL_MAX_USE = float(os.environ.get("SU",.5))
+LATE_WAIT_FRACTION = float(os.environ.get("LW", 0.25))
+SPILL_MAX_USE = float(os.environ.get("SU", 0.5))
 # Time for the response after the end of the work.
 RESPONSE_MARGIN_S = 0.05
 # Clients that are told to return come back spread over this fraction of the
@@ -101,9 +102,7 @@
         return [_refuse(sender, request.request_id, slot_messages.NO_TARGET)]
     best = min(options, key=lambda option: option.score_s)
     if best.wait_s <= 0 and (
-        request.may_wait
-        or best.cached
-        or _use(state, schedule) < SPILL_MAX_USE
+        request.may_wait or best.cached or _use(state, schedule) < SPILL_MAX_USE
     ):
         return [_grant(state, schedule, key, request, best.target, 0.0)]
     if not request.may_wait or not _may_wait(request, best):
@@ -156,7 +155,9 @@
     use = _use(state, schedule)
     zone = _zone_of(state, sender)
     times = state.scheduler.expected
-    initial_s = max(MIN_INITIAL_S, request.goal_remaining_s) * float(os.environ.get("IN",1))
+    initial_s = max(MIN_INITIAL_S, request.goal_remaining_s) * float(
+        os.environ.get("IN", 1)
+    )
     for penalty, target in _candidates(schedule, request.object_digest):
         if target.name in request.excluded or (
             now_s < target.avoided_until_s.get(zone, now_s)
--- a/mulberrydeck/steering/tests/test_serving.py
+++ b/mulberrydeck/steering/tests/test_serving.py
@@ -2,11 +2,15 @@
 
 import types
 
+import pytest
+
 from mulberrydeck.frontend import heads
 from mulberrydeck.steering import attempts
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import serving
+from mulberrydeck.steering import tables
+from mulberrydeck.steering.tests import samples
 
 HEAD = b"POST /read/1 HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 2000"
 BODY_S = 1.5
@@ -87,3 +91,28 @@
     serving.CallerRequestHandler(loop, None, reports).serve(request)
     ended = [e for e in loop.events if isinstance(e, events.AttemptEnded)]
     assert [event.reported_speed for event in ended] == [2.5]
+
+
+# Guards against requests that run at most once and are cancelled behind others.
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [("/read/1?a=/", True), ("/once/1?/read/", False), ("/other", False)],
+)
+def test_only_requests_of_routes_that_allow_repeats_are_pipelined(
+    path, expected
+):
+    once = samples.make_route(
+        name="once",
+        prefix="/once/",
+        repeatability=tables.Repeatability.AT_MOST_ONCE,
+    )
+    table = samples.make_table(samples.make_route(), once)
+    state = types.SimpleNamespace(table=table)
+    handler = serving.CallerRequestHandler(
+        types.SimpleNamespace(state=state), None, None
+    )
+    text = f"GET {path} HTTP/1.1\r\nHost: permits.example:80"
+    head = heads.parse(text.encode())
+    assert handler.may_pipeline(head) is expected
+    state.table = None
+    assert not handler.may_pipeline(head)
