--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -19,8 +19,8 @@
 
 Effects = list[object]
 
-# Latest reply of a scheduler, several times the round trip and the time that a
-# busy one takes. Beyond this, choosing alone serves callers better than waiting.
+# Several times the round trip and the time that a busy scheduler takes. Beyond
+# this, callers are served better by a choice without it.
 REPLY_TIMEOUT_S = 0.1
 FAR_REPLY_TIMEOUT_S = 0.25
 # After a queued request's expected wait, another message is expected by then.
--- a/mulberrydeck/scheduling/homes.py
+++ b/mulberrydeck/scheduling/homes.py
@@ -1,8 +1,9 @@
 """In which region a request is scheduled.
 
-VMs without a scheduler choose the same region (`placement`). Callers of a region
-mostly request objects of their own, so that their region comes first. A region with fewer slots than its share keeps as many of its
-objects as it has slots for; the others belong to regions with more.
+Callers of a region mostly request objects of their own, so that their region
+comes first. A region with fewer slots than its share keeps as many of its
+objects as it has slots for; the others belong to regions with more. VMs without
+a scheduler keep the same objects in their region (`placement`).
 """
 
 import collections
--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -25,22 +25,27 @@
 # request checks its target once more.
 REFRESH_INTERVAL_S = 0.1
 # Targets that are compared for an object besides those that have it cached.
-# Fewer follow the load less closely; more cost processor time.
-CANDIDATES = int(__import__("os").environ.get("CA", 8))
-MIN_INITIAL_S = 0.05
-# Work keeps others from a slot. At full use, a second of it counts twice.
-BUSY_WEIGHT = float(__import__("os").environ.get("BW", 1))
-# Spreads objects that no target has cached: at full use of a target, the wait
-# counts this fraction of the work longer.
-import os
-
-SPREAD_WEIGHT = float(os.environ.get("SW", 0.5))
-PW = float(os.environ.get("PW", 0))
-RANK_WEIGHT = float(os.environ.get("RW", 0.1))
-EVICT_WEIGHT = float(os.environ.get("EW", 0))
-# Requests that are late anyway wait for at most this fraction of their time.
-LATE_WAIT_FRACTION = float(os.environ.get("LW", 0.25))
-SPILL_MAX_USE = float(os.environ.get("SU", 0.5))
+CANDIDATES = 8
+# Work keeps other requests from a slot: at full use of the service, a second of
+# it counts twice.
+BUSY_WEIGHT = 1.0
+# Work on an object that is not cached evicts another one, which then takes
+# longer. Without this term, objects spread over targets until few are cached
+# where they are requested.
+EVICTION_WEIGHT = 1.0
+# VMs without a scheduler send an object to the target that ranks first, which
+# has probably cached it before the scheduler knows.
+RANK_WEIGHT = 0.3
+# Spreads objects over targets by their recent use.
+USAGE_WEIGHT = 0.5
+# Requests that are late anyway wait for at most this fraction of their time;
+# with longer queues, requests that could be on time become late as well.
+LATE_WAIT_FRACTION = 0.25
+# A target that has not cached the object serves requests of other regions below
+# this use of the service.
+MAX_USE_FOR_OTHERS = 0.5
+# Shortest time assumed for work before any was observed, in seconds.
+MIN_INITIAL_WORK_S = 0.05
 # Time for the response after the end of the work.
 RESPONSE_MARGIN_S = 0.05
 # Clients that are told to return come back spread over this fraction of the
@@ -102,7 +107,9 @@
         return [_refuse(sender, request.request_id, slot_messages.NO_TARGET)]
     best = min(options, key=lambda option: option.score_s)
     if best.wait_s <= 0 and (
-        request.may_wait or best.cached or _use(state, schedule) < SPILL_MAX_USE
+        request.may_wait
+        or best.cached
+        or _use(state, schedule) < MAX_USE_FOR_OTHERS
     ):
         return [_grant(state, schedule, key, request, best.target, 0.0)]
     if not request.may_wait or not _may_wait(request, best):
@@ -155,9 +162,7 @@
     use = _use(state, schedule)
     zone = _zone_of(state, sender)
     times = state.scheduler.expected
-    initial_s = max(MIN_INITIAL_S, request.goal_remaining_s) * float(
-        os.environ.get("IN", 1)
-    )
+    initial_s = max(MIN_INITIAL_WORK_S, request.goal_remaining_s)
     for penalty, target in _candidates(schedule, request.object_digest):
         if target.name in request.excluded or (
             now_s < target.avoided_until_s.get(zone, now_s)
@@ -169,18 +174,14 @@
         wait_s = estimates.start_delay_s(
             target, now_s, request.priority, factor
         )
-        urgent = sum(
-            usage.current(now_s)
-            for priority, usage in target.urgent_usage.items()
-            if priority < request.priority
-        ) / (states.USAGE_PERIOD_S * target.slots)
-        score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use + PW * urgent)
+        score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use)
         if not cached:
             usage = target.usage.current(now_s) / (
                 states.USAGE_PERIOD_S * target.slots
             )
-            score_s += SPREAD_WEIGHT * usage * work_s
-            score_s += (EVICT_WEIGHT + penalty) * work_s
+            score_s += work_s * (
+                EVICTION_WEIGHT + USAGE_WEIGHT * usage + penalty
+            )
         yield _Option(score_s, wait_s, work_s, cached, target)
 
 
@@ -252,7 +253,6 @@
     state.scheduler.grants[key] = grant
     target.grants[key] = grant
     target.usage.add(now_s, expected_s)
-    target.urgent_usage[request.priority].add(now_s, expected_s)
     target.remember(request.object_digest)
     schedule.usage[request.account].add(now_s, 1.0)
     reason = "cached" if cached else "not cached"
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -10,7 +10,7 @@
 from mulberrydeck.steering import outliers
 
 # Objects that a target is expected to have cached; targets do not tell.
-CACHED_OBJECTS = int(__import__("os").environ.get("CO", 10))
+CACHED_OBJECTS = 16
 # Decay of the load beyond the granted slots, which a target reported.
 LOAD_DECAY_S = 0.3
 # A machine's speed changes several times per second, so that a report says
@@ -141,9 +141,6 @@
     others_load: float = 0.0
     load_reported_s: float = -math.inf
     usage: DecayingSum = attrs.field(factory=DecayingSum)
-    urgent_usage: dict[int, DecayingSum] = attrs.field(
-        factory=lambda: collections.defaultdict(DecayingSum)
-    )
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
 
     def free_slots(self, now_s: float) -> int:
--- a/mulberrydeck/scheduling/work_times.py
+++ b/mulberrydeck/scheduling/work_times.py
@@ -1,4 +1,4 @@
-"""Expected work times of requests, by route and by whether an object is cached."""
+"""Expected work times, by route and by whether the object is cached."""
 
 import attrs
 
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -153,6 +153,7 @@
         raise errors.SettingsError(
             f"{path}: slot_scheduling is {loaded.slot_scheduling!r}; use "
             f"{OFF!r} or {REPORTED!r}."
+        )
     if loaded.max_pipelined_requests < 1:
         raise errors.SettingsError(
             f"{path}: max_pipelined_requests must be at least 1."
