--- a/mulberrydeck/scheduling/election.py
+++ b/mulberrydeck/scheduling/election.py
@@ -8,6 +8,7 @@
 from mulberrydeck.routing import hashing
 from mulberrydeck.scheduling import state as states
 from mulberrydeck.steering import capacity
+from mulberrydeck.steering import registry
 from mulberrydeck.steering import state as steering_states
 
 # Ranking the VMs of a region takes longer than handling a request.
@@ -54,17 +55,19 @@
 ) -> tuple[str, ...]:
     digest = hashing.digest(service)
     candidates = [
-        (
-            -capacity.cores(getattr(peer.record, "capacity", None)),
-            hashing.combine(hashing.digest(peer.record.name), digest),
-            peer.record.name,
-        )
+        _candidate(peer.record, digest)
         for peer in state.fleet.serving_peers(state.now_s)
         if peer.record.region == region
     ]
     settings = state.settings
     if region == settings.region and not state.stopping:
-        own = hashing.combine(hashing.digest(settings.name), digest)
-        own_cores = capacity.cores(capacity.of_settings(settings))
-        candidates.append((-own_cores, own, settings.name))
+        own = registry.own_record(settings, state.fleet.incarnation)
+        candidates.append(_candidate(own, digest))
     return tuple(name for _, _, name in sorted(candidates)[:MAX_SCHEDULERS])
+
+
+def _candidate(
+    record: registry.VmRecord, service_digest: int
+) -> tuple[float, int, str]:
+    rank = hashing.combine(hashing.digest(record.name), service_digest)
+    return (-capacity.cores(record), rank, record.name)
--- a/mulberrydeck/steering/observations.py
+++ b/mulberrydeck/steering/observations.py
@@ -63,7 +63,9 @@
         case Outcome.EXPIRED:
             return []
         case Outcome.REJECTED:
-            targets.observe_load(target, state.now_s, 2.0 * target.entry.slots)
+            if not rejected_with_free_slot(target, event):
+                full_load = 2.0 * target.entry.slots
+                targets.observe_load(target, state.now_s, full_load)
             return []
     targets.mark_reachable(target)
     was_failure = (
@@ -81,6 +83,21 @@
     return []
 
 
+def rejected_with_free_slot(
+    target: targets.Target, event: events.AttemptEnded
+) -> bool:
+    """Returns whether a target rejected a request for another reason than load.
+
+    Only targets that report their speed are taken to report their load exactly.
+    """
+    return (
+        event.outcome is Outcome.REJECTED
+        and event.reported_speed is not None
+        and event.reported_load is not None
+        and event.reported_load < target.entry.slots
+    )
+
+
 def _target_log(
     text: str, target: targets.Target, event: events.AttemptEnded
 ) -> effects.Log:
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -1,5 +1,7 @@
 """Handling of a request: routing, rate limit, placement, retries, refusal."""
 
+import attrs
+
 from mulberrydeck.peers import slot_messages
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.quota import state as quota_state
@@ -430,6 +432,8 @@
     produced += observations.observe_outcome(state, target, event)
     final = _final_decision(state, request, event)
     if final is not None:
+        if observations.rejected_with_free_slot(target, event):
+            final = _without_delay(final)
         return [*produced, final]
     request.deliverable = event.outcome is Outcome.ANSWERED
     placed = _place(state, request)
@@ -479,6 +483,16 @@
     )
 
 
+def _without_delay(decision: effects.Decision) -> effects.Decision:
+    """Returns a refusal after which the caller may return at once.
+
+    The target had a free slot, so that waiting makes no success more likely.
+    """
+    if isinstance(decision, effects.Refuse) and decision.retry_after_s:
+        return attrs.evolve(decision, retry_after_s=0.0)
+    return decision
+
+
 def _unless_retried(
     state: states.State,
     request: states.Request,
