--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -134,6 +134,7 @@
     request: slot_messages.SlotRequest,
     backlog_s: float,
 ) -> Outgoing:
+    state.scheduler.services[request.service].refused += 1
     base_s = max(MIN_RETRY_S, backlog_s)
     retry_s = base_s * (1.0 + RETURN_SPREAD * state.rng.random())
     refusal = slot_messages.SlotRefusal(
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -191,6 +191,7 @@
         slots: Slots of `usable`.
         usage: Recent grants by client account.
         waits: Number of requests that wait.
+        refused: Number of requests that were refused since process start.
     """
 
     targets: dict[str, ScheduledTarget] = attrs.field(factory=dict)
@@ -202,6 +203,7 @@
         factory=lambda: collections.defaultdict(DecayingSum)
     )
     waits: int = 0
+    refused: int = 0
 
 
 @attrs.define(eq=False)
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -18,6 +18,7 @@
 from mulberrydeck.peers import transport
 from mulberrydeck.platform import store as stores
 from mulberrydeck.quota import effects as quota_effects
+from mulberrydeck.scheduling import metrics
 from mulberrydeck.shell import event_loop
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
@@ -88,6 +89,9 @@
             settings, self.incarnation, now_s(), uuid.uuid4().int
         )
         self.loop = event_loop.EventLoop(state, reducer.reduce, now_s)
+        self.reports.registry.register(
+            metrics.SchedulerCollector(state.scheduler)
+        )
         source_ip = settings.caller_address.rpartition(":")[0]
         self.targets_pool = pools.ConnectionPool(
             source_ip,
--- a/mulberrydeck/steering/effects.py
+++ b/mulberrydeck/steering/effects.py
@@ -1,5 +1,6 @@
 """Effects that the reducer returns and the event loop carries out."""
 
+import enum
 import math
 
 import attrs
@@ -8,6 +9,15 @@
 from mulberrydeck.steering import sync_plans
 
 
+class Placement(enum.Enum):
+    """How the target of an attempt was chosen."""
+
+    UNSCHEDULED = "unscheduled"
+    GRANTED = "granted"
+    # By this VM, since no scheduler granted a slot in time.
+    ALONE = "alone"
+
+
 @attrs.frozen
 class Forward:
     """Send the request to a target.
@@ -23,6 +33,9 @@
         send_by_s: Latest time of the first byte; later, the request is decided
             anew.
         cold: Whether the target is known to be cold.
+        placement: How the target was chosen.
+        slot_wait_s: Time that the request waited for a granted slot, in
+            seconds.
         inputs: Log fields with the values that determined the decision, and
             their ages or versions.
     """
@@ -36,6 +49,8 @@
     repeatable: bool
     send_by_s: float = math.inf
     cold: bool = False
+    placement: Placement = Placement.UNSCHEDULED
+    slot_wait_s: float = 0.0
     inputs: dict[str, object] = attrs.field(factory=dict)
 
 
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -103,6 +103,15 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.placements = self._counter(
+            "placements", "Choices of a target.", "by"
+        )
+        self.slot_wait = prometheus_client.Histogram(
+            "mulberrydeck_slot_wait_seconds",
+            "Time that requests waited for a granted slot.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.cold_sends = self._counter(
             "cold_sends", "Requests sent to targets known to be cold."
         )
@@ -159,6 +168,9 @@
     ) -> None:
         """Counts an attempt, and logs it if it failed."""
         self.attempts.labels(attempt.outcome.value).inc()
+        self.placements.labels(decision.placement.value).inc()
+        if decision.placement is effects.Placement.GRANTED:
+            self.slot_wait.observe(decision.slot_wait_s)
         if attempt.sent_after_s is not None:
             self.send_delay.observe(attempt.sent_after_s)
             if decision.cold:
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -22,6 +22,7 @@
 from mulberrydeck.steering import targets
 
 Outcome = events.Outcome
+Placement = effects.Placement
 
 DEFAULT_TIMEOUT_S = 10.0  # For callers that specify no deadline.
 # With less time remaining, no target could respond by the deadline.
@@ -187,8 +188,9 @@
         case placement.NoCapacity():
             return [_refuse_or_deliver(state, request, choice)]
         case placement.Chosen(target, reason):
-            reason = f"{reason} ({why})" if why else reason
-            return [_forward(state, request, target, reason)]
+            inputs = {"alone_because": why} if why else {}
+            how = Placement.ALONE if why else Placement.UNSCHEDULED
+            return [_forward(state, request, target, reason, how, inputs)]
 
 
 def _refuse_or_deliver(
@@ -303,7 +305,10 @@
         "scheduler": granted.scheduler,
         "slot_wait_s": round(granted.waited_s, 3),
     }
-    return [_forward(state, request, target, granted.reason, inputs)]
+    forward = _forward(
+        state, request, target, granted.reason, Placement.GRANTED, inputs
+    )
+    return [attrs.evolve(forward, slot_wait_s=granted.waited_s)]
 
 
 def _give_back(
@@ -370,7 +375,8 @@
     request: states.Request,
     target: targets.Target,
     reason: str,
-    slot_inputs: dict[str, object] | None = None,
+    how: Placement,
+    slot_inputs: dict[str, object],
 ) -> effects.Forward:
     cold_rate_per_s = _cold_rate_per_s(state, request)
     if target.is_cold(state.now_s):
@@ -390,7 +396,7 @@
         "cold_s": round(target.cold_remaining_s(state.now_s), 2),
         "news_age_s": _logged_age(state.staleness_s()),
         "decided_s": round(state.now_s, 3),
-        **(slot_inputs or {}),
+        **slot_inputs,
     }
     request.sent += 1
     request.tried.add(target.entry.name)
@@ -405,6 +411,7 @@
         repeatable=request.repeatable,
         send_by_s=state.now_s + admission.SEND_WITHIN_S,
         cold=target.is_cold(state.now_s),
+        placement=how,
         inputs=inputs,
     )
 
