Number the attempts for which slots are asked

Cause: all attempts of a request have the same identifier. After a stall of the scheduler, the grant of an earlier attempt served a later one, whose own grant was then returned, so that the scheduler took the slot in use for a free one. Change: slot messages carry the number of the attempt; replies to an earlier attempt are late, and returns of an earlier attempt change nothing. Result: test_a_grant_of_an_earlier_attempt_does_not_serve_a_later_one fails without the change and passes with it.

--- a/mulberrydeck/peers/slot_messages.py
+++ b/mulberrydeck/peers/slot_messages.py
@@ -31,11 +31,13 @@
         request_id: Identifier of the request, unique to the VM.
         target: Name of the target.
         deadline_remaining_s: Time until the request's deadline.
+        attempt: Number of the attempt.
     """
 
     request_id: str
     target: str
     deadline_remaining_s: float
+    attempt: int = 0
 
 
 @attrs.frozen
@@ -67,6 +69,8 @@
         deadline_remaining_s: Time until the deadline.
         excluded: Names of targets that must not be granted.
         may_wait: Whether the request may wait in the scheduler's queue.
+        attempt: Number of the attempt. All attempts of a request have the same
+            identifier, and messages about an earlier one may come late.
     """
 
     request_id: str
@@ -79,6 +83,7 @@
     deadline_remaining_s: float
     excluded: tuple[str, ...] = ()
     may_wait: bool = True
+    attempt: int = 0
 
 
 @attrs.frozen
@@ -91,6 +96,7 @@
         target: Name of the target.
         waited_s: Time that the request waited in the queue.
         reason: Why the target was chosen, for logs.
+        attempt: Number of the attempt.
     """
 
     request_id: str
@@ -98,6 +104,7 @@
     target: str
     waited_s: float = 0.0
     reason: str = ""
+    attempt: int = 0
 
 
 @attrs.frozen
@@ -107,10 +114,12 @@
     Attributes:
         request_id: Identifier of the request.
         wait_s: Expected time until the grant.
+        attempt: Number of the attempt.
     """
 
     request_id: str
     wait_s: float
+    attempt: int = 0
 
 
 @attrs.frozen
@@ -121,11 +130,13 @@
         request_id: Identifier of the request.
         reason: Why, one of the constants of this module.
         retry_after_s: Time until the backlog is expected to clear.
+        attempt: Number of the attempt.
     """
 
     request_id: str
     reason: str
     retry_after_s: float = 0.0
+    attempt: int = 0
 
 
 @attrs.frozen
@@ -142,6 +153,7 @@
             reported none.
         speed: Work time at the target as a multiple of the usual one; None if
             it reported none.
+        attempt: Number of the attempt.
     """
 
     request_id: str
@@ -150,3 +162,4 @@
     duration_s: float | None = None
     load: int | None = None
     speed: float | None = None
+    attempt: int = 0
--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -132,8 +132,9 @@
     now_s = state.now_s
     is_near = region == state.settings.region
     timeout_s = REPLY_TIMEOUT_S if is_near else FAR_REPLY_TIMEOUT_S
+    request.slot_attempt += 1
     state.slot_client.asked[request.request_id] = states.AskedSlot(
-        name, region, now_s, now_s + timeout_s
+        name, region, now_s, now_s + timeout_s, request.slot_attempt
     )
     account = request.account
     priority = request.route.priority
@@ -152,6 +153,7 @@
         deadline_remaining_s=round(request.deadline_s - now_s, 4),
         excluded=tuple(sorted(request.tried)),
         may_wait=may_wait,
+        attempt=request.slot_attempt,
     )
     outgoing.append(scheduler.Outgoing(name, message))
     return deliver(state, outgoing)
@@ -172,6 +174,7 @@
             request.request_id,
             request.target.entry.name,
             round(request.deadline_s - state.now_s, 3),
+            request.slot_attempt,
         )
         for request in state.requests.values()
         if request.service == service
@@ -216,7 +219,9 @@
 def _withdrawal(
     request: steering_states.Request, name: str
 ) -> scheduler.Outgoing:
-    message = slot_messages.SlotReturn(request.request_id, request.service)
+    message = slot_messages.SlotReturn(
+        request.request_id, request.service, attempt=request.slot_attempt
+    )
     return scheduler.Outgoing(name, message)
 
 
@@ -262,11 +267,13 @@
 def _granted(
     state: steering_states.State, sender: str, grant: slot_messages.SlotGrant
 ) -> Effects:
-    asked = state.slot_client.asked.get(grant.request_id)
+    asked = _asked(state, sender, grant)
     request = state.requests.get(grant.request_id)
-    if asked is None or request is None or asked.scheduler != sender:
-        # The request has ended, or was placed without this scheduler.
-        message = slot_messages.SlotReturn(grant.request_id, grant.service)
+    if asked is None or request is None:
+        # The request has ended, or was placed without this grant.
+        message = slot_messages.SlotReturn(
+            grant.request_id, grant.service, attempt=grant.attempt
+        )
         return deliver(state, [scheduler.Outgoing(sender, message)])
     del state.slot_client.asked[grant.request_id]
     request.slot_holders.add(sender)
@@ -281,11 +288,31 @@
     ]
 
 
+def _asked(
+    state: steering_states.State,
+    sender: str,
+    message: slot_messages.SlotGrant
+    | slot_messages.SlotQueued
+    | slot_messages.SlotRefusal,
+) -> states.AskedSlot | None:
+    """Returns what a reply of a scheduler responds to; None if it is late."""
+    asked = state.slot_client.asked.get(message.request_id)
+    if asked is None or (asked.scheduler, asked.attempt) != (
+        sender,
+        message.attempt,
+    ):
+        return None
+    return asked
+
+
 def _unusable(
     state: steering_states.State, request: steering_states.Request
 ) -> Effects:
     message = slot_messages.SlotReturn(
-        request.request_id, request.service, slot_messages.UNUSABLE
+        request.request_id,
+        request.service,
+        slot_messages.UNUSABLE,
+        attempt=request.slot_attempt,
     )
     return give_back(state, request, message)
 
@@ -293,8 +320,8 @@
 def _queued(
     state: steering_states.State, sender: str, message: slot_messages.SlotQueued
 ) -> Effects:
-    asked = state.slot_client.asked.get(message.request_id)
-    if asked is not None and asked.scheduler == sender:
+    asked = _asked(state, sender, message)
+    if asked is not None:
         asked.is_queued = True
         asked.reply_by_s = state.now_s + 2 * message.wait_s + QUEUED_TIMEOUT_S
     return []
@@ -305,9 +332,9 @@
     sender: str,
     refusal: slot_messages.SlotRefusal,
 ) -> Effects:
-    asked = state.slot_client.asked.get(refusal.request_id)
+    asked = _asked(state, sender, refusal)
     request = state.requests.get(refusal.request_id)
-    if asked is None or request is None or asked.scheduler != sender:
+    if asked is None or request is None:
         return []
     del state.slot_client.asked[refusal.request_id]
     if refusal.reason == slot_messages.STOPPING:
--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -98,13 +98,13 @@
         request: The request.
     """
     if state.stopping or not state.target_directory.listed:
-        return [_refuse(sender, request.request_id, slot_messages.STOPPING)]
+        return [_refuse(sender, request, slot_messages.STOPPING)]
     schedule = _refreshed(state, request.service)
     key = (sender, request.request_id)
     _drop(state, key)
     options = list(_options(state, schedule, sender, request))
     if not options:
-        return [_refuse(sender, request.request_id, slot_messages.NO_TARGET)]
+        return [_refuse(sender, request, slot_messages.NO_TARGET)]
     best = min(options, key=lambda option: option.score_s)
     if best.wait_s <= 0 and (
         request.may_wait
@@ -119,13 +119,20 @@
     return [
         Outgoing(
             sender,
-            slot_messages.SlotQueued(request.request_id, round(best.wait_s, 3)),
+            slot_messages.SlotQueued(
+                request.request_id, round(best.wait_s, 3), request.attempt
+            ),
         )
     ]
 
 
-def _refuse(sender: str, request_id: str, reason: str) -> Outgoing:
-    return Outgoing(sender, slot_messages.SlotRefusal(request_id, reason))
+def _refuse(
+    sender: str, request: slot_messages.SlotRequest, reason: str
+) -> Outgoing:
+    refusal = slot_messages.SlotRefusal(
+        request.request_id, reason, attempt=request.attempt
+    )
+    return Outgoing(sender, refusal)
 
 
 def _refuse_overload(
@@ -137,7 +144,10 @@
     base_s = max(MIN_RETRY_S, backlog_s)
     retry_s = base_s * (1.0 + RETURN_SPREAD * state.rng.random())
     refusal = slot_messages.SlotRefusal(
-        request.request_id, slot_messages.OVERLOAD, round(retry_s, 3)
+        request.request_id,
+        slot_messages.OVERLOAD,
+        round(retry_s, 3),
+        request.attempt,
     )
     return Outgoing(sender, refusal)
 
@@ -249,6 +259,7 @@
         object_digest=request.object_digest,
         cached=cached,
         expected_s=expected_s,
+        attempt=request.attempt,
     )
     state.scheduler.grants[key] = grant
     target.grants[key] = grant
@@ -264,6 +275,7 @@
             target.name,
             round(waited_s, 3),
             reason,
+            request.attempt,
         ),
     )
 
@@ -310,7 +322,11 @@
         sender: Name of the VM that used the slot.
         message: The message.
     """
-    grant = _drop(state, (sender, message.request_id))
+    key = (sender, message.request_id)
+    if _attempt(state, key) != message.attempt:
+        # The VM has asked again since; its earlier attempt was dropped then.
+        return []
+    grant = _drop(state, key)
     if grant is None:
         return []
     target = grant.target
@@ -369,6 +385,15 @@
                 targets_module.record_outcome(known, now_s, was_failure)
 
 
+def _attempt(state: steering_states.State, key: states.Key) -> int | None:
+    """Returns the attempt that has a slot or waits; None if there is none."""
+    queued = state.scheduler.queued.get(key)
+    if queued is not None:
+        return queued.request.attempt
+    grant = state.scheduler.grants.get(key)
+    return None if grant is None else grant.attempt
+
+
 def _drop(state: steering_states.State, key: states.Key) -> states.Grant | None:
     """Drops a request from the grants or the queue; returns its grant."""
     queued = state.scheduler.queued.pop(key, None)
@@ -493,6 +518,7 @@
             target=target,
             granted_s=state.now_s,
             deadline_s=state.now_s + slot.deadline_remaining_s,
+            attempt=slot.attempt,
         )
         state.scheduler.grants[key] = grant
         target.grants[key] = grant
@@ -587,9 +613,7 @@
     for queued in list(state.scheduler.queued.values()):
         _drop(state, queued.key)
         produced.append(
-            _refuse(
-                queued.key[0], queued.request.request_id, slot_messages.STOPPING
-            )
+            _refuse(queued.key[0], queued.request, slot_messages.STOPPING)
         )
     return produced
 
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -64,6 +64,7 @@
         object_digest: Hash of the request's object, or None.
         cached: Whether the target was expected to have the object cached.
         expected_s: Expected duration at the usual speed, in seconds.
+        attempt: Number of the attempt.
     """
 
     key: Key
@@ -75,6 +76,7 @@
     object_digest: int | None = None
     cached: bool = False
     expected_s: float = work_times.INITIAL_S
+    attempt: int = 0
 
 
 @attrs.define(eq=False)
@@ -232,6 +234,7 @@
         region: Region of the targets.
         sent_s: When it was sent, in seconds.
         reply_by_s: Latest time of the next reply, in seconds.
+        attempt: Number of the attempt.
         is_queued: Whether the scheduler has queued the request.
     """
 
@@ -239,6 +242,7 @@
     region: str
     sent_s: float
     reply_by_s: float
+    attempt: int
     is_queued: bool = False
 
 
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -325,6 +325,7 @@
         duration_s,
         None if event is None else event.reported_load,
         None if event is None else event.reported_speed,
+        request.slot_attempt,
     )
     return _apply_slot_decisions(
         state, slots.give_back(state, request, message)
--- a/mulberrydeck/steering/state.py
+++ b/mulberrydeck/steering/state.py
@@ -42,6 +42,7 @@
         deliverable: Whether the response of the last attempt is delivered if no
             other target can run the request.
         slot_holders: Schedulers that know of the slot that it uses.
+        slot_attempt: Number of times that a scheduler was asked for a slot.
         spilled: Whether a slot in a second region was asked for.
         retry_after_s: Delay that the first region's scheduler advised, in
             seconds.
@@ -62,6 +63,7 @@
     may_have_run: bool = False
     deliverable: bool = False
     slot_holders: set[str] = attrs.field(factory=set)
+    slot_attempt: int = 0
     spilled: bool = False
     retry_after_s: float = 0.0
 
