Check the time before a local choice; keep decisions on other requests

Cause: a request whose scheduler no longer replied was sent although its deadline or the end of a planned stop had passed while it waited. A request whose grant came too late was answered with 504, although the response of an earlier attempt was ready. When the scheduler's own request was retried, its effects could contain the refusal of another request, whose slot it had given back; they were replaced by the delivery of its own response, so that the other caller got no decision. Change: local choices and grants make the same checks as arrivals. Each path to a refusal delivers a ready response by itself, without the replacement.

--- a/mulberrydeck/scheduling/tests/test_attempts.py
+++ b/mulberrydeck/scheduling/tests/test_attempts.py
@@ -117,29 +117,34 @@
     assert net.decision(low).inputs["scheduler"] == SCHEDULER
 
 
-def test_another_requests_decision_survives_a_retry():
+def test_a_decision_on_another_request_survives_a_retry():
     """Guards against a caller that waits forever.
 
-    The scheduler's own request is retried after a server error. The granted
-    target is unusable, so that its slot goes to another request of the VM,
-    which is refused.
+    The scheduler's own request is retried after a server error. Its slot is
+    unusable and goes to another request of the VM, which is refused, while the
+    first one still has a response to deliver.
     """
-    net = make_network(2, 1)
+    low = samples.make_route(
+        name="low", prefix="/low/", timeout_s=8.0, priority=1
+    )
+    net = make_network(2, 1, (samples.make_route(timeout_s=8.0), low))
     net.learn(0.4)
-    net.fill(SCHEDULER, 2, object_key="", timeout_s=8.0)
-    running = [key for key in net.owners]
-    waiting = net.ask(SCHEDULER, object_key="", timeout_s=8.0)
-    first, second = running
-    targets = net.state().target_directory.by_name
-    for target in targets.values():
+    net.learn(0.4, route="low")
+    retried, other = net.fill(SCHEDULER, 2, object_key="", timeout_s=8.0)
+    waiting = net.ask(SCHEDULER, path="/low/1", timeout_s=8.0)
+    queued = net.state().scheduler.queued[SCHEDULER, waiting]
+    if queued.target.name == net.decision(retried).target:
+        retried, other = other, retried
+    # The target of the other one reports a load that decays by the next tick.
+    net.run(0.06 - net.now_s % 0.1)
+    net.end(other, reported_load=1, reported_speed=1.0)
+    queued.target.load_reported_s -= 0.5
+    for target in net.state().target_directory.by_name.values():
         target.ejected_until_s = 2000.0
-    net.end(first, status=503)
-    net.run(0.01)
-    net.end(second, status=503)
-    net.run(0.3)
-    for request_id in (first, second, waiting):
-        final = net.decision(request_id)
-        assert not isinstance(final, effects.Forward | None), request_id
+    net.state().scheduler.services[network.SERVICE].refreshed_s = net.now_s
+    net.end(retried, status=500)
+    assert isinstance(net.decision(retried), effects.Deliver)
+    assert isinstance(net.decision(waiting), effects.Refuse)
 
 
 @pytest.mark.parametrize("stops", [False, True])
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -157,11 +157,9 @@
 
 def _place(state: states.State, request: states.Request) -> Effects:
     """Forwards the request to a target, or refuses it."""
-    if not request.may_have_run and stopping.may_cut_off(state, request):
-        _refund_token(state, request)
-        return [_stopping(state, request)]
-    if request.deadline_s - state.now_s < MIN_REMAINING_S:
-        return [refusals.refusal(request, 504, "deadline-exceeded", None)]
+    ended = _end_without_time(state, request)
+    if ended is not None:
+        return [ended]
     if slots.is_scheduled(state, request.service):
         produced = slots.ask(state, request)
         if produced is not None:
@@ -169,6 +167,24 @@
     return _place_locally(state, request, "")
 
 
+def _end_without_time(
+    state: states.State, request: states.Request
+) -> effects.Decision | None:
+    """Returns the decision on a request that no target can serve in time.
+
+    Returns:
+        The decision; None if there is enough time.
+    """
+    if not request.may_have_run and stopping.may_cut_off(state, request):
+        _refund_token(state, request)
+        return _stopping(state, request)
+    if request.deadline_s - state.now_s < MIN_REMAINING_S:
+        if request.deliverable:
+            return effects.Deliver(request.request_id)
+        return refusals.refusal(request, 504, "deadline-exceeded", None)
+    return None
+
+
 def _place_locally(
     state: states.State, request: states.Request, why: str
 ) -> Effects:
@@ -270,6 +286,10 @@
                 )
             ]
         case slots.ChooseLocally(reason=reason):
+            # The request may have waited for a slot until now.
+            ended = _end_without_time(state, request)
+            if ended is not None:
+                return [ended]
             return _place_locally(state, request, reason)
     return []
 
@@ -279,18 +299,9 @@
 ) -> Effects:
     """Forwards a request to a target, if this VM may use it now."""
     target = granted.target
-    if not request.may_have_run and stopping.may_cut_off(state, request):
-        _refund_token(state, request)
-        return [
-            *_give_back(state, request, slot_messages.NOT_SENT),
-            _stopping(state, request),
-        ]
-    if request.deadline_s - state.now_s < MIN_REMAINING_S:
-        refusal = refusals.refusal(request, 504, "deadline-exceeded", None)
-        return [
-            *_give_back(state, request, slot_messages.NOT_SENT),
-            refusal,
-        ]
+    ended = _end_without_time(state, request)
+    if ended is not None:
+        return [*_give_back(state, request, slot_messages.NOT_SENT), ended]
     required = _requirements(state, request)
     if not placement.is_usable(
         state.target_directory, target, state.now_s, required
@@ -437,14 +448,7 @@
             final = _without_delay(final)
         return [*produced, final]
     request.deliverable = event.outcome is Outcome.ANSWERED
-    placed = _place(state, request)
-    if request.deliverable and _is_refused(placed):
-        placed = [effects.Deliver(request.request_id)]
-    return [*produced, *placed]
-
-
-def _is_refused(produced: Effects) -> bool:
-    return any(isinstance(effect, effects.Refuse) for effect in produced)
+    return [*produced, *_place(state, request)]
 
 
 def _final_decision(
