--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -44,6 +44,10 @@
 # A target that has not cached the object serves requests of other regions below
 # this use of the service.
 MAX_USE_FOR_OTHERS = 0.5
+# Below this use of the service, a request whose best target has too long a queue
+# gets a slot of another one. Above it, such runs evict so many objects that the
+# requests on time decrease from 40% to 31% in an emulated overload.
+MAX_USE_FOR_UNCACHED = 0.75
 # Shortest time assumed for work before any was observed, in seconds.
 MIN_INITIAL_WORK_S = 0.05
 # Time for the response after the end of the work.
@@ -98,14 +102,14 @@
         request: The request.
     """
     if state.stopping or not state.target_directory.listed:
-        return [_refuse(sender, request.request_id, slot_messages.STOPPING)]
+        return [_refuse(sender, request, slot_messages.STOPPING)]
     schedule = _refreshed(state, request.service)
     key = (sender, request.request_id)
     _drop(state, key)
     options = list(_options(state, schedule, sender, request))
     if not options:
-        return [_refuse(sender, request.request_id, slot_messages.NO_TARGET)]
-    best = min(options, key=lambda option: option.score_s)
+        return [_refuse(sender, request, slot_messages.NO_TARGET)]
+    best = _best(state, schedule, request, options)
     if best.wait_s <= 0 and (
         request.may_wait
         or best.cached
@@ -115,17 +119,27 @@
     if not request.may_wait or not _may_wait(request, best):
         backlog_s = min(option.wait_s for option in options)
         return [_refuse_overload(state, sender, request, backlog_s)]
-    _enqueue(state, schedule, key, request, best)
+    queued = _enqueue(state, schedule, key, request, best)
     return [
         Outgoing(
             sender,
-            slot_messages.SlotQueued(request.request_id, round(best.wait_s, 3)),
+            slot_messages.SlotQueued(
+                request.request_id,
+                round(best.wait_s, 3),
+                round(queued.give_up_s - state.now_s, 3),
+                request.attempt,
+            ),
         )
     ]
 
 
-def _refuse(sender: str, request_id: str, reason: str) -> Outgoing:
-    return Outgoing(sender, slot_messages.SlotRefusal(request_id, reason))
+def _refuse(
+    sender: str, request: slot_messages.SlotRequest, reason: str
+) -> Outgoing:
+    refusal = slot_messages.SlotRefusal(
+        request.request_id, reason, attempt=request.attempt
+    )
+    return Outgoing(sender, refusal)
 
 
 def _refuse_overload(
@@ -138,11 +152,37 @@
     base_s = max(MIN_RETRY_S, backlog_s)
     retry_s = base_s * (1.0 + RETURN_SPREAD * state.rng.random())
     refusal = slot_messages.SlotRefusal(
-        request.request_id, slot_messages.OVERLOAD, round(retry_s, 3)
+        request.request_id,
+        slot_messages.OVERLOAD,
+        round(retry_s, 3),
+        request.attempt,
     )
     return Outgoing(sender, refusal)
 
 
+def _best(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    request: slot_messages.SlotRequest,
+    options: list[_Option],
+) -> _Option:
+    """Returns the best target, whose queue may be too long for the request."""
+    best = min(options, key=_score_s)
+    if best.wait_s <= 0 or _use(state, schedule) >= MAX_USE_FOR_UNCACHED:
+        return best
+    useful = [
+        option
+        for option in options
+        if option.wait_s <= 0
+        or (request.may_wait and _may_wait(request, option))
+    ]
+    return min(useful, key=_score_s, default=best)
+
+
+def _score_s(option: _Option) -> float:
+    return option.score_s
+
+
 def _may_wait(request: slot_messages.SlotRequest, option: _Option) -> bool:
     end_s = option.wait_s + option.work_s
     if end_s <= request.goal_remaining_s:
@@ -250,6 +290,7 @@
         object_digest=request.object_digest,
         cached=cached,
         expected_s=expected_s,
+        attempt=request.attempt,
     )
     state.scheduler.grants[key] = grant
     target.grants[key] = grant
@@ -265,6 +306,7 @@
             target.name,
             round(waited_s, 3),
             reason,
+            request.attempt,
         ),
     )
 
@@ -275,7 +317,7 @@
     key: states.Key,
     request: slot_messages.SlotRequest,
     option: _Option,
-) -> None:
+) -> states.QueuedRequest:
     now_s = state.now_s
     goal_s = now_s + request.goal_remaining_s
     deadline_s = now_s + request.deadline_remaining_s
@@ -297,6 +339,7 @@
     option.target.queue.append(queued)
     state.scheduler.queued[key] = queued
     schedule.waits += 1
+    return queued
 
 
 def returned(
@@ -311,7 +354,11 @@
         sender: Name of the VM that used the slot.
         message: The message.
     """
-    grant = _drop(state, (sender, message.request_id))
+    key = (sender, message.request_id)
+    if _attempt(state, key) != message.attempt:
+        # The VM has asked again since; its earlier attempt was dropped then.
+        return []
+    grant = _drop(state, key)
     if grant is None:
         return []
     target = grant.target
@@ -370,6 +417,15 @@
                 targets_module.record_outcome(known, now_s, was_failure)
 
 
+def _attempt(state: steering_states.State, key: states.Key) -> int | None:
+    """Returns the attempt that has a slot or waits; None if there is none."""
+    queued = state.scheduler.queued.get(key)
+    if queued is not None:
+        return queued.request.attempt
+    grant = state.scheduler.grants.get(key)
+    return None if grant is None else grant.attempt
+
+
 def _drop(state: steering_states.State, key: states.Key) -> states.Grant | None:
     """Drops a request from the grants or the queue; returns its grant."""
     queued = state.scheduler.queued.pop(key, None)
@@ -494,6 +550,7 @@
             target=target,
             granted_s=state.now_s,
             deadline_s=state.now_s + slot.deadline_remaining_s,
+            attempt=slot.attempt,
         )
         state.scheduler.grants[key] = grant
         target.grants[key] = grant
@@ -588,9 +645,7 @@
     for queued in list(state.scheduler.queued.values()):
         _drop(state, queued.key)
         produced.append(
-            _refuse(
-                queued.key[0], queued.request.request_id, slot_messages.STOPPING
-            )
+            _refuse(queued.key[0], queued.request, slot_messages.STOPPING)
         )
     return produced
 
