Learn work times and cached objects from durations

Targets do not announce their caches. With as many objects as all caches hold, a scheduler that assumes 16 objects a target sends requests to targets that have evicted the object, and its copies evict others. Work times are now divided into cached and uncached by duration, the probability that an object of a given recency is cached is learned for each service, and work on an uncached object costs more where it evicts one that was requested recently. A request that a target with a free slot rejects may go to the same target again.

--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 
 from mulberrydeck.peers import slot_messages
 from mulberrydeck.routing import hashing
+from mulberrydeck.scheduling import caches
 from mulberrydeck.scheduling import estimates
 from mulberrydeck.scheduling import order
 from mulberrydeck.scheduling import state as states
@@ -32,10 +33,14 @@
 # Work on an object that is not cached evicts another one, which then takes
 # longer. Without this term, objects spread over targets until few are cached
 # where they are requested.
-EVICTION_WEIGHT = 1.0
+EVICTION_WEIGHT = 4.0
+# Probability from which an object counts as cached.
+LIKELY = 0.5
+# Durations at other speeds than usual tell nothing about cached objects.
+USUAL_SPEED_DIFFERENCE = 0.25
 # VMs without a scheduler send an object to the target that ranks first, which
 # has probably cached it before the scheduler knows.
-RANK_WEIGHT = 0.3
+RANK_WEIGHT = 1.0
 # Spreads objects over targets by their recent use.
 USAGE_WEIGHT = 0.5
 # Requests that are late anyway wait for at most this fraction of their time;
@@ -85,7 +90,7 @@
     score_s: float
     wait_s: float
     work_s: float
-    cached: bool
+    cached_probability: float
     target: states.ScheduledTarget
 
 
@@ -112,7 +117,7 @@
     best = _best(state, schedule, request, options)
     if best.wait_s <= 0 and (
         request.may_wait
-        or best.cached
+        or best.cached_probability >= LIKELY
         or _use(state, schedule) < MAX_USE_FOR_OTHERS
     ):
         return [_grant(state, schedule, key, request, best.target, 0.0)]
@@ -203,27 +208,34 @@
     use = _use(state, schedule)
     zone = _zone_of(state, sender)
     times = state.scheduler.expected
+    capacity = schedule.cache_model.capacity()
     initial_s = max(MIN_INITIAL_WORK_S, request.goal_remaining_s)
     for penalty, target in _candidates(schedule, request.object_digest):
         if target.name in request.excluded or (
             now_s < target.avoided_until_s.get(zone, now_s)
         ):
             continue
-        cached = request.object_digest in target.cached
+        rank = target.cache.rank(request.object_digest)
+        probability = schedule.cache_model.probability(rank)
         factor = target.work_factor(now_s)
-        work_s = times.expected_s(request.route, cached, initial_s) * factor
+        cached_s = times.expected_s(request.route, True, initial_s) * factor
+        uncached_s = times.expected_s(request.route, False, initial_s) * factor
+        work_s = uncached_s + probability * (cached_s - uncached_s)
         wait_s = estimates.start_delay_s(
             target, now_s, request.priority, factor
         )
         score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use)
-        if not cached:
+        score_s += target.rejection_rate(now_s) * uncached_s
+        if request.object_digest is not None:
+            eviction = caches.eviction_cost(target.cache, now_s, capacity)
             usage = target.usage.current(now_s) / (
                 states.USAGE_PERIOD_S * target.slots
             )
-            score_s += work_s * (
-                EVICTION_WEIGHT + USAGE_WEIGHT * usage + penalty
+            score_s += (1.0 - probability) * (
+                EVICTION_WEIGHT * eviction * (uncached_s - cached_s)
+                + (USAGE_WEIGHT * usage + penalty) * uncached_s
             )
-        yield _Option(score_s, wait_s, work_s, cached, target)
+        yield _Option(score_s, wait_s, work_s, probability, target)
 
 
 def _candidates(
@@ -237,7 +249,9 @@
     if object_digest is None:
         return [(0.0, target) for target in schedule.usable]
     holders = [
-        target for target in schedule.usable if object_digest in target.cached
+        target
+        for target in schedule.usable
+        if object_digest in target.cache.used_s
     ]
     ranked = heapq.nsmallest(
         CANDIDATES,
@@ -278,8 +292,9 @@
     waited_s: float,
 ) -> Outgoing:
     now_s = state.now_s
-    cached = request.object_digest in target.cached
-    expected_s = state.scheduler.expected.expected_s(request.route, cached)
+    rank = target.cache.rank(request.object_digest)
+    probability = schedule.cache_model.probability(rank)
+    expected_s = _expected_s(state, request.route, probability)
     grant = states.Grant(
         key=key,
         incarnation=_incarnation_of(state, key[0]),
@@ -288,16 +303,16 @@
         deadline_s=now_s + request.deadline_remaining_s - waited_s,
         route=request.route,
         object_digest=request.object_digest,
-        cached=cached,
+        cache_rank=rank,
         expected_s=expected_s,
         attempt=request.attempt,
     )
     state.scheduler.grants[key] = grant
     target.grants[key] = grant
     target.usage.add(now_s, expected_s)
-    target.remember(request.object_digest)
+    target.cache.use(now_s, request.object_digest)
     schedule.usage[request.account].add(now_s, 1.0)
-    reason = "cached" if cached else "not cached"
+    reason = "cached" if probability >= LIKELY else "not cached"
     return Outgoing(
         key[0],
         slot_messages.SlotGrant(
@@ -362,8 +377,9 @@
     if grant is None:
         return []
     target = grant.target
-    if not grant.cached and message.result in slot_messages.NOT_RUN_RESULTS:
-        target.cached.pop(grant.object_digest, None)
+    if message.result in slot_messages.NOT_RUN_RESULTS:
+        if grant.cache_rank is None:
+            target.cache.discard(grant.object_digest)
     _observe(state, grant, message)
     _observe_result(state, sender, target, message)
     schedule = state.scheduler.services.get(message.service)
@@ -386,12 +402,40 @@
         target.speed_reported_s = now_s
     if message.duration_s is None or not grant.route:
         return
-    speed = 1.0 if message.speed is None else max(0.5, message.speed)
-    ratio = state.scheduler.expected.record(
-        grant.route, grant.cached, message.duration_s
-    )
-    pace = min(outliers.MAX_RATIO, ratio / speed)
-    outliers.observe(target.pace, now_s, pace)
+    _learn_duration(state, grant, message.service, message.duration_s)
+
+
+def _learn_duration(
+    state: steering_states.State,
+    grant: states.Grant,
+    service: str,
+    duration_s: float,
+) -> None:
+    """Learns work times and cached objects at the usual speed, else the pace.
+
+    Work that takes longer than on an uncached object shows a slow target.
+    """
+    times = state.scheduler.expected
+    target = grant.target
+    was_cached = times.was_cached(grant.route, duration_s)
+    usual_s = times.expected_s(grant.route, was_cached, duration_s)
+    ratio = min(outliers.MAX_RATIO, duration_s / usual_s)
+    outliers.observe(target.pace, state.now_s, ratio)
+    is_usual = abs(target.reported_speed - 1.0) <= USUAL_SPEED_DIFFERENCE
+    schedule = state.scheduler.services.get(service)
+    if is_usual and schedule is not None:
+        times.record(grant.route, duration_s)
+        schedule.cache_model.record(grant.cache_rank, was_cached)
+
+
+def _expected_s(
+    state: steering_states.State, route: str, probability: float
+) -> float:
+    """Returns the expected work time by the probability of a cached object."""
+    times = state.scheduler.expected
+    cached_s = times.expected_s(route, True)
+    uncached_s = times.expected_s(route, False)
+    return uncached_s + probability * (cached_s - uncached_s)
 
 
 def _observe_result(
@@ -402,6 +446,10 @@
 ) -> None:
     """Learns from what became of an attempt of a VM."""
     now_s = state.now_s
+    if message.result not in (slot_messages.NOT_SENT, slot_messages.UNUSABLE):
+        target.attempts.add(now_s, 1.0)
+    if message.result == slot_messages.REJECTED:
+        target.rejections.add(now_s, 1.0)
     match message.result:
         case slot_messages.UNUSABLE:
             zone = _zone_of(state, sender)
@@ -516,9 +564,9 @@
             queued.request.priority - 1,
             there.work_factor(now_s),
         )
-        cached = queued.request.object_digest in target.cached
-        work_s = factor * state.scheduler.expected.expected_s(
-            queued.request.route, cached
+        rank = target.cache.rank(queued.request.object_digest)
+        work_s = factor * _expected_s(
+            state, queued.request.route, schedule.cache_model.probability(rank)
         )
         gain_s = wait_s + (queued.expected_s - work_s) * (
             1.0 + BUSY_WEIGHT * use
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -6,11 +6,10 @@
 import attrs
 
 from mulberrydeck.peers import slot_messages
+from mulberrydeck.scheduling import caches
 from mulberrydeck.scheduling import work_times
 from mulberrydeck.steering import outliers
 
-# Objects that a target is expected to have cached; targets do not tell.
-CACHED_OBJECTS = 16
 # Decay of the load beyond the granted slots, which a target reported.
 LOAD_DECAY_S = 0.3
 # A machine's speed changes several times per second, so that a report says
@@ -62,7 +61,8 @@
         deadline_s: Deadline of the request, in seconds.
         route: Name of the route; empty for a slot that the VM reported as held.
         object_digest: Hash of the request's object, or None.
-        cached: Whether the target was expected to have the object cached.
+        cache_rank: How many objects the target was sent since its object; None
+            if it was not sent its object.
         expected_s: Expected duration at the usual speed, in seconds.
         attempt: Number of the attempt.
     """
@@ -74,7 +74,7 @@
     deadline_s: float
     route: str = ""
     object_digest: int | None = None
-    cached: bool = False
+    cache_rank: int | None = None
     expected_s: float = work_times.INITIAL_S
     attempt: int = 0
 
@@ -117,13 +117,15 @@
         slots: Requests that it processes concurrently.
         grants: Granted slots by VM and request.
         queue: Requests that wait for one of its slots.
-        cached: Objects that it has probably cached, least recently used first.
+        cache: Objects for which requests were sent to it.
         pace: Durations relative to the expected ones.
         reported_speed: Work time as a multiple of the usual one.
         speed_reported_s: Time of that report, in seconds.
         others_load: Load beyond the grants at the last report.
         load_reported_s: Time of that report, in seconds.
         usage: Recently granted work, in seconds.
+        attempts: Recent attempts.
+        rejections: Recent attempts that it rejected.
         avoided_until_s: Until when VMs of a zone cannot use it, in seconds, by
             zone.
     """
@@ -134,15 +136,15 @@
     slots: int
     grants: dict[Key, Grant] = attrs.field(factory=dict)
     queue: list[QueuedRequest] = attrs.field(factory=list)
-    cached: collections.OrderedDict[int, None] = attrs.field(
-        factory=collections.OrderedDict
-    )
+    cache: caches.TargetCache = attrs.field(factory=caches.TargetCache)
     pace: outliers.LatencyRatio = attrs.field(factory=outliers.LatencyRatio)
     reported_speed: float = 1.0
     speed_reported_s: float = -math.inf
     others_load: float = 0.0
     load_reported_s: float = -math.inf
     usage: DecayingSum = attrs.field(factory=DecayingSum)
+    attempts: DecayingSum = attrs.field(factory=DecayingSum)
+    rejections: DecayingSum = attrs.field(factory=DecayingSum)
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
 
     def free_slots(self, now_s: float) -> int:
@@ -153,6 +155,11 @@
             free -= round(self.others_load * math.exp(-age_s / LOAD_DECAY_S))
         return free
 
+    def rejection_rate(self, now_s: float) -> float:
+        """Returns the fraction of recent attempts that it rejected."""
+        rejections = self.rejections.current(now_s)
+        return rejections / (self.attempts.current(now_s) + 1.0)
+
     def work_factor(self, now_s: float) -> float:
         """Returns the expected work time as a multiple of the usual one."""
         age_s = now_s - self.speed_reported_s
@@ -171,15 +178,6 @@
         typical = ratios[len(ratios) // 2]
         return typical if typical > OVERDUE_RATIO else 1.0
 
-    def remember(self, object_digest: int | None) -> None:
-        """Records that it processed a request for an object."""
-        if object_digest is None:
-            return
-        self.cached[object_digest] = None
-        self.cached.move_to_end(object_digest)
-        if len(self.cached) > CACHED_OBJECTS:
-            self.cached.popitem(last=False)
-
 
 @attrs.define(eq=False)
 class ServiceSchedule:
@@ -192,6 +190,7 @@
         refreshed_s: When these were read from the directory, in seconds.
         slots: Slots of `usable`.
         usage: Recent grants by client account.
+        cache_model: Which objects targets probably have cached.
         waits: Number of requests that wait.
         refused: Number of requests that were refused since process start.
     """
@@ -204,6 +203,7 @@
     usage: dict[str, DecayingSum] = attrs.field(
         factory=lambda: collections.defaultdict(DecayingSum)
     )
+    cache_model: caches.CacheModel = attrs.field(factory=caches.CacheModel)
     waits: int = 0
     refused: int = 0
 
--- a/mulberrydeck/scheduling/work_times.py
+++ b/mulberrydeck/scheduling/work_times.py
@@ -1,9 +1,15 @@
-"""Expected work times, by route and by whether the object is cached."""
+"""Expected work times, by route and by whether the object is cached.
+
+Targets do not tell whether they had an object cached, so that durations are
+divided into two groups: those near the mean of cached objects, and those near
+the mean of others.
+"""
+
+import math
 
 import attrs
 
-# Weight of a new duration in the mean; a scheduler sees tens of requests of a
-# route per second.
+# Weight of a new duration in a mean, once enough were observed.
 EWMA_WEIGHT = 0.05
 # Until durations of both kinds were observed, work on a cached object is
 # expected to take this fraction of the work on another.
@@ -22,9 +28,11 @@
     Attributes:
         mean_s: Mean duration, in seconds, by route and whether the object was
             cached.
+        counts: Number of durations in each mean.
     """
 
     mean_s: dict[tuple[str, bool], float] = attrs.field(factory=dict)
+    counts: dict[tuple[str, bool], int] = attrs.field(factory=dict)
 
     def expected_s(
         self, route: str, cached: bool, initial_s: float = INITIAL_S
@@ -33,7 +41,7 @@
 
         Args:
             route: Name of the route.
-            cached: Whether the target is expected to have the object cached.
+            cached: Whether the target has the object cached.
             initial_s: Duration without the object cached, before the first
                 observation, in seconds.
         """
@@ -45,19 +53,20 @@
             return initial_s * CACHED_FRACTION if cached else initial_s
         return other * CACHED_FRACTION if cached else other / CACHED_FRACTION
 
-    def record(self, route: str, cached: bool, duration_s: float) -> float:
-        """Records a duration; returns its ratio to the expected one.
+    def was_cached(self, route: str, duration_s: float) -> bool:
+        """Returns whether a duration indicates that the object was cached."""
+        if (route, False) not in self.mean_s:
+            return False
+        cached_s = self.expected_s(route, True)
+        uncached_s = self.expected_s(route, False)
+        return duration_s < math.sqrt(cached_s * uncached_s)
 
-        Args:
-            route: Name of the route.
-            cached: Whether the target was expected to have the object cached.
-            duration_s: Duration at the usual speed, in seconds.
-        """
-        mean_s = self.mean_s.get((route, cached))
-        if mean_s is None or mean_s <= 0:
-            self.mean_s[route, cached] = duration_s
-            return 1.0
-        ratio = duration_s / mean_s
-        capped_s = min(ratio, MAX_RATIO) * mean_s
-        self.mean_s[route, cached] = mean_s + EWMA_WEIGHT * (capped_s - mean_s)
-        return ratio
+    def record(self, route: str, duration_s: float) -> None:
+        """Records a duration at the usual speed, in seconds."""
+        group = (route, self.was_cached(route, duration_s))
+        mean_s = self.mean_s.get(group, duration_s)
+        count = self.counts.get(group, 0) + 1
+        weight = max(EWMA_WEIGHT, 1.0 / count)
+        capped_s = min(duration_s, MAX_RATIO * mean_s)
+        self.mean_s[group] = mean_s + weight * (capped_s - mean_s)
+        self.counts[group] = count
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -449,6 +449,12 @@
         return [*produced, *_decide_anew(state, request, target)]
     produced += observations.observe_notice(state, target, event)
     produced += observations.observe_outcome(state, target, event)
+    if observations.rejected_with_free_slot(target, event) and (
+        slots.is_scheduled(state, request.service)
+    ):
+        # It rejects at random, and has probably cached the object; the
+        # scheduler prefers targets that reject fewer requests.
+        request.tried.discard(target.entry.name)
     final = _final_decision(state, request, event)
     if final is not None:
         if observations.rejected_with_free_slot(target, event):
