Tell a new scheduler its own slots in use

Cause: a VM that became the scheduler learned the slots that other VMs use, but not its own, and granted them a second time. Change: it introduces itself with the first request for the service. Result: test_the_next_scheduler_learns_the_slots_in_use fails without the change and passes with it. Adds tests of failing schedulers, VMs, targets and messages.

--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -167,9 +167,15 @@
 ) -> list[scheduler.Outgoing]:
     """Returns a message with the slots in use, for a new scheduler."""
     peer = state.fleet.peers.get(name)
-    incarnation = "" if peer is None else peer.incarnation
+    if peer is None:
+        # This VM is the scheduler itself.
+        incarnation = state.fleet.incarnation
+        region = state.settings.region
+    else:
+        incarnation = peer.incarnation
+        region = peer.record.region
     known = state.slot_client.introduced.get((name, service))
-    if peer is None or known == incarnation:
+    if known == incarnation:
         return []
     state.slot_client.introduced[name, service] = incarnation
     slots = tuple(
@@ -182,7 +188,7 @@
         for request in state.requests.values()
         if request.service == service
         and request.target is not None
-        and request.target.region == peer.record.region
+        and request.target.region == region
     )
     if not slots:
         return []
@@ -253,7 +259,10 @@
     """
     match message:
         case slot_messages.SlotRequest():
-            return deliver(state, scheduler.requested(state, sender, message))
+            own = _introduction(state, message.service, state.settings.name)
+            produced = deliver(state, own)
+            outgoing = scheduler.requested(state, sender, message)
+            return produced + deliver(state, outgoing)
         case slot_messages.SlotReturn():
             return deliver(state, scheduler.returned(state, sender, message))
         case slot_messages.SlotsHeld():
--- a/mulberrydeck/scheduling/tests/network.py
+++ b/mulberrydeck/scheduling/tests/network.py
@@ -175,9 +175,9 @@
             assert isinstance(self.decision(request_id), effects.Forward)
         return asked
 
-    def learn(self, work_s, key="a", route="read"):
-        """Lets the scheduler learn the work time without a cached object."""
-        self.state().scheduler.expected.mean_s[route, False] = work_s
+    def learn(self, work_s, route="read", vm="coast-a-1"):
+        """Lets a scheduler learn the work time without a cached object."""
+        self.state(vm).scheduler.expected.mean_s[route, False] = work_s
 
     def slot_messages(self, kind):
         return [message for _, _, message in self.sent if type(message) is kind]
--- /dev/null
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -0,0 +1,373 @@
+"""Schedulers and VMs that fail, and messages that are lost."""
+
+import pytest
+
+from mulberrydeck.peers import slot_messages
+from mulberrydeck.scheduling.tests import network
+from mulberrydeck.steering import effects
+from mulberrydeck.steering import events
+from mulberrydeck.steering import tables
+from mulberrydeck.steering.tests import samples
+
+Outcome = events.Outcome
+SCHEDULER = "coast-a-1"
+ROUTE = samples.make_route(timeout_s=4.0, target_latency_s=1.0)
+TWO_REGIONS = {
+    "coast-a-1": 2.0,
+    "coast-a-2": 1.0,
+    "coast-b-1": 1.5,
+    "lake-a-1": 1.0,
+}
+
+
+def make_network(count=4, slots=2, cores=None, route=ROUTE, **changes):
+    entries = [
+        samples.make_entry(f"t{number}", slots=slots, **changes)
+        for number in range(count)
+    ]
+    net = network.Network(entries, cores, samples.make_table(route))
+    net.learn(0.5)
+    return net
+
+
+def schedulers(net):
+    """Returns the schedulers that granted the slots of requests."""
+    return {
+        decision.inputs.get("scheduler")
+        for decisions in net.decisions.values()
+        for decision in decisions
+    }
+
+
+def assert_all_forwarded_once(net):
+    assert all(
+        [type(decision) for decision in net.decisions[request_id]]
+        == [effects.Forward]
+        for request_id in net.owners
+    )
+
+
+def assert_empty(net):
+    """Asserts that no VM keeps anything for requests that have ended."""
+    for vm in net.vms.values():
+        state = vm.state
+        assert not state.requests
+        assert not state.slot_client.asked
+        assert not state.scheduler.grants
+        assert not state.scheduler.queued
+        for schedule in state.scheduler.services.values():
+            assert not schedule.waits
+            for target in schedule.targets.values():
+                assert not target.grants
+                assert not target.queue
+
+
+def test_a_dead_scheduler_delays_the_requests_of_one_moment():
+    """Guards against callers that wait for a VM that died."""
+    net = make_network()
+    net.kill(SCHEDULER)
+    first = net.ask()
+    net.run(0.21)
+    assert network.forwarded(net.decision(first))
+    second, decision = net.decide()
+    assert decision.inputs["scheduler"] == "coast-a-2"
+    assert net.decision(second).inputs["decided_s"] < net.now_s
+    for request_id in (first, second):
+        net.serve(request_id)
+    assert not net.state("coast-a-2").slot_client.asked
+
+
+def test_a_queue_of_a_dead_scheduler_is_left_soon():
+    """Guards against requests that wait in the queue of a VM that died."""
+    net = make_network(1, 1)
+    net.fill("coast-a-3")
+    waiting = net.ask()
+    net.run(0.05)
+    net.kill(SCHEDULER)
+    net.ask()
+    net.run(1.7)
+    assert net.decision(waiting) is not None
+
+
+def test_a_stalled_scheduler_leaves_no_slot_in_use():
+    """Guards against two runs, and against slots that nobody returns."""
+    net = make_network(slots=6)
+    net.stall(SCHEDULER, 1.0)
+    for number in range(8):
+        net.ask(object_key=f"a{number}")
+        net.ask("coast-a-3", object_key=f"b{number}")
+        net.run(0.1)
+    net.run(1.5)
+    assert_all_forwarded_once(net)
+    for request_id in net.owners:
+        net.serve(request_id)
+    assert_empty(net)
+
+
+def test_a_stopping_scheduler_hands_its_queue_over():
+    """Guards against callers lost in a planned stop."""
+    net = make_network(1, 1)
+    for name in net.vms:
+        net.learn(0.1, vm=name)
+    [running] = net.fill("coast-a-3")
+    waiting = [net.ask("coast-a-2"), net.ask("coast-a-3")]
+    net.run(0.02)
+    assert len(net.state().scheduler.queued) == 2
+    net.apply(SCHEDULER, events.StopRequested(net.now_s))
+    net.run(0.05)
+    assert not net.state().scheduler.queued
+    net.serve(running)
+    for request_id in waiting:
+        net.run(0.05)
+        assert network.forwarded(net.decision(request_id)) == "t0"
+        assert net.decision(request_id).inputs["scheduler"] == "coast-a-2"
+        net.serve(request_id)
+    assert_empty(net)
+
+
+def test_a_stopping_scheduler_hands_over_its_own_requests():
+    net = make_network(1, 1)
+    [running] = net.fill("coast-a-3")
+    waiting = net.ask(SCHEDULER)
+    net.run(0.02)
+    net.apply(SCHEDULER, events.StopRequested(net.now_s))
+    net.run(0.05)
+    net.serve(running)
+    assert network.forwarded(net.decision(waiting)) == "t0"
+
+
+def test_the_next_scheduler_learns_the_slots_in_use():
+    """Guards against a new scheduler that fills targets a second time."""
+    net = make_network(4, 1)
+    running = net.fill("coast-a-2", 2, object_key="")
+    running += net.fill("coast-a-3", 1, object_key="")
+    net.apply(SCHEDULER, events.StopRequested(net.now_s))
+    net.run(0.3)
+    # Each VM introduces itself with its first request.
+    last, decision = net.decide("coast-a-3", object_key="")
+    net.decide("coast-a-2", object_key="")
+    grants = net.state("coast-a-2").scheduler.grants
+    in_use = [grant.target.name for grant in grants.values()]
+    assert sorted(in_use) == ["t0", "t1", "t2", "t3"]
+    for request_id in (*running, last):
+        net.serve(request_id)
+    assert not net.state("coast-a-2").scheduler.grants
+
+
+def test_two_schedulers_at_once_run_each_request_once():
+    """Guards against two grants of different schedulers for one request."""
+    net = make_network(4, 2)
+    net.state("coast-a-3").slot_client.avoided_until_s[SCHEDULER] = 2000.0
+    for number in range(8):
+        net.ask(f"coast-a-{2 + number % 2}", object_key=f"o{number}")
+        net.run(0.15)
+    assert schedulers(net) == {SCHEDULER, "coast-a-2"}
+    assert_all_forwarded_once(net)
+    for request_id in net.owners:
+        net.serve(request_id)
+    assert_empty(net)
+
+
+def test_vms_that_are_cut_off_schedule_among_themselves():
+    """Guards against callers that wait for a scheduler in the other part."""
+    net = make_network(4, 8, cores=TWO_REGIONS)
+    cut_off = {"coast-a-2", "coast-b-1"}
+    net.loses = lambda sender, to, _: (sender in cut_off) != (to in cut_off)
+    for number in range(10):
+        net.ask("coast-a-2", object_key=f"a{number}")
+        net.ask(SCHEDULER, object_key=f"b{number}")
+        net.run(0.1)
+    net.run(0.3)
+    assert_all_forwarded_once(net)
+    granted = [
+        net.decision(request_id).inputs.get("scheduler")
+        for request_id, name in net.owners.items()
+        if name == "coast-a-2"
+    ]
+    assert granted[-1] == "coast-b-1"
+    net.loses = lambda *_: False
+    net.run(3.0)
+    assert net.decide("coast-a-2")[1].inputs["scheduler"] == SCHEDULER
+
+
+def test_a_region_without_a_live_vm_serves_requests():
+    """Guards against targets that no VM uses, and callers without a reply."""
+    net = make_network(2, 2, cores=TWO_REGIONS, zone="lake-a")
+    net.run(0.1)
+    _, decision = net.decide(SCHEDULER, object_key="a")
+    net.run(0.1)
+    net.kill("lake-a-1")
+    asked = net.ask(SCHEDULER, object_key="a")
+    net.run(0.4)
+    assert network.forwarded(net.decision(asked)) in ("t0", "t1")
+    net.run(4.0)
+    _, decision = net.decide(SCHEDULER, object_key="a")
+    assert network.forwarded(decision) in ("t0", "t1")
+
+
+@pytest.mark.parametrize("with_other", [False, True])
+def test_a_region_of_cold_targets_is_paced(with_other):
+    """Guards against cold targets that get more than they tolerate."""
+    entries = [samples.make_entry("t0", slots=9, cold_s=60.0)]
+    if with_other:
+        entries.append(samples.make_entry("t1", zone="lake-a", slots=2))
+    net = network.Network(entries, TWO_REGIONS, samples.make_table(ROUTE))
+    for _ in range(20):
+        net.ask(SCHEDULER, object_key="")
+    net.run(2.2)
+    decided = [net.decision(request_id) for request_id in net.owners]
+    assert None not in decided
+    targets = [network.forwarded(decision) for decision in decided]
+    assert targets.count("t0") <= 1
+    assert targets.count("t1") >= 2 * with_other
+
+
+def test_a_region_in_evacuation_uses_the_other_one():
+    """Guards against requests to an evacuated zone."""
+    entries = [
+        samples.make_entry("t0"),
+        samples.make_entry("t1", zone="lake-a", slots=4),
+    ]
+    net = network.Network(entries, TWO_REGIONS, samples.make_table(ROUTE))
+    for name in net.vms:
+        zones = ("coast-a", "coast-b")
+        net.apply(name, events.ZonesEvacuated(net.now_s, zones, 5))
+    net.run(1.1)
+    for _ in range(4):
+        net.ask(SCHEDULER)
+    net.run(0.2)
+    targets = [network.forwarded(net.decision(r)) for r in net.owners]
+    assert targets == ["t1"] * 4
+
+
+def test_an_excluded_region_is_not_asked():
+    """Guards against requests outside of their home regions."""
+    route = samples.make_route(timeout_s=4.0, home_regions=frozenset(("lake",)))
+    net = make_network(4, 2, TWO_REGIONS, route)
+    request_id = net.ask(SCHEDULER)
+    net.run(0.5)
+    assert net.decision(request_id).status == 503
+    assert not [
+        message
+        for _, to, message in net.sent
+        if isinstance(message, slot_messages.SlotRequest) and to != "lake-a-1"
+    ]
+
+
+@pytest.mark.parametrize(
+    "lost",
+    [
+        slot_messages.SlotRequest,
+        slot_messages.SlotGrant,
+        slot_messages.SlotReturn,
+        slot_messages.SlotQueued,
+        slot_messages.SlotRefusal,
+    ],
+)
+def test_lost_messages_leave_nothing_behind(lost):
+    """Guards against callers without a decision and slots in use for ever."""
+    net = make_network(1, 1)
+    running = net.fill("coast-a-3")
+    net.loses = lambda sender, to, message: type(message) is lost
+    for number in range(6):
+        running.append(net.ask(timeout_s=0.4 + 0.5 * number))
+    net.run(5.0)
+    for request_id in running:
+        assert len(net.decisions[request_id]) == 1, request_id
+        net.serve(request_id)
+    net.run(5.0)
+    assert_empty(net)
+
+
+def test_a_request_that_its_caller_leaves_frees_its_slot():
+    """Guards against slots and places in the queue of callers that left."""
+    net = make_network(1, 1)
+    [running] = net.fill()
+    waiting = [net.ask(), net.ask("coast-a-3")]
+    net.run(0.02)
+    net.close(waiting[0])
+    net.close(running)
+    net.run(0.02)
+    assert network.forwarded(net.decision(waiting[1])) == "t0"
+    net.close(waiting[1])
+    net.run(0.02)
+    assert_empty(net)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_slots_of_a_vm_that_died_are_free_again(restarts):
+    """Guards against slots in use by a process that has ended."""
+    net = make_network(1, 1)
+    net.fill("coast-a-2")
+    net.ask("coast-a-2")
+    net.run(0.02)
+    net.kill("coast-a-2")
+    if restarts:
+        net.start("coast-a-2", "2")
+    net.run(1.6 if restarts else 4.2)
+    assert not net.state().scheduler.grants
+    assert not net.state().scheduler.queued
+    assert network.forwarded(net.decide("coast-a-3")[1]) == "t0"
+
+
+def test_a_new_process_of_a_target_takes_over_its_queue():
+    """Guards against requests that wait for a process that has ended."""
+    net = make_network(1, 1)
+    [running] = net.fill()
+    waiting = net.ask("coast-a-3")
+    net.run(0.02)
+    entry = samples.make_entry("t0", slots=1, started_ms=2)
+    for name in net.vms:
+        net.apply(name, events.TargetChanged(net.now_s, entry, 7))
+    net.run(0.3)
+    assert network.forwarded(net.decision(waiting)) == "t0"
+    net.serve(running)
+    net.serve(waiting)
+    assert_empty(net)
+
+
+def test_a_service_that_vanishes_refuses_its_queue():
+    """Guards against callers that wait for targets that were removed."""
+    net = make_network(1, 1)
+    [running] = net.fill()
+    waiting = net.ask("coast-a-3")
+    net.run(0.02)
+    for name in net.vms:
+        net.apply(name, events.TargetRemoved(net.now_s, "t0", 7))
+    net.run(0.3)
+    assert net.decision(waiting).status == 503
+    net.serve(running)
+    net.close(waiting)
+    net.run(0.1)
+    assert_empty(net)
+
+
+def test_at_most_once_requests_run_once_whatever_fails():
+    """Guards against a second run, and a 503 after a possible first one."""
+    route = samples.make_route(
+        repeatability=tables.Repeatability.AT_MOST_ONCE, timeout_s=4.0
+    )
+    net = make_network(4, 2, route=route)
+    rng = net.state().rng
+    net.loses = lambda *_: rng.random() < 0.2
+    net.stall(SCHEDULER, 0.7)
+    asked = []
+    for number in range(40):
+        asked.append(net.ask(f"coast-a-{number % 3 + 1}", object_key="a"))
+        net.run(0.05)
+    net.run(3.0)
+    for request_id in asked:
+        decisions = net.decisions[request_id]
+        assert len(decisions) == 1
+        if isinstance(decisions[0], effects.Forward):
+            net.end(request_id, Outcome.BROKEN)
+    net.run(3.0)
+    for request_id in asked:
+        first, *rest = net.decisions[request_id]
+        if isinstance(first, effects.Forward):
+            assert [each.status for each in rest] == [502]
+        else:
+            assert not rest
+        net.close(request_id)
+    net.run(5.0)
+    assert_empty(net)
