Move requests to free slots when their wait ends

Cause: a request that waited for a target which ended none of its requests was refused at the end of its wait, also when most other slots were free.

--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -615,27 +615,56 @@
             produced += _place_again(state, queued)
         elif state.now_s > queued.give_up_s:
             _drop(state, queued.key)
-            backlog_s = estimates.start_delay_s(
-                queued.target, state.now_s, queued.request.priority, 1.0
-            )
-            produced.append(
-                _refuse_overload(
-                    state, queued.key[0], queued.request, backlog_s
-                )
-            )
+            produced.append(_end_wait(state, schedule, queued))
     return produced
 
 
-def _place_again(
+def _end_wait(
+    state: steering_states.State,
+    schedule: states.ServiceSchedule,
+    queued: states.QueuedRequest,
+) -> Outgoing:
+    """Refuses a request that has waited too long, unless slots are free."""
+    sender = queued.key[0]
+    request = _with_time_left(state, queued)
+    if _use(state, schedule) < MAX_USE_FOR_UNCACHED:
+        free = [
+            option
+            for option in _options(state, schedule, sender, request)
+            if option.wait_s <= 0 and _may_wait(request, option)
+        ]
+        best = min(free, key=_score_s, default=None)
+        if best is not None:
+            waited_s = state.now_s - queued.queued_s
+            return _grant(
+                state,
+                schedule,
+                queued.key,
+                queued.request,
+                best.target,
+                waited_s,
+            )
+    backlog_s = estimates.start_delay_s(
+        queued.target, state.now_s, request.priority, 1.0
+    )
+    return _refuse_overload(state, sender, request, backlog_s)
+
+
+def _with_time_left(
     state: steering_states.State, queued: states.QueuedRequest
-) -> list[Outgoing]:
+) -> slot_messages.SlotRequest:
     waited_s = state.now_s - queued.queued_s
-    request = attrs.evolve(
+    return attrs.evolve(
         queued.request,
         goal_remaining_s=queued.request.goal_remaining_s - waited_s,
         deadline_remaining_s=queued.request.deadline_remaining_s - waited_s,
     )
-    return requested(state, queued.key[0], request)
+
+
+def _place_again(
+    state: steering_states.State, queued: states.QueuedRequest
+) -> list[Outgoing]:
+    return requested(state, queued.key[0], _with_time_left(state, queued))
 
 
 def stopped(state: steering_states.State) -> list[Outgoing]:
--- a/mulberrydeck/scheduling/tests/test_failures.py
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -144,12 +144,12 @@
     net.apply(SCHEDULER, events.StopRequested(net.now_s))
     net.run(0.3)
     # Each VM introduces itself with its first request.
-    last, decision = net.decide("coast-a-3", object_key="")
-    net.decide("coast-a-2", object_key="")
+    last, _ = net.decide("coast-a-3", object_key="")
+    waiting, _ = net.decide("coast-a-2", object_key="")
     grants = net.state("coast-a-2").scheduler.grants
     in_use = [grant.target.name for grant in grants.values()]
     assert sorted(in_use) == ["t0", "t1", "t2", "t3"]
-    for request_id in (*running, last):
+    for request_id in (*running, last, waiting):
         net.serve(request_id)
     assert not net.state("coast-a-2").scheduler.grants
 
