--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -228,6 +228,9 @@
         score_s = wait_s + work_s * (1.0 + BUSY_WEIGHT * use)
         score_s += target.rejection_rate(now_s) * uncached_s
         if request.object_digest is not None:
+            if wait_s > 0:
+                # Without the object cached, any free slot is better.
+                penalty += RANK_WEIGHT * CANDIDATES
             eviction = caches.eviction_cost(target.cache, now_s, capacity)
             usage = target.usage.current(now_s) / (
                 states.USAGE_PERIOD_S * target.slots
