--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -381,9 +381,9 @@
     if grant is None:
         return []
     target = grant.target
-    if message.result in slot_messages.NOT_RUN_RESULTS:
-        if grant.cache_rank is None:
-            target.cache.discard(grant.object_digest)
+    not_run = message.result in slot_messages.NOT_RUN_RESULTS
+    if not_run and grant.cache_rank is None:
+        target.cache.discard(grant.object_digest)
     _observe(state, grant, message)
     _observe_result(state, sender, target, message)
     schedule = state.scheduler.services.get(message.service)
