Introduce a VM again after it has left a scheduler

Cause: a VM listed its slots in use once per scheduler and process. After a stall of the scheduler, it did not learn of requests that were placed meanwhile, and granted their slots again. Change: a VM that gives up a scheduler sends each scheduler a new list with its next request.

--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -351,7 +351,7 @@
         return []
     del state.slot_client.asked[refusal.request_id]
     if refusal.reason == slot_messages.STOPPING:
-        state.slot_client.avoided_until_s[sender] = state.now_s + AVOIDED_S
+        _avoid(state, sender)
         produced = _ask(state, request, asked.region, True)
         if produced is not None:
             return produced
@@ -375,6 +375,16 @@
     return [Declined(refusal.request_id, retry_after_s, sender)]
 
 
+def _avoid(state: steering_states.State, name: str) -> None:
+    """Asks other schedulers for some time.
+
+    Each scheduler then misses what the others grant, so that it gets a new list
+    of the slots in use.
+    """
+    state.slot_client.avoided_until_s[name] = state.now_s + AVOIDED_S
+    state.slot_client.introduced.clear()
+
+
 def _is_late(state: steering_states.State, asked: states.AskedSlot) -> bool:
     """Returns whether a scheduler's next reply is late.
 
@@ -408,7 +418,7 @@
             }
             text = "A scheduler does not reply."
             produced.append(effects.Log("scheduling", text, fields))
-        state.slot_client.avoided_until_s[asked.scheduler] = now_s + AVOIDED_S
+        _avoid(state, asked.scheduler)
         if request is None:
             continue
         withdrawal = _withdrawal(request, asked.scheduler)
--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -585,8 +585,9 @@
     for slot in message.slots:
         target = schedule.targets.get(slot.target)
         key = (sender, slot.request_id)
-        if target is None or key in state.scheduler.grants:
+        if target is None or _attempt(state, key) == slot.attempt:
             continue
+        _drop(state, key)
         grant = states.Grant(
             key=key,
             incarnation=_incarnation_of(state, sender),
--- a/mulberrydeck/scheduling/tests/test_failures.py
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -371,3 +371,24 @@
         net.close(request_id)
     net.run(5.0)
     assert_empty(net)
+
+
+def test_a_scheduler_that_returns_learns_the_slots_in_use():
+    """Guards against targets that are filled twice after a stall.
+
+    The VM's requests were placed without this scheduler meanwhile.
+    """
+    net = make_network(4, 1)
+    net.ask(object_key="")
+    net.run(0.05)
+    net.stall(SCHEDULER, 1.0)
+    for _ in range(3):
+        net.ask(object_key="")
+        net.run(0.3)
+    net.run(2.0)
+    assert_all_forwarded_once(net)
+    waiting = net.ask(object_key="", timeout_s=4.0)
+    net.run(0.02)
+    asked = net.state("coast-a-2").slot_client.asked
+    assert asked[waiting].scheduler == SCHEDULER
+    assert len(net.state().scheduler.grants) == 4
