Keep requests from targets that their VMs cannot use

Cause: a VM that could not use a granted target got the same target for each of its requests in the queue there; each then was chosen for locally. Change: waiting requests of that zone do not get the target and are placed again at the next tick. Result: test_a_zone_that_cannot_reach_a_target_leaves_its_queue fails without the change and passes with it. test_a_decision_on_another_request_survives_a_retry expects the refusal after the next tick, since the slot no longer goes to a request that cannot use it.

--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -259,6 +259,18 @@
     return (granted + schedule.waits) / max(1, schedule.slots)
 
 
+def _is_avoided(
+    state: steering_states.State,
+    queued: states.QueuedRequest,
+    target: states.ScheduledTarget,
+) -> bool:
+    """Returns whether the VM of a waiting request cannot use a target."""
+    if not target.avoided_until_s:
+        return False
+    zone = _zone_of(state, queued.key[0])
+    return state.now_s < target.avoided_until_s.get(zone, state.now_s)
+
+
 def _zone_of(state: steering_states.State, name: str) -> str:
     peer = state.fleet.peers.get(name)
     return state.settings.zone if peer is None else peer.record.zone
@@ -485,9 +497,14 @@
     waits: "_ComparedWaits",
 ) -> states.QueuedRequest | None:
     """Returns the request that a free slot of a target goes to."""
-    if target.queue:
+    queue = [
+        queued
+        for queued in target.queue
+        if not _is_avoided(state, queued, target)
+    ]
+    if queue:
         return min(
-            target.queue,
+            queue,
             key=lambda queued: order.rank(
                 queued, schedule, state.table, state.now_s
             ),
@@ -554,9 +571,8 @@
     best: states.QueuedRequest | None = None
     best_gain_s = 0.0
     for queued, wait_s in waits.of(state, schedule):
-        if target.name in queued.request.excluded or (
-            now_s
-            < target.avoided_until_s.get(_zone_of(state, queued.key[0]), now_s)
+        if target.name in queued.request.excluded or _is_avoided(
+            state, queued, target
         ):
             continue
         cached = queued.request.object_digest in target.cached
@@ -657,7 +673,9 @@
     produced: list[Outgoing] = []
     for queued in list(state.scheduler.queued.values()):
         schedule = state.scheduler.services[queued.request.service]
-        if queued.target not in schedule.usable:
+        if queued.target not in schedule.usable or _is_avoided(
+            state, queued, queued.target
+        ):
             produced += _place_again(state, queued)
         elif state.now_s > queued.give_up_s:
             _drop(state, queued.key)
--- a/mulberrydeck/scheduling/tests/test_attempts.py
+++ b/mulberrydeck/scheduling/tests/test_attempts.py
@@ -143,6 +143,7 @@
     net.state().scheduler.services[network.SERVICE].refreshed_s = net.now_s
     net.end(retried, status=500)
     assert isinstance(net.decision(retried), effects.Deliver)
+    net.run(0.2)
     assert isinstance(net.decision(waiting), effects.Refuse)
 
 
--- a/mulberrydeck/scheduling/tests/test_failures.py
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -392,3 +392,18 @@
     asked = net.state("coast-a-2").slot_client.asked
     assert asked[waiting].scheduler == SCHEDULER
     assert len(net.state().scheduler.grants) == 4
+
+
+def test_a_zone_that_cannot_reach_a_target_leaves_its_queue():
+    """Guards against grants of a target that the VM cannot reach."""
+    net = make_network(1, 1, cores={"coast-a-1": 2.0, "coast-b-1": 1.0})
+    [running] = net.fill(SCHEDULER)
+    waiting = [net.ask("coast-b-1") for _ in range(2)]
+    net.run(0.02)
+    assert len(net.state().scheduler.queued) == 2
+    target = net.state("coast-b-1").target_directory.by_name["t0"]
+    target.ejected_until_s = 2000.0
+    net.serve(running)
+    net.run(0.2)
+    assert len(net.slot_messages(slot_messages.SlotGrant)) == 1
+    assert None not in [net.decision(request_id) for request_id in waiting]
