Count no failure for a target that asks for a pause, also remotely

Cause: the scheduler counted responses of status 500 and above as failures of the target, also those that ask for a pause, and ejected it. Change: VMs report failures by the rule that they apply themselves. Result: test_a_target_that_asks_for_a_pause_is_not_ejected fails without the change and passes with it.

--- a/mulberrydeck/scheduling/tests/network.py
+++ b/mulberrydeck/scheduling/tests/network.py
@@ -84,11 +84,15 @@
         del self.vms[name]
 
     def stall(self, name, for_s):
-        """Stops a VM for a time; what arrives meanwhile is handled then."""
+        """Stops a VM for a time; what arrives meanwhile is handled then.
+
+        As in the event loop of a process, timers that are due go first.
+        """
         self.stalled[name] = []
 
         def resume():
-            for event in self.stalled.pop(name):
+            arrived = self.stalled.pop(name)
+            for event in (events.Ticked(self.now_s), *arrived):
                 self.apply(name, event)
 
         self.clock.after(for_s, resume)
--- a/mulberrydeck/scheduling/tests/test_failures.py
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -407,3 +407,16 @@
     net.run(0.2)
     assert len(net.slot_messages(slot_messages.SlotGrant)) == 1
     assert None not in [net.decision(request_id) for request_id in waiting]
+
+
+def test_a_target_that_asks_for_a_pause_is_not_ejected():
+    """Guards against ejections for all VMs because of an announced pause."""
+    net = make_network(1, 2)
+    for _ in range(12):
+        request_id, decision = net.decide(object_key="")
+        assert network.forwarded(decision) == "t0"
+        net.end(request_id, status=503, pause_s=0.2, replayable=False)
+        net.close(request_id)
+        net.run(0.3)
+    target = net.state().target_directory.by_name["t0"]
+    assert target.ejected_until_s < net.now_s
--- a/mulberrydeck/steering/observations.py
+++ b/mulberrydeck/steering/observations.py
@@ -68,13 +68,7 @@
                 targets.observe_load(target, state.now_s, full_load)
             return []
     targets.mark_reachable(target)
-    was_failure = (
-        event.outcome is Outcome.BROKEN
-        or event.status >= MIN_SERVER_ERROR_STATUS
-    )
-    # A target that asks for a pause works as it should.
-    was_failure = was_failure and not event.pause_s
-    if targets.record_outcome(target, state.now_s, was_failure):
+    if targets.record_outcome(target, state.now_s, is_failure(event)):
         return [
             _target_log(
                 f"{name} was ejected after too many failures.", target, event
@@ -83,6 +77,17 @@
     return []
 
 
+def is_failure(event: events.AttemptEnded) -> bool:
+    """Returns whether the end of an attempt shows a failure of its target.
+
+    A target that asks for a pause works as it should.
+    """
+    return not event.pause_s and (
+        event.outcome is Outcome.BROKEN
+        or event.status >= MIN_SERVER_ERROR_STATUS
+    )
+
+
 def rejected_with_free_slot(
     target: targets.Target, event: events.AttemptEnded
 ) -> bool:
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -345,12 +345,10 @@
 
 def _slot_result(event: events.AttemptEnded) -> str:
     match event.outcome:
-        case Outcome.ANSWERED:
-            if event.status >= observations.MIN_SERVER_ERROR_STATUS:
+        case Outcome.ANSWERED | Outcome.BROKEN | Outcome.UNCLEAR:
+            if observations.is_failure(event):
                 return slot_messages.FAILED
             return slot_messages.SUCCEEDED
-        case Outcome.BROKEN | Outcome.UNCLEAR:
-            return slot_messages.FAILED
         case Outcome.REJECTED:
             return slot_messages.REJECTED
         case Outcome.EXPIRED:
