Keep schedulers whose replies arrive while a VM stalls

Cause: after a stall of the VM itself, the timer expires before messages are read. The VM gave up each scheduler that it had asked, for 2 s. Change: a tick that is late prolongs the waits for replies by as much. Result: test_a_vm_that_stalls_itself_gives_up_no_scheduler fails without the change and passes with it.

--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -4,6 +4,8 @@
 stalls or is cut off delays the requests of one moment and stops none.
 """
 
+import math
+
 import attrs
 
 from mulberrydeck.peers import slot_messages
@@ -29,6 +31,8 @@
 # A scheduler that did not reply is not asked for this long; by then, a VM that
 # died is nearly known to be dead.
 AVOIDED_S = 2.0
+# Ticks that are late by more than this show that this VM itself stalled.
+MIN_STALL_S = 0.02
 
 
 @attrs.frozen
@@ -385,6 +389,20 @@
     state.slot_client.introduced.clear()
 
 
+def _allow_for_own_stall(state: steering_states.State) -> None:
+    """Prolongs waits for replies that may have arrived while this VM stalled.
+
+    After a stall, the timer may expire before messages are read.
+    """
+    client = state.slot_client
+    late_s = state.now_s - client.ticked_s - state.settings.tick_interval_s
+    client.ticked_s = state.now_s
+    if MIN_STALL_S < late_s < math.inf:
+        for asked in client.asked.values():
+            asked.reply_by_s += late_s
+            asked.decide_by_s += late_s
+
+
 def _is_late(state: steering_states.State, asked: states.AskedSlot) -> bool:
     """Returns whether a scheduler's next reply is late.
 
@@ -402,6 +420,7 @@
     """Gives up schedulers that do not reply."""
     now_s = state.now_s
     produced: Effects = []
+    _allow_for_own_stall(state)
     late = [
         (request_id, asked)
         for request_id, asked in state.slot_client.asked.items()
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -275,6 +275,7 @@
         elected: Schedulers by service and region.
         home_slots: Usable slots of a service by region, and when they were
             counted, in seconds.
+        ticked_s: Time of the last tick, in seconds.
     """
 
     asked: dict[str, AskedSlot] = attrs.field(factory=dict)
@@ -287,3 +288,4 @@
     home_slots: dict[str, tuple[float, dict[str, int]]] = attrs.field(
         factory=dict
     )
+    ticked_s: float = -math.inf
--- a/mulberrydeck/scheduling/tests/test_failures.py
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -420,3 +420,16 @@
         net.run(0.3)
     target = net.state().target_directory.by_name["t0"]
     assert target.ejected_until_s < net.now_s
+
+
+def test_a_vm_that_stalls_itself_gives_up_no_scheduler():
+    """Guards against VMs with little processor time that lose all schedulers.
+
+    The reply arrived during the stall, and is read after the next tick.
+    """
+    net = make_network()
+    request_id = net.ask()
+    net.stall("coast-a-2", 0.5)
+    net.run(0.6)
+    assert net.decision(request_id).inputs["scheduler"] == SCHEDULER
+    assert not net.state("coast-a-2").slot_client.avoided_until_s
