--- a/mulberrydeck/scheduling/tests/test_failures.py
+++ b/mulberrydeck/scheduling/tests/test_failures.py
@@ -371,3 +371,65 @@
         net.close(request_id)
     net.run(5.0)
     assert_empty(net)
+
+
+def test_a_scheduler_that_returns_learns_the_slots_in_use():
+    """Guards against targets that are filled twice after a stall.
+
+    The VM's requests were placed without this scheduler meanwhile.
+    """
+    net = make_network(4, 1)
+    net.ask(object_key="")
+    net.run(0.05)
+    net.stall(SCHEDULER, 1.0)
+    for _ in range(3):
+        net.ask(object_key="")
+        net.run(0.3)
+    net.run(2.0)
+    assert_all_forwarded_once(net)
+    waiting = net.ask(object_key="", timeout_s=4.0)
+    net.run(0.02)
+    asked = net.state("coast-a-2").slot_client.asked
+    assert asked[waiting].scheduler == SCHEDULER
+    assert len(net.state().scheduler.grants) == 4
+
+
+def test_a_zone_that_cannot_reach_a_target_leaves_its_queue():
+    """Guards against grants of a target that the VM cannot reach."""
+    net = make_network(1, 1, cores={"coast-a-1": 2.0, "coast-b-1": 1.0})
+    [running] = net.fill(SCHEDULER)
+    waiting = [net.ask("coast-b-1") for _ in range(2)]
+    net.run(0.02)
+    assert len(net.state().scheduler.queued) == 2
+    target = net.state("coast-b-1").target_directory.by_name["t0"]
+    target.ejected_until_s = 2000.0
+    net.serve(running)
+    net.run(0.2)
+    assert len(net.slot_messages(slot_messages.SlotGrant)) == 1
+    assert None not in [net.decision(request_id) for request_id in waiting]
+
+
+def test_a_target_that_asks_for_a_pause_is_not_ejected():
+    """Guards against ejections for all VMs because of an announced pause."""
+    net = make_network(1, 2)
+    for _ in range(12):
+        request_id, decision = net.decide(object_key="")
+        assert network.forwarded(decision) == "t0"
+        net.end(request_id, status=503, pause_s=0.2, replayable=False)
+        net.close(request_id)
+        net.run(0.3)
+    target = net.state().target_directory.by_name["t0"]
+    assert target.ejected_until_s < net.now_s
+
+
+def test_a_vm_that_stalls_itself_gives_up_no_scheduler():
+    """Guards against VMs with little processor time that lose all schedulers.
+
+    The reply arrived during the stall, and is read after the next tick.
+    """
+    net = make_network()
+    request_id = net.ask()
+    net.stall("coast-a-2", 0.5)
+    net.run(0.6)
+    assert net.decision(request_id).inputs["scheduler"] == SCHEDULER
+    assert not net.state("coast-a-2").slot_client.avoided_until_s
