Limit the memory for callers that do not read or send

Cause: a VM kept 0.15 MB for each caller that does not read, and the kernel up to 2.9 MB more (measured; 4 MB by the system's setting). The sum was bounded by descriptors only, and slow senders could keep the memory for bodies until the idle timeout.

Change: the kernel takes 256 KB of unsent data for a peer. Data that callers have not yet read counts against 16 MB for the VM. While these, or the 32 MB of bodies, are exceeded, callers without progress for 1 s are reset, first those with the most bytes for the longest time; this is logged and counted.

Tests: the fake request of test_serving.py gets the connection that the handler now uses. mulberrydeck/steering/tests/test_endless_responses.py failed in some runs at load averages of 17 to 22, also without this change.

--- a/mulberrydeck/forward/pool.py
+++ b/mulberrydeck/forward/pool.py
@@ -7,6 +7,8 @@
 import attrs
 import gevent.socket
 
+from mulberrydeck.forward import sending
+
 MAX_IDLE_PER_ADDRESS = 64
 MS_PER_S = 1000
 
@@ -165,6 +167,7 @@
         sock = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sending.limit_kernel_buffer(sock)
             sock.setsockopt(
                 socket.IPPROTO_TCP,
                 socket.TCP_USER_TIMEOUT,
--- a/mulberrydeck/forward/sending.py
+++ b/mulberrydeck/forward/sending.py
@@ -1,8 +1,26 @@
 """Sending with a timeout for each step of progress, not for all data."""
 
+import socket
+
 import gevent
 import gevent.socket
 
+# Bytes that the kernel takes for a peer before it sends them. Without a limit,
+# it keeps up to 4 MB for each peer that does not read. A response that is
+# buffered until it is complete still fits.
+MAX_KERNEL_UNSENT_BYTES = 256 * 1024
+
+
+def limit_kernel_buffer(sock: gevent.socket.socket) -> None:
+    """Limits the unsent bytes that the kernel keeps for the peer of a socket.
+
+    Unlike `SO_SNDBUF`, this does not limit the bytes in flight, and thus the
+    rate on long paths.
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_KERNEL_UNSENT_BYTES
+    )
+
 
 def send_all(sock: gevent.socket.socket, data: bytes | memoryview) -> None:
     """Sends all of `data`; the socket timeout applies to each step.
--- a/mulberrydeck/frontend/bodies.py
+++ b/mulberrydeck/frontend/bodies.py
@@ -208,6 +208,7 @@
             self.kept_pieces.append(piece)
             if not piece:
                 return
+            reservation.record_progress()
             if not reservation.grow(len(piece)) and not self.finished:
                 # The rest is read while the body is sent, and is not kept.
                 self.max_kept_bytes = 0
--- a/mulberrydeck/frontend/buffered_connection.py
+++ b/mulberrydeck/frontend/buffered_connection.py
@@ -1,5 +1,6 @@
 """Buffered reading from, and writing to, an accepted connection."""
 
+from collections.abc import Iterator
 import contextlib
 import socket
 import struct
@@ -7,12 +8,15 @@
 import gevent
 import gevent.socket
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.forward import sending
 from mulberrydeck.frontend import heads
 
 RECEIVE_BYTES = 64 * 1024
 MAX_LINGER_S = 2.0
 MAX_LINGER_BYTES = 1024 * 1024
+# Value of SO_LINGER: unsent data is discarded and the connection reset.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ConnectionLostError(Exception):
@@ -33,16 +37,20 @@
         position: Number of bytes of `buffer` that were consumed.
         idle: Whether it waits for the first byte of a request.
         reading_stopped: Whether reading ends after the bytes received so far.
+        unsent: Memory of the data that the peer has not yet read; None if not
+            limited.
     """
 
     def __init__(self, sock: gevent.socket.socket, peer_ip: str) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sending.limit_kernel_buffer(sock)
         self.sock = sock
         self.peer_ip = peer_ip
         self.buffer = b""
         self.position = 0
         self.idle = False
         self.reading_stopped = False
+        self.unsent: budgets.Reservation | None = None
 
     def set_timeout(self, seconds: float) -> None:
         """Sets the timeout of each further receive and send, in seconds."""
@@ -109,10 +117,43 @@
             ConnectionLostError: The connection failed or timed out.
         """
         try:
-            sending.send_all(self.sock, data)
+            if self.unsent is None:
+                sending.send_all(self.sock, data)
+            else:
+                self._send_counted(data, self.unsent)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
+    def _send_counted(
+        self, data: bytes | memoryview, unsent: budgets.Reservation
+    ) -> None:
+        view = memoryview(data)
+        # The data stays in memory until the last byte of it is sent.
+        with (
+            self.count_unsent(len(view)),
+            unsent.wait_for_peer(self.reset_reader),
+        ):
+            while len(view):
+                sent = self.sock.send(view)
+                unsent.record_progress()
+                view = view[sent:]
+
+    @contextlib.contextmanager
+    def count_unsent(self, count: int) -> Iterator[None]:
+        """Counts data that waits until it, or earlier data, is sent.
+
+        Args:
+            count: Number of bytes.
+        """
+        if self.unsent is None:
+            yield
+            return
+        self.unsent.grow(count)
+        try:
+            yield
+        finally:
+            self.unsent.shrink(count)
+
     def read_head(self, start_timeout_s: float, timeout_s: float) -> bytes:
         """Reads the next request head and returns it without its empty line.
 
@@ -149,11 +190,36 @@
 
     def abort(self) -> None:
         """Resets the connection, so that no partial response seems complete."""
-        reset = struct.pack("ii", 1, 0)
         with contextlib.suppress(OSError):
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+            )
         self.sock.close()
 
+    def reset_reader(self) -> None:
+        """Resets a peer that does not read; the blocked send fails.
+
+        The end of the connection is queued behind unsent data, and is discarded
+        with it.
+        """
+        self._reset(socket.SHUT_RDWR)
+
+    def reset_sender(self) -> None:
+        """Resets a peer that does not send; the blocked receive fails."""
+        self._reset(socket.SHUT_RD)
+
+    def _reset(self, directions: int) -> None:
+        """Ends a wait of another greenlet, which then closes the socket.
+
+        Closing it here would free its descriptor for another connection while
+        that greenlet still uses it.
+        """
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+            )
+            self.sock.shutdown(directions)
+
     def close(self, linger: bool = False) -> None:
         """Closes the connection.
 
--- a/mulberrydeck/frontend/connections.py
+++ b/mulberrydeck/frontend/connections.py
@@ -7,6 +7,7 @@
 
 import gevent.socket
 
+from mulberrydeck.forward import budgets
 from mulberrydeck.frontend import buffered_connection as buffered
 from mulberrydeck.frontend import disconnects
 from mulberrydeck.frontend import heads
@@ -29,6 +30,8 @@
         stopping: Whether connections close after the current response.
         watcher: Detects callers that disconnect.
         in_flight: Number of requests in progress.
+        unsent_budget: Memory of all data that peers have not yet read; None if
+            not limited.
     """
 
     idle_timeout_s: float
@@ -36,6 +39,7 @@
     stopping: bool
     watcher: disconnects.DisconnectWatcher
     in_flight: int
+    unsent_budget: budgets.ByteBudget | None
     open_connections: "set[ConnectionHandler]"
 
     def handle_request(self, request: requests.Request) -> None:
@@ -64,6 +68,8 @@
             server: Server that accepted it.
         """
         self.connection = buffered.BufferedConnection(sock, address[0])
+        if server.unsent_budget is not None:
+            self.connection.unsent = server.unsent_budget.reserve()
         self.server = server
 
     def handle(self) -> None:
--- a/mulberrydeck/frontend/listeners.py
+++ b/mulberrydeck/frontend/listeners.py
@@ -4,6 +4,7 @@
 import gevent.socket
 
 from mulberrydeck import binding
+from mulberrydeck.forward import budgets
 from mulberrydeck.frontend import connections
 from mulberrydeck.frontend import disconnects
 from mulberrydeck.frontend import heads
@@ -26,6 +27,8 @@
         open_connections: Handlers of the open connections.
         max_pipelined_requests: Largest number of requests in progress on each
             further connection; 1 to handle them one after another.
+        unsent_budget: Memory of all data that peers have not yet read; None if
+            not limited.
     """
 
     def __init__(self, address: str, backlog: int | None = None) -> None:
@@ -43,6 +46,7 @@
         self.in_flight = 0
         self.watcher = disconnects.DisconnectWatcher()
         self.max_pipelined_requests = 1
+        self.unsent_budget: budgets.ByteBudget | None = None
         self.open_connections: set[connections.ConnectionHandler] = set()
         # Without SERVER_NAME, pywsgi resolves the address in a thread.
         self.listener = gevent.pywsgi.WSGIServer(
--- a/mulberrydeck/frontend/responses.py
+++ b/mulberrydeck/frontend/responses.py
@@ -112,8 +112,10 @@
         """
         if not self.pending:
             return
-        if self.turn is not None:
-            self.turn.wait()
+        if self.turn is not None and not self.turn.is_set():
+            waiting_bytes = sum(map(len, self.pending))
+            with self.connection.count_unsent(waiting_bytes):
+                self.turn.wait()
         data = b"".join(self.pending)
         self.pending.clear()
         if self.pace is None:
--- a/mulberrydeck/frontend/tests/fakes.py
+++ b/mulberrydeck/frontend/tests/fakes.py
@@ -224,6 +224,17 @@
     return data, False
 
 
+def read_to_end_of(sock, count):
+    """Reads at least `count` bytes; returns them and whether it was reset."""
+    data = b""
+    try:
+        while len(data) < count and (piece := sock.recv(65536)):
+            data += piece
+    except ConnectionResetError:
+        return data, True
+    return data, False
+
+
 def exchange(address, data):
     """Sends bytes on a new connection and returns all received bytes."""
     sock = connect(address)
--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -125,13 +125,17 @@
         self.request_handler = serving.CallerRequestHandler(
             self.loop, self.targets_pool, self.reports
         )
+        handler = self.request_handler
+        handler.body_budget.report_reset = self.reports.slow_sender_reset
+        handler.unsent_budget.report_reset = self.reports.slow_reader_reset
         lookup_handler = serving.LookupHandler(self.loop)
         new_listener = serving.Listener
         self.caller_listener = new_listener(
             settings.caller_address,
-            self.request_handler.serve,
-            self.request_handler.may_pipeline,
+            handler.serve,
+            handler.may_pipeline,
         )
+        self.caller_listener.unsent_budget = handler.unsent_budget
         self.caller_listener.max_pipelined_requests = (
             settings.max_pipelined_requests
         )
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -106,6 +106,12 @@
         self.cold_sends = self._counter(
             "cold_sends", "Requests sent to targets known to be cold."
         )
+        self.slow_resets = self._counter(
+            "slow_caller_resets",
+            "Callers that were reset as they made no progress while the memory "
+            "for all callers was used up.",
+            "direction",
+        )
         self.staleness = prometheus_client.Gauge(
             "mulberrydeck_news_age_seconds",
             "For how long changes in the store may be unknown here.",
@@ -255,6 +261,36 @@
             target=target,
         )
 
+    def slow_reader_reset(self, held_bytes: int, stalled_s: float) -> None:
+        """Counts and logs the reset of a caller that does not read.
+
+        Args:
+            held_bytes: Bytes that were kept for it.
+            stalled_s: Time without progress, in seconds.
+        """
+        self._slow_reset("reading", held_bytes, stalled_s)
+
+    def slow_sender_reset(self, held_bytes: int, stalled_s: float) -> None:
+        """Counts and logs the reset of a caller that does not send its body.
+
+        Args:
+            held_bytes: Bytes of the body that were kept.
+            stalled_s: Time without progress, in seconds.
+        """
+        self._slow_reset("sending", held_bytes, stalled_s)
+
+    def _slow_reset(
+        self, direction: str, held_bytes: int, stalled_s: float
+    ) -> None:
+        self.slow_resets.labels(direction).inc()
+        self.write(
+            "request",
+            "Reset a slow caller.",
+            direction=direction,
+            held_bytes=held_bytes,
+            stalled_s=round(stalled_s, 3),
+        )
+
     def log(self, effect: effects.Log) -> None:
         """Writes a log line that the reducer returned as an effect."""
         self.write(effect.part, effect.text, **effect.fields)
--- a/mulberrydeck/steering/serving.py
+++ b/mulberrydeck/steering/serving.py
@@ -27,6 +27,9 @@
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 # All such bodies of a VM; beyond this size, they are sent while they are read.
 MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
+# All data of a VM that callers have not yet read: 64 responses of the largest
+# size that is buffered. Beyond it, callers that do not read are reset.
+MAX_TOTAL_UNSENT_BYTES = 16 * 1024 * 1024
 # All callers of a region may connect at the same time.
 LISTEN_BACKLOG = 512
 # While stopping, interval between checks whether requests are in progress.
@@ -104,6 +107,7 @@
         reports: Log lines and metrics of requests.
         body_budget: Memory of all bodies that are read ahead.
         response_budget: Memory of all buffered responses.
+        unsent_budget: Memory of all data that callers have not yet read.
         in_progress: Requests in progress by identifier of their handling.
     """
 
@@ -116,6 +120,9 @@
     response_budget: budgets.ByteBudget = attrs.field(
         factory=lambda: budgets.ByteBudget(exchange.MAX_TOTAL_BUFFERED_BYTES)
     )
+    unsent_budget: budgets.ByteBudget = attrs.field(
+        factory=lambda: budgets.ByteBudget(MAX_TOTAL_UNSENT_BYTES)
+    )
     in_progress: dict[str, Arrival] = attrs.field(factory=dict)
 
     def serve(self, request: requests.Request) -> None:
@@ -155,7 +162,8 @@
         request.request_id = caller_fields.attempt_id or request.handling_id
         with self.body_budget.reserve() as read_ahead:
             if request.body is not None:
-                request.body.read_ahead(MAX_BUFFERED_BODY_BYTES, read_ahead)
+                with read_ahead.wait_for_peer(request.connection.reset_sender):
+                    request.body.read_ahead(MAX_BUFFERED_BODY_BYTES, read_ahead)
             event = events.RequestArrived(
                 # The body took time; the reducer's time must not go back.
                 at_s=self.loop.now_s(),
--- a/mulberrydeck/steering/tests/test_serving.py
+++ b/mulberrydeck/steering/tests/test_serving.py
@@ -43,6 +43,7 @@
     request = types.SimpleNamespace(
         head=heads.parse(HEAD),
         body=types.SimpleNamespace(read_ahead=read_ahead),
+        connection=types.SimpleNamespace(reset_sender=None),
         handling_id="r1",
         path="/read/1",
         fully_read=True,
