Assume no work time of zero

Cause: an attempt that ended within 50 microseconds was recorded as work of 0 s, by which the scheduler divides, so that its reducer raised. Change: recorded durations are at least 1 ms.

--- a/mulberrydeck/scheduling/work_times.py
+++ b/mulberrydeck/scheduling/work_times.py
@@ -13,6 +13,8 @@
 # Caps a duration relative to the mean, so that the few requests with a long
 # tail of work do not dominate it.
 MAX_RATIO = 3.0
+# Shortest duration; other durations are divided by expected ones.
+MIN_DURATION_S = 0.001
 
 
 @attrs.define
@@ -53,8 +55,9 @@
             cached: Whether the target was expected to have the object cached.
             duration_s: Duration at the usual speed, in seconds.
         """
+        duration_s = max(MIN_DURATION_S, duration_s)
         mean_s = self.mean_s.get((route, cached))
-        if mean_s is None or mean_s <= 0:
+        if mean_s is None:
             self.mean_s[route, cached] = duration_s
             return 1.0
         ratio = duration_s / mean_s
