--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -88,8 +88,9 @@
 def is_scheduled(state: steering_states.State, service: str) -> bool:
     """Returns whether slots of a service are granted by a scheduler."""
     return (
-        state.settings.slot_scheduling == settings_module.REPORTED
-        and service in state.slot_client.speed_reporting
+        state.settings.slot_scheduling == settings_module.LARGE_FLEETS
+        and service in state.slot_client.load_reporting
+        and not state.fleet.is_mesh
     )
 
 
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -270,7 +270,7 @@
 
     Attributes:
         asked: Requests for slots without a grant, by request.
-        speed_reporting: Services whose targets report their speed.
+        load_reporting: Services whose targets report their load.
         avoided_until_s: Until when a VM is not asked, in seconds, by name.
         introduced: Process of each scheduler that knows the slots that this VM
             uses, by scheduler and service.
@@ -281,7 +281,7 @@
     """
 
     asked: dict[str, AskedSlot] = attrs.field(factory=dict)
-    speed_reporting: set[str] = attrs.field(factory=set)
+    load_reporting: set[str] = attrs.field(factory=set)
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     introduced: dict[tuple[str, str], str] = attrs.field(factory=dict)
     elected: dict[tuple[str, str], ElectedSchedulers] = attrs.field(
--- a/mulberrydeck/scheduling/tests/network.py
+++ b/mulberrydeck/scheduling/tests/network.py
@@ -69,12 +69,12 @@
             name=name,
             zone=zone,
             region=samples.REGION_BY_ZONE[zone],
-            slot_scheduling=settings_module.REPORTED,
+            slot_scheduling=settings_module.LARGE_FLEETS,
             **self.settings,
             **_limits(self.cores[name]),
         )
         vm.state.fleet.incarnation = f"{name}-{process}"
-        vm.state.slot_client.speed_reporting.add(SERVICE)
+        vm.state.slot_client.load_reporting.add(SERVICE)
         self.vms[name] = vm
         self.apply(name, events.VmsListed(self.now_s, self._records(), 4))
         self._tick(vm)
--- a/mulberrydeck/scheduling/tests/test_baseline.py
+++ b/mulberrydeck/scheduling/tests/test_baseline.py
@@ -66,7 +66,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_more_requests_are_on_time_than_without_a_scheduler(seed):
     """Guards against a scheduler that is no better than VMs on their own."""
-    scheduled = _emulate(seed, slot_scheduling=settings.REPORTED).overall()
+    scheduled = _emulate(seed, slot_scheduling=settings.LARGE_FLEETS).overall()
     alone = _emulate(seed, slot_scheduling=settings.OFF).overall()
     assert alone.refused > 0.03
     assert scheduled.on_time > alone.on_time + 0.15
--- a/mulberrydeck/scheduling/work_times.py
+++ b/mulberrydeck/scheduling/work_times.py
@@ -19,6 +19,8 @@
 # Caps a duration relative to the mean, so that the few requests with a long
 # tail of work do not dominate it.
 MAX_RATIO = 3.0
+# Shortest duration; other durations are divided by expected ones.
+MIN_DURATION_S = 0.001
 
 
 @attrs.define
--- a/mulberrydeck/steering/observations.py
+++ b/mulberrydeck/steering/observations.py
@@ -1,5 +1,6 @@
 """What the end of an attempt shows about its target."""
 
+from mulberrydeck.scheduling import client as slots
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import outliers
@@ -63,7 +64,7 @@
         case Outcome.EXPIRED:
             return []
         case Outcome.REJECTED:
-            if not rejected_with_free_slot(target, event):
+            if not rejected_with_free_slot(state, target, event):
                 full_load = 2.0 * target.entry.slots
                 targets.observe_load(target, state.now_s, full_load)
             return []
@@ -89,17 +90,18 @@
 
 
 def rejected_with_free_slot(
-    target: targets.Target, event: events.AttemptEnded
+    state: states.State, target: targets.Target, event: events.AttemptEnded
 ) -> bool:
     """Returns whether a target rejected a request for another reason than load.
 
-    Only targets that report their speed are taken to report their load exactly.
+    Targets without a scheduler may be rejecting requests of other VMs that
+    arrived between their report and this request.
     """
     return (
         event.outcome is Outcome.REJECTED
-        and event.reported_speed is not None
         and event.reported_load is not None
         and event.reported_load < target.entry.slots
+        and slots.is_scheduled(state, target.entry.service)
     )
 
 
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -440,22 +440,21 @@
     request.target = None
     target.in_flight -= 1
     observations.observe_latency(state, request, target, event)
-    if event.reported_speed is not None:
-        state.slot_client.speed_reporting.add(request.service)
+    if event.reported_load is not None:
+        state.slot_client.load_reporting.add(request.service)
     produced = _give_back(state, request, _slot_result(event), event)
     if event.outcome is Outcome.DELAYED:
         return [*produced, *_decide_anew(state, request, target)]
     produced += observations.observe_notice(state, target, event)
     produced += observations.observe_outcome(state, target, event)
-    if observations.rejected_with_free_slot(target, event) and (
-        slots.is_scheduled(state, request.service)
-    ):
+    had_free_slot = observations.rejected_with_free_slot(state, target, event)
+    if had_free_slot:
         # It rejects at random, and has probably cached the object; the
         # scheduler prefers targets that reject fewer requests.
         request.tried.discard(target.entry.name)
     final = _final_decision(state, request, event)
     if final is not None:
-        if observations.rejected_with_free_slot(target, event):
+        if had_free_slot:
             final = _without_delay(final)
         return [*produced, final]
     request.deliverable = event.outcome is Outcome.ANSWERED
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -12,7 +12,7 @@
 
 # Values of `slot_scheduling`.
 OFF = "off"
-REPORTED = "reported"
+LARGE_FLEETS = "large-fleets"
 
 
 @attrs.frozen
@@ -110,9 +110,9 @@
         default=16,
     )
     slot_scheduling: str = setting(
-        "Which services have a scheduler, which grants the slots of their "
-        "targets to all VMs: `off` for none, `reported` for those whose "
-        "targets report how fast their machines work.",
+        "Whether one VM per service and region grants the slots of its targets "
+        "to all VMs: `off` for never, `large-fleets` for services whose targets "
+        "report their load, in fleets of more than `mesh_vms` VMs.",
         "-",
         default=OFF,
     )
@@ -172,10 +172,10 @@
             f"{path}: zone {loaded.zone!r} is missing in region_by_zone; add "
             "it with its region."
         )
-    if loaded.slot_scheduling not in (OFF, REPORTED):
+    if loaded.slot_scheduling not in (OFF, LARGE_FLEETS):
         raise errors.SettingsError(
             f"{path}: slot_scheduling is {loaded.slot_scheduling!r}; use "
-            f"{OFF!r} or {REPORTED!r}."
+            f"{OFF!r} or {LARGE_FLEETS!r}."
         )
     if loaded.max_pipelined_requests < 1:
         raise errors.SettingsError(
