Enable slot scheduling by the size of the fleet; send long bodies while awaiting responses

A body that was read ahead was sent before the response was read. With the limit on unsent bytes, a target that responds before it reads such a body blocked the exchange until the deadline (test_a_safe_request_is_repeated_after_a_part_and_a_reset).

--- a/mulberrydeck/forward/uploads.py
+++ b/mulberrydeck/forward/uploads.py
@@ -14,6 +14,9 @@
 # Bounds the wait for the first byte, since `start_by_s` may be infinite.
 MAX_START_WAIT_S = 3600.0
 LAST_CHUNK = b"0\r\n\r\n"
+# Longer bodies are sent while the response is awaited, since a target may
+# respond before it reads a body that does not fit into the kernel's buffers.
+MAX_INLINE_BODY_BYTES = 64 * 1024
 
 
 class Body(Protocol):
@@ -93,7 +96,7 @@
         if body is None:
             self._send(head)
             self.finished = True
-        elif body.finished:
+        elif body.finished and _is_short(body):
             self._send(head + self._encode_body(body))
             self.finished = True
         else:
@@ -201,5 +204,9 @@
             self.connection_error = error
 
 
+def _is_short(body: Body) -> bool:
+    return body.length is not None and body.length <= MAX_INLINE_BODY_BYTES
+
+
 def _chunk(piece: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(piece), piece)
--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -15,7 +15,6 @@
 from mulberrydeck.scheduling import scheduler
 from mulberrydeck.scheduling import state as states
 from mulberrydeck.steering import effects
-from mulberrydeck.steering import settings as settings_module
 from mulberrydeck.steering import state as steering_states
 from mulberrydeck.steering import targets as targets_module
 
@@ -87,10 +86,10 @@
 
 def is_scheduled(state: steering_states.State, service: str) -> bool:
     """Returns whether slots of a service are granted by a scheduler."""
+    min_vms = state.settings.slot_scheduling_min_vms
     return (
-        state.settings.slot_scheduling == settings_module.LARGE_FLEETS
+        0 < min_vms <= len(state.fleet.names)
         and service in state.slot_client.load_reporting
-        and not state.fleet.is_mesh
     )
 
 
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -10,10 +10,6 @@
 
 setting = declarations.setting
 
-# Values of `slot_scheduling`.
-OFF = "off"
-LARGE_FLEETS = "large-fleets"
-
 
 @attrs.frozen
 class SteeringSettings:
@@ -109,12 +105,12 @@
         "VMs",
         default=16,
     )
-    slot_scheduling: str = setting(
-        "Whether one VM per service and region grants the slots of its targets "
-        "to all VMs: `off` for never, `large-fleets` for services whose targets "
-        "report their load, in fleets of more than `mesh_vms` VMs.",
-        "-",
-        default=OFF,
+    slot_scheduling_min_vms: int = setting(
+        "Smallest fleet in which one VM per service and region grants the "
+        "slots of its targets to all VMs, if targets report their load; 0 for "
+        "never.",
+        "VMs",
+        default=0,
     )
     peer_timeout_s: float = setting(
         "A VM is considered unreachable and omitted from lookups after this "
@@ -172,11 +168,6 @@
             f"{path}: zone {loaded.zone!r} is missing in region_by_zone; add "
             "it with its region."
         )
-    if loaded.slot_scheduling not in (OFF, LARGE_FLEETS):
-        raise errors.SettingsError(
-            f"{path}: slot_scheduling is {loaded.slot_scheduling!r}; use "
-            f"{OFF!r} or {LARGE_FLEETS!r}."
-        )
     if loaded.max_pipelined_requests < 1:
         raise errors.SettingsError(
             f"{path}: max_pipelined_requests must be at least 1."
