--- a/mulberrydeck/scheduling/scheduler.py
+++ b/mulberrydeck/scheduling/scheduler.py
@@ -19,6 +19,7 @@
 from mulberrydeck.scheduling import estimates
 from mulberrydeck.scheduling import order
 from mulberrydeck.scheduling import state as states
+from mulberrydeck.scheduling import work_times
 from mulberrydeck.steering import outliers
 from mulberrydeck.steering import state as steering_states
 from mulberrydeck.steering import targets as targets_module
@@ -434,7 +435,9 @@
     times = state.scheduler.expected
     target = grant.target
     was_cached = times.was_cached(grant.route, duration_s)
-    usual_s = times.expected_s(grant.route, was_cached, duration_s)
+    usual_s = times.expected_s(
+        grant.route, was_cached, max(work_times.MIN_DURATION_S, duration_s)
+    )
     ratio = min(outliers.MAX_RATIO, duration_s / usual_s)
     outliers.observe(target.pace, state.now_s, ratio)
     is_usual = abs(target.reported_speed - 1.0) <= USUAL_SPEED_DIFFERENCE
--- a/mulberrydeck/scheduling/work_times.py
+++ b/mulberrydeck/scheduling/work_times.py
@@ -65,6 +65,7 @@
 
     def record(self, route: str, duration_s: float) -> None:
         """Records a duration at the usual speed, in seconds."""
+        duration_s = max(MIN_DURATION_S, duration_s)
         group = (route, self.was_cached(route, duration_s))
         mean_s = self.mean_s.get(group, duration_s)
         count = self.counts.get(group, 0) + 1
