--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -22,7 +22,10 @@
 VM_COUNTS = (10, 63, 124, 195)
 REPORT_AGES_S = (0.0, 0.5, 1.0, 2.0)
 EXACT = "exact-loads"
+# By the schedulers of services; requests wait there and at targets.
+SCHEDULED = "slot-scheduling"
 CHOICES = {
+    SCHEDULED: placement.choose,
     "mulberrydeck": placement.choose,
     # Replaced by one that knows the targets of the run.
     EXACT: placement.choose,
@@ -99,7 +102,11 @@
     scenario = scenarios.with_load(scenario, case.load)
     baselines.seed(case.seed)
     run = emulation.Emulation(
-        scenario, case.seed, CHOICES[case.choice], case.report_age_s
+        scenario,
+        case.seed,
+        CHOICES[case.choice],
+        case.report_age_s,
+        {"slot_scheduling_min_vms": int(case.choice == SCHEDULED)},
     )
     if case.choice == EXACT:
         choose = baselines.with_exact_loads(run.targets)
