--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -12,6 +12,7 @@
 from mulberrydeck.quota import effects as quota_effects
 from mulberrydeck.scheduling import election
 from mulberrydeck.scheduling import homes
+from mulberrydeck.scheduling import outgoing
 from mulberrydeck.scheduling import scheduler
 from mulberrydeck.scheduling import state as states
 from mulberrydeck.steering import effects
@@ -148,7 +149,7 @@
     if account is not None and account.priority is not None:
         priority = account.priority
     goal_s = request.arrived_s + request.route.target_latency_s
-    outgoing = _introduction(state, request.service, name)
+    messages = _introduction(state, request.service, name)
     message = slot_messages.SlotRequest(
         request_id=request.request_id,
         service=request.service,
@@ -162,13 +163,13 @@
         may_wait=may_wait,
         attempt=request.slot_attempt,
     )
-    outgoing.append(scheduler.Outgoing(name, message))
-    return deliver(state, outgoing)
+    messages.append(outgoing.Outgoing(name, message))
+    return deliver(state, messages)
 
 
 def _introduction(
     state: steering_states.State, service: str, name: str
-) -> list[scheduler.Outgoing]:
+) -> list[outgoing.Outgoing]:
     """Returns a message with the slots in use, for a new scheduler."""
     peer = state.fleet.peers.get(name)
     if peer is None:
@@ -199,7 +200,7 @@
     for request in state.requests.values():
         if request.service == service and request.target is not None:
             request.slot_holders.add(name)
-    return [scheduler.Outgoing(name, slot_messages.SlotsHeld(service, slots))]
+    return [outgoing.Outgoing(name, slot_messages.SlotsHeld(service, slots))]
 
 
 def give_back(
@@ -216,7 +217,7 @@
     """
     names = sorted(request.slot_holders)
     request.slot_holders.clear()
-    return deliver(state, [scheduler.Outgoing(name, message) for name in names])
+    return deliver(state, [outgoing.Outgoing(name, message) for name in names])
 
 
 def cancel(
@@ -231,19 +232,19 @@
 
 def _withdrawal(
     request: steering_states.Request, name: str
-) -> scheduler.Outgoing:
+) -> outgoing.Outgoing:
     message = slot_messages.SlotReturn(
         request.request_id, request.service, attempt=request.slot_attempt
     )
-    return scheduler.Outgoing(name, message)
+    return outgoing.Outgoing(name, message)
 
 
 def deliver(
-    state: steering_states.State, outgoing: list[scheduler.Outgoing]
+    state: steering_states.State, messages: list[outgoing.Outgoing]
 ) -> Effects:
     """Returns the effects of messages; those to this VM are applied at once."""
     produced: Effects = []
-    for item in outgoing:
+    for item in messages:
         if item.to == state.settings.name:
             produced += receive(state, item.to, item.message)
         else:
@@ -265,8 +266,8 @@
         case slot_messages.SlotRequest():
             own = _introduction(state, message.service, state.settings.name)
             produced = deliver(state, own)
-            outgoing = scheduler.requested(state, sender, message)
-            return produced + deliver(state, outgoing)
+            replies = scheduler.requested(state, sender, message)
+            return produced + deliver(state, replies)
         case slot_messages.SlotReturn():
             return deliver(state, scheduler.returned(state, sender, message))
         case slot_messages.SlotsHeld():
@@ -290,7 +291,7 @@
         message = slot_messages.SlotReturn(
             grant.request_id, grant.service, attempt=grant.attempt
         )
-        return deliver(state, [scheduler.Outgoing(sender, message)])
+        return deliver(state, [outgoing.Outgoing(sender, message)])
     del state.slot_client.asked[grant.request_id]
     request.slot_holders.add(sender)
     target = state.target_directory.by_name.get(grant.target)
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -186,10 +186,9 @@
     Attributes:
         targets: All registered ones by name.
         usable: Those that may be granted, sorted by digest.
-        digests: Digests of `usable`.
-        refreshed_s: When these were read from the directory, in seconds.
+        refreshed_s: When both were read from the directory, in seconds.
         slots: Slots of `usable`.
-        usage: Recent grants by client account.
+        usage: Number of recent grants by client account.
         cache_model: Which objects targets probably have cached.
         waits: Number of requests that wait.
         refused: Number of requests that were refused since process start.
@@ -197,7 +196,6 @@
 
     targets: dict[str, ScheduledTarget] = attrs.field(factory=dict)
     usable: list[ScheduledTarget] = attrs.field(factory=list)
-    digests: list[int] = attrs.field(factory=list)
     refreshed_s: float = -math.inf
     slots: int = 0
     usage: dict[str, DecayingSum] = attrs.field(
