Split the requests for slots into modules by job

The decisions on requests, the messages that ask a scheduler, and the time-outs of its replies have modules of their own. Behaviour is unchanged.

--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -4,86 +4,20 @@
 stalls or is cut off delays the requests of one moment and stops none.
 """
 
-import math
-
-import attrs
-
 from mulberrydeck.peers import slot_messages
 from mulberrydeck.quota import effects as quota_effects
-from mulberrydeck.scheduling import election
+from mulberrydeck.scheduling import asking
+from mulberrydeck.scheduling import decisions
 from mulberrydeck.scheduling import homes
 from mulberrydeck.scheduling import outgoing
+from mulberrydeck.scheduling import reply_timeouts
 from mulberrydeck.scheduling import scheduler
 from mulberrydeck.scheduling import state as states
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import state as steering_states
-from mulberrydeck.steering import targets as targets_module
 
 Effects = list[object]
 
-# Several times the round trip and the time that a busy scheduler takes. Beyond
-# this, callers are served better by a choice without it.
-REPLY_TIMEOUT_S = 0.1
-FAR_REPLY_TIMEOUT_S = 0.25
-# After a queued request's expected or longest wait, another message is expected
-# by then.
-QUEUED_TIMEOUT_S = 0.5
-# A scheduler that did not reply is not asked for this long; by then, a VM that
-# died is nearly known to be dead.
-AVOIDED_S = 2.0
-# Ticks that are late by more than this show that this VM itself stalled.
-MIN_STALL_S = 0.02
-
-
-@attrs.frozen
-class Granted:
-    """A slot was granted to a request.
-
-    Attributes:
-        request_id: The request.
-        target: The target.
-        reason: Why the target was chosen, for logs.
-        scheduler: VM that granted the slot.
-        waited_s: Time that the request waited for the slot, in seconds.
-    """
-
-    request_id: str
-    target: targets_module.Target
-    reason: str
-    scheduler: str
-    waited_s: float
-
-
-@attrs.frozen
-class Declined:
-    """No target has or will have a slot in time.
-
-    Attributes:
-        request_id: The request.
-        retry_after_s: Time until the backlog clears, in seconds.
-        scheduler: VM that refused.
-    """
-
-    request_id: str
-    retry_after_s: float
-    scheduler: str
-
-
-@attrs.frozen
-class ChooseLocally:
-    """This VM has to choose a target itself.
-
-    Attributes:
-        request_id: The request.
-        reason: Why, for logs.
-    """
-
-    request_id: str
-    reason: str
-
-
-SlotDecision = Granted | Declined | ChooseLocally
-
 
 def is_scheduled(state: steering_states.State, service: str) -> bool:
     """Returns whether slots of a service are granted by a scheduler."""
@@ -99,7 +33,8 @@
 ) -> Effects | None:
     """Asks for a slot; returns None if no scheduler can be asked.
 
-    The decision follows as a `SlotDecision`, which may be among the effects.
+    The decision follows as a `decisions.SlotDecision`, at once among the
+    effects or later among those of `receive` or `ticked`.
 
     Args:
         state: State of this VM, changed in place.
@@ -122,6 +57,7 @@
 def _own_region(
     state: steering_states.State, allowed_regions: frozenset[str] | None
 ) -> str | None:
+    """Returns the region for a request without an object; None if none may."""
     own = state.settings.region
     if allowed_regions is None or own in allowed_regions:
         return own
@@ -134,73 +70,9 @@
     region: str,
     may_wait: bool,
 ) -> Effects | None:
-    name = election.scheduler_of(state, request.service, region)
-    if name is None:
-        return None
-    now_s = state.now_s
-    is_near = region == state.settings.region
-    timeout_s = REPLY_TIMEOUT_S if is_near else FAR_REPLY_TIMEOUT_S
-    request.slot_attempt += 1
-    state.slot_client.asked[request.request_id] = states.AskedSlot(
-        name, region, now_s, now_s + timeout_s, request.slot_attempt
-    )
-    account = request.account
-    priority = request.route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
-    goal_s = request.arrived_s + request.route.target_latency_s
-    messages = _introduction(state, request.service, name)
-    message = slot_messages.SlotRequest(
-        request_id=request.request_id,
-        service=request.service,
-        route=request.route.name,
-        object_digest=request.object_digest,
-        account=request.account_name,
-        priority=priority,
-        goal_remaining_s=round(goal_s - now_s, 4),
-        deadline_remaining_s=round(request.deadline_s - now_s, 4),
-        excluded=tuple(sorted(request.tried)),
-        may_wait=may_wait,
-        attempt=request.slot_attempt,
-    )
-    messages.append(outgoing.Outgoing(name, message))
-    return deliver(state, messages)
-
-
-def _introduction(
-    state: steering_states.State, service: str, name: str
-) -> list[outgoing.Outgoing]:
-    """Returns a message with the slots in use, for a new scheduler."""
-    peer = state.fleet.peers.get(name)
-    if peer is None:
-        # This VM is the scheduler itself.
-        incarnation = state.fleet.incarnation
-        region = state.settings.region
-    else:
-        incarnation = peer.incarnation
-        region = peer.record.region
-    known = state.slot_client.introduced.get((name, service))
-    if known == incarnation:
-        return []
-    state.slot_client.introduced[name, service] = incarnation
-    slots = tuple(
-        slot_messages.HeldSlot(
-            request.request_id,
-            request.target.entry.name,
-            round(request.deadline_s - state.now_s, 3),
-            request.slot_attempt,
-        )
-        for request in state.requests.values()
-        if request.service == service
-        and request.target is not None
-        and request.target.region == region
-    )
-    if not slots:
-        return []
-    for request in state.requests.values():
-        if request.service == service and request.target is not None:
-            request.slot_holders.add(name)
-    return [outgoing.Outgoing(name, slot_messages.SlotsHeld(service, slots))]
+    """Asks the scheduler of a region; returns None if there is none to ask."""
+    messages = asking.ask(state, request, region, may_wait)
+    return None if messages is None else deliver(state, messages)
 
 
 def give_back(
@@ -227,16 +99,7 @@
     asked = state.slot_client.asked.pop(request.request_id, None)
     if asked is None:
         return []
-    return deliver(state, [_withdrawal(request, asked.scheduler)])
-
-
-def _withdrawal(
-    request: steering_states.Request, name: str
-) -> outgoing.Outgoing:
-    message = slot_messages.SlotReturn(
-        request.request_id, request.service, attempt=request.slot_attempt
-    )
-    return outgoing.Outgoing(name, message)
+    return deliver(state, [asking.withdrawal(request, asked.scheduler)])
 
 
 def deliver(
@@ -264,7 +127,9 @@
     """
     match message:
         case slot_messages.SlotRequest():
-            own = _introduction(state, message.service, state.settings.name)
+            own = asking.introduction(
+                state, message.service, state.settings.name
+            )
             produced = deliver(state, own)
             replies = scheduler.requested(state, sender, message)
             return produced + deliver(state, replies)
@@ -298,10 +163,12 @@
     if target is None:
         return [
             *_unusable(state, request),
-            ChooseLocally(grant.request_id, "unknown target"),
+            decisions.ChooseLocally(grant.request_id, "unknown target"),
         ]
     return [
-        Granted(grant.request_id, target, grant.reason, sender, grant.waited_s)
+        decisions.Granted(
+            grant.request_id, target, grant.reason, sender, grant.waited_s
+        )
     ]
 
 
@@ -325,6 +192,7 @@
 def _unusable(
     state: steering_states.State, request: steering_states.Request
 ) -> Effects:
+    """Returns a slot whose target this VM cannot use."""
     message = slot_messages.SlotReturn(
         request.request_id,
         request.service,
@@ -340,8 +208,12 @@
     asked = _asked(state, sender, message)
     if asked is not None:
         asked.is_queued = True
-        asked.reply_by_s = state.now_s + 2 * message.wait_s + QUEUED_TIMEOUT_S
-        asked.decide_by_s = state.now_s + message.max_wait_s + QUEUED_TIMEOUT_S
+        asked.reply_by_s = (
+            state.now_s + 2 * message.wait_s + reply_timeouts.QUEUED_TIMEOUT_S
+        )
+        asked.decide_by_s = (
+            state.now_s + message.max_wait_s + reply_timeouts.QUEUED_TIMEOUT_S
+        )
     return []
 
 
@@ -356,11 +228,11 @@
         return []
     del state.slot_client.asked[refusal.request_id]
     if refusal.reason == slot_messages.STOPPING:
-        _avoid(state, sender)
+        reply_timeouts.avoid(state, sender)
         produced = _ask(state, request, asked.region, True)
         if produced is not None:
             return produced
-        return [ChooseLocally(refusal.request_id, "no scheduler")]
+        return [decisions.ChooseLocally(refusal.request_id, "no scheduler")]
     if not request.spilled:
         request.spilled = True
         request.retry_after_s = refusal.retry_after_s
@@ -375,57 +247,22 @@
             if produced is not None:
                 return produced
     if refusal.reason == slot_messages.NO_TARGET and not request.retry_after_s:
-        return [ChooseLocally(refusal.request_id, "no scheduled target")]
+        return [
+            decisions.ChooseLocally(refusal.request_id, "no scheduled target")
+        ]
     retry_after_s = request.retry_after_s or refusal.retry_after_s
-    return [Declined(refusal.request_id, retry_after_s, sender)]
-
-
-def _avoid(state: steering_states.State, name: str) -> None:
-    """Asks other schedulers for some time.
-
-    Each scheduler then misses what the others grant, so that it gets a new list
-    of the slots in use.
-    """
-    state.slot_client.avoided_until_s[name] = state.now_s + AVOIDED_S
-    state.slot_client.introduced.clear()
-
-
-def _allow_for_own_stall(state: steering_states.State) -> None:
-    """Prolongs waits for replies that may have arrived while this VM stalled.
-
-    After a stall, the timer may expire before messages are read.
-    """
-    client = state.slot_client
-    late_s = state.now_s - client.ticked_s - state.settings.tick_interval_s
-    client.ticked_s = state.now_s
-    if MIN_STALL_S < late_s < math.inf:
-        for asked in client.asked.values():
-            asked.reply_by_s += late_s
-            asked.decide_by_s += late_s
-
-
-def _is_late(state: steering_states.State, asked: states.AskedSlot) -> bool:
-    """Returns whether a scheduler's next reply is late.
-
-    Requests that go first prolong a wait in the queue, so that a long one alone
-    does not show that the scheduler has failed.
-    """
-    if not asked.is_queued or (
-        asked.scheduler in state.slot_client.avoided_until_s
-    ):
-        return state.now_s > asked.reply_by_s
-    return state.now_s > asked.decide_by_s
+    return [decisions.Declined(refusal.request_id, retry_after_s, sender)]
 
 
 def ticked(state: steering_states.State) -> Effects:
-    """Gives up schedulers that do not reply."""
+    """Gives up schedulers that do not reply; returns effects and decisions."""
     now_s = state.now_s
     produced: Effects = []
-    _allow_for_own_stall(state)
+    reply_timeouts.allow_for_own_stall(state)
     late = [
         (request_id, asked)
         for request_id, asked in state.slot_client.asked.items()
-        if _is_late(state, asked)
+        if reply_timeouts.is_late(state, asked)
     ]
     for request_id, asked in late:
         del state.slot_client.asked[request_id]
@@ -438,12 +275,12 @@
             }
             text = "A scheduler does not reply."
             produced.append(effects.Log("scheduling", text, fields))
-        _avoid(state, asked.scheduler)
+        reply_timeouts.avoid(state, asked.scheduler)
         if request is None:
             continue
-        withdrawal = _withdrawal(request, asked.scheduler)
+        withdrawal = asking.withdrawal(request, asked.scheduler)
         produced += deliver(state, [withdrawal])
-        produced.append(ChooseLocally(request_id, "no reply"))
+        produced.append(decisions.ChooseLocally(request_id, "no reply"))
     avoided = state.slot_client.avoided_until_s
     for name in [name for name, until_s in avoided.items() if now_s >= until_s]:
         del avoided[name]
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -7,6 +7,7 @@
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import hashing
 from mulberrydeck.scheduling import client as slots
+from mulberrydeck.scheduling import decisions
 from mulberrydeck.scheduling import scheduler
 from mulberrydeck.steering import admission
 from mulberrydeck.steering import effects
@@ -262,7 +263,7 @@
     """Replaces decisions on slots by what follows for their requests."""
     applied: Effects = []
     for item in produced:
-        if isinstance(item, slots.SlotDecision):
+        if isinstance(item, decisions.SlotDecision):
             request = state.requests.get(item.request_id)
             if request is not None:
                 applied += _slot_decided(state, request, item)
@@ -272,12 +273,14 @@
 
 
 def _slot_decided(
-    state: states.State, request: states.Request, decision: slots.SlotDecision
+    state: states.State,
+    request: states.Request,
+    decision: decisions.SlotDecision,
 ) -> Effects:
     match decision:
-        case slots.Granted():
+        case decisions.Granted():
             return _slot_granted(state, request, decision)
-        case slots.Declined(retry_after_s=retry_after_s):
+        case decisions.Declined(retry_after_s=retry_after_s):
             if request.deliverable:
                 return [effects.Deliver(request.request_id)]
             _refund_token(state, request)
@@ -287,7 +290,7 @@
                     request, 503, "no-capacity", retry_after_s, inputs
                 )
             ]
-        case slots.ChooseLocally(reason=reason):
+        case decisions.ChooseLocally(reason=reason):
             # The request may have waited for a slot until now.
             ended = _end_without_time(state, request)
             if ended is not None:
@@ -297,7 +300,7 @@
 
 
 def _slot_granted(
-    state: states.State, request: states.Request, granted: slots.Granted
+    state: states.State, request: states.Request, granted: decisions.Granted
 ) -> Effects:
     """Forwards a request to a target, if this VM may use it now."""
     target = granted.target
