--- a/mulberrydeck/steering/reducer.py
+++ b/mulberrydeck/steering/reducer.py
@@ -10,11 +10,14 @@
 from mulberrydeck.routing import hashing
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import forwarding
 from mulberrydeck.steering import headroom
 from mulberrydeck.steering import heartbeats
 from mulberrydeck.steering import lookup
 from mulberrydeck.steering import members
 from mulberrydeck.steering import requests
+from mulberrydeck.steering import retries
+from mulberrydeck.steering import slot_requests
 from mulberrydeck.steering import source_selection
 from mulberrydeck.steering import stale_pacing
 from mulberrydeck.steering import state as states
@@ -214,7 +217,7 @@
         state.pacer.vm_digests = tuple(
             hashing.digest(name) for name in state.fleet.names
         )
-        requests.resize_retry_budgets(state)
+        retries.resize_budgets(state)
         if not set(previous_names) <= set(state.fleet.names):
             configuring.owner_removed(state.quota, state.now_s)
         _configure_quota(state)
@@ -269,7 +272,7 @@
         "direct": plan.direct,
         "leads": plan.leads,
         "checked_age_s": min(
-            requests.MAX_LOGGED_AGE_S, round(checked_age_s, 3)
+            forwarding.MAX_LOGGED_AGE_S, round(checked_age_s, 3)
         ),
     }
     log = effects.Log(
@@ -302,7 +305,7 @@
     if is_heartbeat_due:
         targets.drop_old_notices(state.target_directory, state.now_s)
     produced += quota.tick(state.quota, state.now_s)
-    produced += requests.slots_ticked(state)
+    produced += slot_requests.ticked(state)
     produced += _apply_held(state)
     for name in targets.drop_missing(state.target_directory, state.now_s):
         fields = {"target": name}
@@ -330,7 +333,7 @@
     ):
         return []
     fields = {
-        "news_age_s": min(requests.MAX_LOGGED_AGE_S, round(age_s, 3)),
+        "news_age_s": min(forwarding.MAX_LOGGED_AGE_S, round(age_s, 3)),
         "uninformed": stale.group.uninformed,
         "informed": stale.group.informed,
     }
@@ -419,7 +422,7 @@
                     state.quota, state.now_s, event.sender, event.message
                 )
             )
-    return requests.slot_message_received(state, event.sender, event.message)
+    return slot_requests.message_received(state, event.sender, event.message)
 
 
 def _stop_requested(state: states.State) -> Effects:
@@ -430,7 +433,7 @@
     heartbeats.send_to_all_soon(state.heartbeat_schedule)
     fields = {"in_flight": len(state.requests)}
     log = effects.Log("steer", "A planned stop began.", fields)
-    return [log, *requests.scheduler_stopped(state)]
+    return [log, *slot_requests.scheduler_stopped(state)]
 
 
 def _settings_reloaded(
@@ -441,5 +444,5 @@
     state.quota.settings = event.settings
     state.pacer.overage = event.settings.cold_overage
     state.pacer.extra = event.settings.cold_extra
-    requests.resize_retry_budgets(state)
+    retries.resize_budgets(state)
     return [effects.Log("steer", "The settings are in force.", {})]
