--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -19,13 +19,9 @@
 Effects = list[object]
 
 
-def is_scheduled(state: steering_states.State, service: str) -> bool:
-    """Returns whether slots of a service are granted by a scheduler."""
-    min_vms = state.settings.slot_scheduling_min_vms
-    return (
-        0 < min_vms <= len(state.fleet.names)
-        and service in state.slot_client.load_reporting
-    )
+def is_enabled(state: steering_states.State) -> bool:
+    """Returns whether slots are granted by schedulers."""
+    return 0 < state.settings.slot_scheduling_min_vms <= len(state.fleet.names)
 
 
 def ask(
--- a/mulberrydeck/scheduling/order.py
+++ b/mulberrydeck/scheduling/order.py
@@ -10,6 +10,7 @@
 # Accounts whose recent use differs by less than this fraction of their limits
 # are ordered by time.
 USAGE_STEP = 0.25
+ORDER = 1
 # Rate assumed for accounts without a limit, in requests per second.
 DEFAULT_RATE_PER_S = 10.0
 
@@ -36,6 +37,13 @@
     """
     is_late = now_s + queued.expected_s > queued.goal_s
     due_s = queued.deadline_s if is_late else queued.goal_s
+    if ORDER == 1:
+        return (
+            queued.request.priority,
+            is_late,
+            _usage_step(queued.request.account, schedule, table, now_s),
+            due_s,
+        )
     return (
         is_late,
         queued.request.priority,
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -268,7 +268,6 @@
 
     Attributes:
         asked: Requests for slots without a grant, by request.
-        load_reporting: Services whose targets report their load.
         avoided_until_s: Until when a VM is not asked, in seconds, by name.
         introduced: Process of each scheduler that knows the slots that this VM
             uses, by scheduler and service.
@@ -279,7 +278,6 @@
     """
 
     asked: dict[str, AskedSlot] = attrs.field(factory=dict)
-    load_reporting: set[str] = attrs.field(factory=set)
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     introduced: dict[tuple[str, str], str] = attrs.field(factory=dict)
     elected: dict[tuple[str, str], ElectedSchedulers] = attrs.field(
--- a/mulberrydeck/scheduling/tests/network.py
+++ b/mulberrydeck/scheduling/tests/network.py
@@ -73,7 +73,6 @@
             **_limits(self.cores[name]),
         )
         vm.state.fleet.incarnation = f"{name}-{process}"
-        vm.state.slot_client.load_reporting.add(SERVICE)
         self.vms[name] = vm
         self.apply(name, events.VmsListed(self.now_s, self._records(), 4))
         self._tick(vm)
--- a/mulberrydeck/steering/observations.py
+++ b/mulberrydeck/steering/observations.py
@@ -101,7 +101,7 @@
         event.outcome is Outcome.REJECTED
         and event.reported_load is not None
         and event.reported_load < target.entry.slots
-        and slots.is_scheduled(state, target.entry.service)
+        and slots.is_enabled(state)
     )
 
 
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -146,8 +146,6 @@
     request.target = None
     target.in_flight -= 1
     observations.observe_latency(state, request, target, event)
-    if event.reported_load is not None:
-        state.slot_client.load_reporting.add(request.service)
     produced = slot_requests.give_back(
         state, request, slot_requests.result_of(event), event
     )
--- a/mulberrydeck/steering/slot_requests.py
+++ b/mulberrydeck/steering/slot_requests.py
@@ -37,7 +37,7 @@
     ended = forwarding.end_without_time(state, request)
     if ended is not None:
         return [ended]
-    if slots.is_scheduled(state, request.service):
+    if slots.is_enabled(state):
         produced = slots.ask(state, request)
         if produced is not None:
             return apply_decisions(state, produced)
