--- a/mulberrydeck/scheduling/client.py
+++ b/mulberrydeck/scheduling/client.py
@@ -149,6 +149,7 @@
 def _granted(
     state: steering_states.State, sender: str, grant: slot_messages.SlotGrant
 ) -> Effects:
+    """Decides on a request by a grant, or returns an unneeded slot."""
     asked = _asked(state, sender, grant)
     request = state.requests.get(grant.request_id)
     if asked is None or request is None:
@@ -162,7 +163,7 @@
     target = state.target_directory.by_name.get(grant.target)
     if target is None:
         return [
-            *_unusable(state, request),
+            *_return_unusable(state, request),
             decisions.ChooseLocally(grant.request_id, "unknown target"),
         ]
     return [
@@ -189,7 +190,7 @@
     return asked
 
 
-def _unusable(
+def _return_unusable(
     state: steering_states.State, request: steering_states.Request
 ) -> Effects:
     """Returns a slot whose target this VM cannot use."""
@@ -205,6 +206,7 @@
 def _queued(
     state: steering_states.State, sender: str, message: slot_messages.SlotQueued
 ) -> Effects:
+    """Waits longer for a scheduler that has queued the request."""
     asked = _asked(state, sender, message)
     if asked is not None:
         asked.is_queued = True
@@ -222,6 +224,11 @@
     sender: str,
     refusal: slot_messages.SlotRefusal,
 ) -> Effects:
+    """Asks another scheduler after a refusal, or ends the request for a slot.
+
+    The next scheduler of the same region is asked if this one stops, and once
+    that of another region if this one has no slot in time.
+    """
     asked = _asked(state, sender, refusal)
     request = state.requests.get(refusal.request_id)
     if asked is None or request is None:
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -89,6 +89,14 @@
 def _apply_rate_limit(
     state: states.State, request: states.Request, first: bool = False
 ) -> Effects:
+    """Places a request once its account's limit admits it.
+
+    Args:
+        state: State of this VM, changed in place.
+        request: The request.
+        first: Whether it goes before the waiting requests, since it was
+            admitted before.
+    """
     if request.account is None or request.account.rate_per_s <= 0:
         return slot_requests.place(state, request)
     verdict, produced = quota.admit(
@@ -244,6 +252,7 @@
 def _refusal_after_attempt(
     request: states.Request, event: events.AttemptEnded
 ) -> effects.Refuse:
+    """Returns the refusal of a request whose last attempt ended this way."""
     match event.outcome:
         case Outcome.EXPIRED:
             return refusals.refusal(request, 504, "deadline-exceeded", None)
--- a/mulberrydeck/steering/slot_requests.py
+++ b/mulberrydeck/steering/slot_requests.py
@@ -93,6 +93,7 @@
     request: states.Request,
     decision: decisions.SlotDecision,
 ) -> Effects:
+    """Forwards, refuses or ends a request by a decision on its slot."""
     match decision:
         case decisions.Granted():
             return _slot_granted(state, request, decision)
