--- a/mulberrydeck/scheduling/learning.py
+++ b/mulberrydeck/scheduling/learning.py
@@ -30,7 +30,9 @@
     now_s = state.now_s
     target = grant.target
     if message.load is not None:
-        target.others_load = max(0.0, message.load - len(target.grants))
+        # Some targets count the request of the response that reports the load.
+        known = len(target.grants) + 1
+        target.others_load = max(0.0, message.load - known)
         target.load_reported_s = now_s
     if message.speed is not None:
         target.reported_speed = message.speed
