--- a/mulberrydeck/scheduling/order.py
+++ b/mulberrydeck/scheduling/order.py
@@ -10,11 +10,10 @@
 # Accounts whose recent use differs by less than this fraction of their limits
 # are ordered by time.
 USAGE_STEP = 0.25
-ORDER = 1
 # Rate assumed for accounts without a limit, in requests per second.
 DEFAULT_RATE_PER_S = 10.0
 
-Rank = tuple[bool, int, int, float]
+Rank = tuple[int, bool, int, float]
 
 
 def rank(
@@ -25,9 +24,10 @@
 ) -> Rank:
     """Returns the rank of a waiting request; the smallest is granted first.
 
-    Requests that can still meet their latency goal precede those that are late,
-    since a late one loses nothing by waiting longer. Then come priority, the
-    recent use of the account relative to its limit, and the goal.
+    Priority comes first. Within a priority, requests that can still meet their
+    latency goal precede those that are late, since a late one loses nothing by
+    waiting longer. Then come the recent use of the account relative to its
+    limit, and the goal.
 
     Args:
         queued: The request.
@@ -37,16 +37,9 @@
     """
     is_late = now_s + queued.expected_s > queued.goal_s
     due_s = queued.deadline_s if is_late else queued.goal_s
-    if ORDER == 1:
-        return (
-            queued.request.priority,
-            is_late,
-            _usage_step(queued.request.account, schedule, table, now_s),
-            due_s,
-        )
     return (
-        is_late,
         queued.request.priority,
+        is_late,
         _usage_step(queued.request.account, schedule, table, now_s),
         due_s,
     )
