--- a/mulberrydeck/steering/assembly.py
+++ b/mulberrydeck/steering/assembly.py
@@ -18,6 +18,7 @@
 from mulberrydeck.peers import transport
 from mulberrydeck.platform import store as stores
 from mulberrydeck.quota import effects as quota_effects
+from mulberrydeck.scheduling import metrics
 from mulberrydeck.shell import event_loop
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
@@ -88,6 +89,9 @@
             settings, self.incarnation, now_s(), uuid.uuid4().int
         )
         self.loop = event_loop.EventLoop(state, reducer.reduce, now_s)
+        self.reports.registry.register(
+            metrics.SchedulerCollector(state.scheduler)
+        )
         source_ip = settings.caller_address.rpartition(":")[0]
         self.targets_pool = pools.ConnectionPool(
             source_ip,
@@ -126,13 +130,17 @@
         self.request_handler = serving.CallerRequestHandler(
             self.loop, self.targets_pool, self.reports
         )
+        handler = self.request_handler
+        handler.body_budget.report_reset = self.reports.slow_sender_reset
+        handler.unsent_budget.report_reset = self.reports.slow_reader_reset
         lookup_handler = serving.LookupHandler(self.loop)
         new_listener = serving.Listener
         self.caller_listener = new_listener(
             settings.caller_address,
-            self.request_handler.serve,
-            self.request_handler.may_pipeline,
+            handler.serve,
+            handler.may_pipeline,
         )
+        self.caller_listener.unsent_budget = handler.unsent_budget
         self.caller_listener.max_pipelined_requests = (
             settings.max_pipelined_requests
         )
--- a/mulberrydeck/steering/observations.py
+++ b/mulberrydeck/steering/observations.py
@@ -1,5 +1,6 @@
 """What the end of an attempt shows about its target."""
 
+from mulberrydeck.scheduling import client as slots
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
 from mulberrydeck.steering import outliers
@@ -63,16 +64,12 @@
         case Outcome.EXPIRED:
             return []
         case Outcome.REJECTED:
-            targets.observe_load(target, state.now_s, 2.0 * target.entry.slots)
+            if not rejected_with_free_slot(state, target, event):
+                full_load = 2.0 * target.entry.slots
+                targets.observe_load(target, state.now_s, full_load)
             return []
     targets.mark_reachable(target)
-    was_failure = (
-        event.outcome is Outcome.BROKEN
-        or event.status >= MIN_SERVER_ERROR_STATUS
-    )
-    # A target that asks for a pause works as it should.
-    was_failure = was_failure and not event.pause_s
-    if targets.record_outcome(target, state.now_s, was_failure):
+    if targets.record_outcome(target, state.now_s, is_failure(event)):
         return [
             _target_log(
                 f"{name} was ejected after too many failures.", target, event
@@ -81,6 +78,33 @@
     return []
 
 
+def is_failure(event: events.AttemptEnded) -> bool:
+    """Returns whether the end of an attempt shows a failure of its target.
+
+    A target that asks for a pause works as it should.
+    """
+    return not event.pause_s and (
+        event.outcome is Outcome.BROKEN
+        or event.status >= MIN_SERVER_ERROR_STATUS
+    )
+
+
+def rejected_with_free_slot(
+    state: states.State, target: targets.Target, event: events.AttemptEnded
+) -> bool:
+    """Returns whether a target rejected a request for another reason than load.
+
+    Targets without a scheduler may be rejecting requests of other VMs that
+    arrived between their report and this request.
+    """
+    return (
+        event.outcome is Outcome.REJECTED
+        and event.reported_load is not None
+        and event.reported_load < target.entry.slots
+        and slots.is_enabled(state)
+    )
+
+
 def _target_log(
     text: str, target: targets.Target, event: events.AttemptEnded
 ) -> effects.Log:
--- a/mulberrydeck/steering/reporting.py
+++ b/mulberrydeck/steering/reporting.py
@@ -103,9 +103,24 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.placements = self._counter(
+            "placements", "Choices of a target.", "by"
+        )
+        self.slot_wait = prometheus_client.Histogram(
+            "mulberrydeck_slot_wait_seconds",
+            "Time that requests waited for a granted slot.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.cold_sends = self._counter(
             "cold_sends", "Requests sent to targets known to be cold."
         )
+        self.slow_resets = self._counter(
+            "slow_caller_resets",
+            "Callers that were reset as they made no progress while the memory "
+            "for all callers was used up.",
+            "direction",
+        )
         self.staleness = prometheus_client.Gauge(
             "mulberrydeck_news_age_seconds",
             "For how long changes in the store may be unknown here.",
@@ -159,6 +174,9 @@
     ) -> None:
         """Counts an attempt, and logs it if it failed."""
         self.attempts.labels(attempt.outcome.value).inc()
+        self.placements.labels(decision.placement.value).inc()
+        if decision.placement is effects.Placement.GRANTED:
+            self.slot_wait.observe(decision.slot_wait_s)
         if attempt.sent_after_s is not None:
             self.send_delay.observe(attempt.sent_after_s)
             if decision.cold:
@@ -262,6 +280,36 @@
             target=target,
         )
 
+    def slow_reader_reset(self, held_bytes: int, stalled_s: float) -> None:
+        """Counts and logs the reset of a caller that does not read.
+
+        Args:
+            held_bytes: Bytes that were kept for it.
+            stalled_s: Time without progress, in seconds.
+        """
+        self._slow_reset("reading", held_bytes, stalled_s)
+
+    def slow_sender_reset(self, held_bytes: int, stalled_s: float) -> None:
+        """Counts and logs the reset of a caller that does not send its body.
+
+        Args:
+            held_bytes: Bytes of the body that were kept.
+            stalled_s: Time without progress, in seconds.
+        """
+        self._slow_reset("sending", held_bytes, stalled_s)
+
+    def _slow_reset(
+        self, direction: str, held_bytes: int, stalled_s: float
+    ) -> None:
+        self.slow_resets.labels(direction).inc()
+        self.write(
+            "request",
+            "Reset a slow caller.",
+            direction=direction,
+            held_bytes=held_bytes,
+            stalled_s=round(stalled_s, 3),
+        )
+
     def log(self, effect: effects.Log) -> None:
         """Writes a log line that the reducer returned as an effect."""
         self.write(effect.part, effect.text, **effect.fields)
--- a/mulberrydeck/steering/requests.py
+++ b/mulberrydeck/steering/requests.py
@@ -1,16 +1,23 @@
-"""Handling of a request: routing, rate limit, placement, retries, refusal."""
+"""Handling of a request: arrival, rate limit, ends of attempts, release.
 
+In between, `slot_requests` finds a target for each attempt.
+"""
+
+import attrs
+
+from mulberrydeck.peers import slot_messages
 from mulberrydeck.quota import reducer as quota
 from mulberrydeck.quota import state as quota_state
 from mulberrydeck.routing import hashing
-from mulberrydeck.steering import admission
+from mulberrydeck.scheduling import client as slots
 from mulberrydeck.steering import effects
 from mulberrydeck.steering import events
+from mulberrydeck.steering import forwarding
 from mulberrydeck.steering import members
 from mulberrydeck.steering import observations
-from mulberrydeck.steering import pacing
-from mulberrydeck.steering import placement
 from mulberrydeck.steering import refusals
+from mulberrydeck.steering import retries
+from mulberrydeck.steering import slot_requests
 from mulberrydeck.steering import state as states
 from mulberrydeck.steering import stopping
 from mulberrydeck.steering import tables
@@ -19,13 +26,8 @@
 Outcome = events.Outcome
 
 DEFAULT_TIMEOUT_S = 10.0  # For callers that specify no deadline.
-# With less time remaining, no target could respond by the deadline.
-MIN_REMAINING_S = 0.02
-# Targets work on a request for some tenths of a second.
-NO_CAPACITY_RETRY_S = 0.25
 # Time for a new process to read the configuration.
 STARTING_RETRY_S = 0.3
-MAX_LOGGED_AGE_S = 99.0  # Also logged for values never observed.
 MAX_CONNECT_FAILURES = 3  # Limits the time spent on unreachable targets.
 
 Effects = list[object]
@@ -51,19 +53,11 @@
         account = None
     request = _create_request(state, event, route, account)
     if stopping.may_cut_off(state, request):
-        return [_stopping(state, request)]
-    _retry_budget(state, request.service).deposit()
+        return [forwarding.stopping_refusal(state, request)]
+    retries.budget_of(state, request.service).deposit()
     return _apply_rate_limit(state, request)
 
 
-def _stopping(state: states.State, request: states.Request) -> effects.Refuse:
-    inputs = {
-        "until_deadline_s": round(request.deadline_s - state.now_s, 3),
-        "until_end_s": round(state.finish_by_s - state.now_s, 3),
-    }
-    return refusals.refusal(request, 503, "stopping", stopping.RETRY_S, inputs)
-
-
 def _create_request(
     state: states.State,
     event: events.RequestArrived,
@@ -95,8 +89,16 @@
 def _apply_rate_limit(
     state: states.State, request: states.Request, first: bool = False
 ) -> Effects:
+    """Places a request once its account's limit admits it.
+
+    Args:
+        state: State of this VM, changed in place.
+        request: The request.
+        first: Whether it goes before the waiting requests, since it was
+            admitted before.
+    """
     if request.account is None or request.account.rate_per_s <= 0:
-        return _place(state, request)
+        return slot_requests.place(state, request)
     verdict, produced = quota.admit(
         state.quota,
         state.now_s,
@@ -106,19 +108,12 @@
     )
     match verdict:
         case quota_state.Admitted():
-            return [*produced, *_place(state, request)]
+            return [*produced, *slot_requests.place(state, request)]
         case quota_state.Denied(retry_after_s):
             return [*produced, _rate_limited(state, request, retry_after_s)]
     return list(produced)
 
 
-def _refund_token(state: states.State, request: states.Request) -> None:
-    """Refunds the token of an account if no attempt was sent."""
-    if request.sent == 0 and request.account is not None:
-        resource = members.limit_resource(request.account.name)
-        quota.refund(state.quota, state.now_s, resource)
-
-
 def _rate_limited(
     state: states.State, request: states.Request, retry_after_s: float
 ) -> effects.Refuse:
@@ -146,102 +141,10 @@
     if request is None:
         return []
     if admitted:
-        return _place(state, request)
+        return slot_requests.place(state, request)
     return [_rate_limited(state, request, retry_after_s)]
 
 
-def _place(state: states.State, request: states.Request) -> Effects:
-    """Forwards the request to a target, or refuses it."""
-    if not request.may_have_run and stopping.may_cut_off(state, request):
-        _refund_token(state, request)
-        return [_stopping(state, request)]
-    if request.deadline_s - state.now_s < MIN_REMAINING_S:
-        return [refusals.refusal(request, 504, "deadline-exceeded", None)]
-    service = state.table.services.get(request.service)
-    cold_rate_per_s = service.cold_rate_per_s if service else 0.0
-    choice = state.choose(
-        state.target_directory,
-        state.pacer,
-        state.now_s,
-        placement.Requirements(
-            service=request.service,
-            object_digest=request.object_digest,
-            allowed_regions=request.allowed_regions,
-            excluded=frozenset(request.tried),
-            cold_rate_per_s=cold_rate_per_s,
-            region=state.settings.region,
-        ),
-    )
-    match choice:
-        case placement.NoCapacity():
-            return [_no_capacity(state, request, choice)]
-        case placement.Chosen(target, reason):
-            return [_forward(state, request, target, cold_rate_per_s, reason)]
-
-
-def _no_capacity(
-    state: states.State,
-    request: states.Request,
-    choice: placement.NoCapacity,
-) -> effects.Refuse:
-    """Refuses a request; it may return when the first target may serve it."""
-    _refund_token(state, request)
-    inputs: dict[str, object] = {"usable_targets": choice.usable}
-    retry_s = NO_CAPACITY_RETRY_S
-    if choice.resumes_s is not None:
-        pause_s = choice.resumes_s - state.now_s
-        inputs["paused_s"] = round(pause_s, 3)
-        # Spread, as all callers wait for the same moment.
-        retry_s = pause_s + state.rng.uniform(0.0, NO_CAPACITY_RETRY_S)
-    return refusals.refusal(request, 503, "no-capacity", retry_s, inputs)
-
-
-def _forward(
-    state: states.State,
-    request: states.Request,
-    target: targets.Target,
-    cold_rate_per_s: float,
-    reason: str,
-) -> effects.Forward:
-    if target.is_cold(state.now_s):
-        state.pacer.record_sent(state.now_s, target.entry.name, cold_rate_per_s)
-    else:
-        state.pacer.stale.record_sent(state.now_s, target.entry.name)
-    request.target = target
-    request.attempt_s = state.now_s
-    inputs = {
-        "why": reason,
-        "service": request.service,
-        "account": request.account_name,
-        "version": state.table.version,
-        "load": round(target.load(state.now_s), 1),
-        "load_age_s": _logged_age(state.now_s - target.load_reported_s),
-        "cold_s": round(target.cold_remaining_s(state.now_s), 2),
-        "news_age_s": _logged_age(state.staleness_s()),
-        "decided_s": round(state.now_s, 3),
-    }
-    request.sent += 1
-    request.tried.add(target.entry.name)
-    target.in_flight += 1
-    return effects.Forward(
-        request_id=request.request_id,
-        attempt=request.sent,
-        target=target.entry.name,
-        address=target.entry.address,
-        account=request.account_name,
-        deadline_s=request.deadline_s,
-        repeatable=request.repeatable,
-        send_by_s=state.now_s + admission.SEND_WITHIN_S,
-        cold=target.is_cold(state.now_s),
-        inputs=inputs,
-    )
-
-
-def _logged_age(age_s: float) -> float:
-    """Returns an age in seconds, bounded and rounded for logs."""
-    return round(min(MAX_LOGGED_AGE_S, age_s), 2)
-
-
 def attempt_ended(state: states.State, event: events.AttemptEnded) -> Effects:
     """Records the outcome of an attempt; retries or ends the request."""
     request = state.requests.get(event.request_id)
@@ -251,22 +154,25 @@
     request.target = None
     target.in_flight -= 1
     observations.observe_latency(state, request, target, event)
+    produced = slot_requests.give_back(
+        state, request, slot_requests.result_of(event), event
+    )
     if event.outcome is Outcome.DELAYED:
-        return _decide_anew(state, request, target)
-    produced = observations.observe_notice(state, target, event)
+        return [*produced, *_decide_anew(state, request, target)]
+    produced += observations.observe_notice(state, target, event)
     produced += observations.observe_outcome(state, target, event)
+    had_free_slot = observations.rejected_with_free_slot(state, target, event)
+    if had_free_slot:
+        # It rejects at random, and has probably cached the object; the
+        # scheduler prefers targets that reject fewer requests.
+        request.tried.discard(target.entry.name)
     final = _final_decision(state, request, event)
     if final is not None:
+        if had_free_slot:
+            final = _without_delay(final)
         return [*produced, final]
-    placed = _place(state, request)
-    if event.outcome is Outcome.ANSWERED and _is_refused(placed):
-        # Without another target, the error response received is delivered.
-        placed = [effects.Deliver(request.request_id)]
-    return [*produced, *placed]
-
-
-def _is_refused(produced: Effects) -> bool:
-    return any(isinstance(effect, effects.Refuse) for effect in produced)
+    request.deliverable = event.outcome is Outcome.ANSWERED
+    return [*produced, *slot_requests.place(state, request)]
 
 
 def _final_decision(
@@ -306,13 +212,23 @@
     )
 
 
+def _without_delay(decision: effects.Decision) -> effects.Decision:
+    """Returns a refusal after which the caller may return at once.
+
+    The target had a free slot, so that waiting makes no success more likely.
+    """
+    if isinstance(decision, effects.Refuse) and decision.retry_after_s:
+        return attrs.evolve(decision, retry_after_s=0.0)
+    return decision
+
+
 def _unless_retried(
     state: states.State,
     request: states.Request,
     event: events.AttemptEnded,
     final: effects.Decision,
 ) -> effects.Decision | None:
-    return None if _may_retry(state, request, event) else final
+    return None if retries.may_retry(state, request, event) else final
 
 
 def _decide_anew(
@@ -327,47 +243,14 @@
     request.sent -= 1
     request.tried.discard(target.entry.name)
     if request.sent > 0:
-        return _place(state, request)
+        return slot_requests.place(state, request)
     return _apply_rate_limit(state, request, first=True)
 
 
-def _may_retry(
-    state: states.State, request: states.Request, event: events.AttemptEnded
-) -> bool:
-    return (
-        event.replayable
-        and request.sent < request.route.max_attempts
-        and request.deadline_s - state.now_s > MIN_REMAINING_S
-        and _retry_budget(state, request.service).try_withdraw()
-    )
-
-
-def _retry_budget(state: states.State, service: str) -> pacing.RetryBudget:
-    budget = state.retry_budgets.get(service)
-    if budget is None:
-        budget = _new_retry_budget(state)
-        state.retry_budgets[service] = budget
-    return budget
-
-
-def _new_retry_budget(state: states.State) -> pacing.RetryBudget:
-    return pacing.retry_budget(
-        state.settings.retry_ratio,
-        state.settings.retry_extra,
-        len(state.fleet.names),
-    )
-
-
-def resize_retry_budgets(state: states.State) -> None:
-    """Applies a change of the fleet or the settings to the retry budgets."""
-    new = _new_retry_budget(state)
-    for budget in state.retry_budgets.values():
-        budget.resize(new)
-
-
 def _refusal_after_attempt(
     request: states.Request, event: events.AttemptEnded
 ) -> effects.Refuse:
+    """Returns the refusal of a request whose last attempt ended this way."""
     match event.outcome:
         case Outcome.EXPIRED:
             return refusals.refusal(request, 504, "deadline-exceeded", None)
@@ -377,7 +260,9 @@
             return refusals.refusal(
                 request, 502, "outcome-unknown", pause_s or None
             )
-    return refusals.refusal(request, 503, "no-capacity", NO_CAPACITY_RETRY_S)
+    return refusals.refusal(
+        request, 503, "no-capacity", forwarding.NO_CAPACITY_RETRY_S
+    )
 
 
 def closed(state: states.State, event: events.RequestClosed) -> Effects:
@@ -386,6 +271,10 @@
     if request is None:
         return []
     quota.cancel(state.quota, request.request_id)
+    produced = slots.cancel(state, request)
     if request.target is not None:
         request.target.in_flight -= 1
-    return []
+        produced += slot_requests.give_back(
+            state, request, slot_messages.NOT_SENT
+        )
+    return slot_requests.apply_decisions(state, produced)
--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -105,6 +105,13 @@
         "VMs",
         default=16,
     )
+    slot_scheduling_min_vms: int = setting(
+        "Smallest fleet in which one VM per service and region grants the "
+        "slots of its targets to all VMs, if targets report their load; 0 for "
+        "never.",
+        "VMs",
+        default=0,
+    )
     peer_timeout_s: float = setting(
         "A VM is considered unreachable and omitted from lookups after this "
         "long without a heartbeat.",
--- a/mulberrydeck/steering/tests/test_incomplete_responses.py
+++ b/mulberrydeck/steering/tests/test_incomplete_responses.py
@@ -143,6 +143,9 @@
 ):
     def serve(sock):
         sock.sendall(HEAD % b"" + b"p" * part_bytes)
+        # Otherwise, the VM would not read on to the malformed part.
+        while sock.recv(65536):
+            pass
         gevent.sleep(10.0)
 
     vm, _ = start(started, serve, repeatability=loopback.AT_MOST_ONCE)
@@ -192,6 +195,8 @@
             send_part_and_reset(5000, 0.1)(sock)
         else:
             sock.sendall(KEPT)
+            # A close with unread bytes would reset the connection.
+            gevent.sleep(1.0)
 
     vm, _ = start(started, serve, serve, repeatability=loopback.SAFE)
     # Short enough to be read ahead, and longer than the sockets' buffers.
