--- a/mulberrydeck/scheduling/choice.py
+++ b/mulberrydeck/scheduling/choice.py
@@ -34,9 +34,9 @@
 RANK_WEIGHT = 1.0
 # Spreads objects over targets by their recent use.
 USAGE_WEIGHT = 0.5
-# Requests that are late anyway wait for at most this fraction of their time;
-# with longer queues, requests that could be on time become late as well.
-LATE_WAIT_FRACTION = 0.25
+# Requests that are late anyway wait for at most this fraction of their time, so
+# that those that cannot be served are refused soon enough to return.
+LATE_WAIT_FRACTION = 0.5
 # A target that has not cached the object serves requests of other regions below
 # this use of the service.
 MAX_USE_FOR_OTHERS = 0.5
