--- a/mulberrydeck/steering/settings.py
+++ b/mulberrydeck/steering/settings.py
@@ -107,8 +107,7 @@
     )
     slot_scheduling_min_vms: int = setting(
         "Smallest fleet in which one VM per service and region grants the "
-        "slots of its targets to all VMs, if targets report their load; 0 for "
-        "never.",
+        "slots of its targets to all VMs; 0 for never.",
         "VMs",
         default=0,
     )
