--- a/mulberrydeck/scheduling/choice.py
+++ b/mulberrydeck/scheduling/choice.py
@@ -91,9 +91,7 @@
     capacity = schedule.cache_model.capacity()
     initial_s = max(MIN_INITIAL_WORK_S, request.goal_remaining_s)
     for penalty, target in _candidates(schedule, request.object_digest):
-        if target.name in request.excluded or (
-            now_s < target.avoided_until_s.get(zone, now_s)
-        ):
+        if target.name in request.excluded or target.is_avoided(now_s, zone):
             continue
         rank = target.cache.rank(request.object_digest)
         probability = schedule.cache_model.probability(rank)
@@ -212,10 +210,8 @@
     target: states.ScheduledTarget,
 ) -> bool:
     """Returns whether the VM of a waiting request cannot use a target."""
-    if not target.avoided_until_s:
-        return False
     zone = vms.zone_of(state, queued.key[0])
-    return state.now_s < target.avoided_until_s.get(zone, state.now_s)
+    return target.is_avoided(state.now_s, zone)
 
 
 def expected_work_s(
--- a/mulberrydeck/scheduling/state.py
+++ b/mulberrydeck/scheduling/state.py
@@ -155,6 +155,10 @@
             free -= round(self.others_load * math.exp(-age_s / LOAD_DECAY_S))
         return free
 
+    def is_avoided(self, now_s: float, zone: str) -> bool:
+        """Returns whether VMs of a zone cannot use it now."""
+        return now_s < self.avoided_until_s.get(zone, now_s)
+
     def rejection_rate(self, now_s: float) -> float:
         """Returns the fraction of recent attempts that it rejected."""
         rejections = self.rejections.current(now_s)
